Serve a request end to end through separate processes

A caller asks any entry host for the address list, sends a request for a pipeline of encode, retrieve, rerank and generate with one deadline, and gets the whole answer as JSON or as numbered server-sent events. Calls that may not be repeated are claimed in the key-value service before they are sent. Stand-ins of the platform run as a second program.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# Targets for people and for CI. `make help` lists them.
+
+BIN := bin
+TOOL := go tool -modfile=tools/go.mod
+
+.PHONY: help build fmt lint test demo bench
+
+help: ## list the targets
+	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/ -/'
+
+build: ## build both programs into bin/
+	go build -o $(BIN)/ . ./standin
+
+fmt: ## format all Go files
+	$(TOOL) gofumpt -w .
+
+lint: ## check format, lint rules, vet and the direction of imports
+	@out=$$($(TOOL) gofumpt -l .); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	$(TOOL) revive -config revive.toml -set_exit_status ./...
+	go vet ./...
+	go run ./internal/tool/layers
+
+test: ## run all tests with the race detector
+	go test -race -count=1 ./...
+
+demo: build ## run both example deployments against their recorded traces
+	$(BIN)/standin demo --binaries $(BIN)
+
+bench: build ## measure the policies and the slopes of docs/CAPACITY.md
+	$(BIN)/standin bench --binaries $(BIN)
--- /dev/null
+++ b/cmd/host.go
@@ -0,0 +1,181 @@
+package cmd
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/data/settings"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/helper/timer"
+	"redwingloft/internal/kernel"
+	"redwingloft/internal/service/configuration"
+	"redwingloft/internal/service/member"
+	"redwingloft/internal/service/order"
+	"redwingloft/internal/service/pipeline"
+	"redwingloft/internal/service/request"
+	"redwingloft/internal/service/route"
+	"redwingloft/internal/service/upstream"
+	"redwingloft/internal/web/admin"
+	"redwingloft/internal/web/caller"
+	"redwingloft/pkg/api"
+
+	// The plug-ins register themselves.
+	_ "redwingloft/internal/plugin/etcd"
+	_ "redwingloft/internal/plugin/memory"
+	_ "redwingloft/internal/plugin/openai"
+)
+
+// refreshPeriod is the time between two reads of the store's manifest and members.
+const refreshPeriod = time.Second
+
+// host assembles the parts of one entry host.
+type host struct {
+	settings      *settings.Settings
+	log           *log.Logger
+	timer         *timer.Service
+	metrics       *metric.Set
+	configuration *configuration.Service
+	members       *member.Service
+	requests      *request.Service
+	snapshots     *document.Holder
+}
+
+func newHost(s *settings.Settings, logger *log.Logger) (*host, error) {
+	if s.Host.ID == "" {
+		s.Host.ID = api.HostID("host-" + uuid.NewString()[:8])
+	}
+	factory, err := kernel.Stores.Get(s.Store.Kind)
+	if err != nil {
+		return nil, fmt.Errorf("[store] kind: %w", err)
+	}
+	kv, err := factory(kernel.StoreOptions{Endpoints: s.Store.Endpoints, Timeout: s.Store.Timeout})
+	if err != nil {
+		return nil, err
+	}
+	h := &host{settings: s, log: logger, timer: &timer.Service{}, metrics: metric.New(), snapshots: &document.Holder{}}
+	keys := store.Keys{Prefix: s.Store.Prefix}
+	h.members = &member.Service{
+		Store: kv, Keys: keys, Validity: s.Caller.AddressValidity,
+		Self: member.Member{
+			Host: s.Host.ID, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise, DataCentre: s.Host.DataCentre,
+		},
+	}
+	table := &upstream.Table{}
+	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply}
+	h.requests = newRequests(h, kv, keys, table)
+	return h, nil
+}
+
+func newRequests(h *host, kv store.Store, keys store.Keys, table *upstream.Table) *request.Service {
+	router, sender := &route.Router{}, upstream.NewSender()
+	requests := &request.Service{
+		Snapshot: h.snapshots.Load, Key: sealKey(h.settings.Peer.Secret),
+		Executor: &pipeline.Executor{Table: table, Router: router, Sender: sender},
+		Table:    table, Router: router, Sender: sender,
+	}
+	requests.Orders = &order.Desk{Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder}
+	return requests
+}
+
+// sealKey returns the key of resume tokens; a host without a peer secret runs alone and makes its own.
+func sealKey(secret string) []byte {
+	if secret != "" {
+		return []byte(secret)
+	}
+	key := make([]byte, 32)
+	_, _ = rand.Read(key) // never fails since Go 1.24
+	return key
+}
+
+// addTo adds the parts that run for the life of the process.
+func (h *host) addTo(ctx context.Context, group *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return h.timer.Run(ctx) }, func(error) { cancel() })
+	group.Add(func() error {
+		if err := h.start(ctx); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}, func(error) { cancel() })
+	callers := &caller.Handler{
+		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log,
+	}
+	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, callers.Routes())
+	if h.settings.Admin.Listen != "" {
+		handler := &admin.Handler{Metrics: h.metrics, Ready: h.ready}
+		addServer(group, h.settings.Admin.Listen, settings.TLS{}, handler.Routes())
+	}
+}
+
+// start registers the host, loads the configuration and follows both.
+func (h *host) start(ctx context.Context) error {
+	if h.settings.Store.Kind == "memory" {
+		h.log.Warn().Msg("no key-value service is set: the host runs alone and its configuration ends with it")
+	}
+	if err := h.members.Register(ctx); err != nil {
+		h.log.Warn().Err(err).Msg("registration_failed")
+	}
+	if err := h.seed(ctx); err != nil {
+		return err
+	}
+	h.refresh(ctx)
+	h.timer.Every(refreshPeriod, func(time.Time) { h.refresh(ctx) })
+	return nil
+}
+
+// seed commits the document of the settings where the store holds none.
+func (h *host) seed(ctx context.Context) error {
+	if h.settings.Document.Path == "" {
+		return nil
+	}
+	data, err := os.ReadFile(h.settings.Document.Path)
+	if err != nil {
+		return fmt.Errorf("[document] path: %w", err)
+	}
+	doc, err := document.Parse(data)
+	if err != nil {
+		return fmt.Errorf("[document] path: %w", err)
+	}
+	if err := h.configuration.Refresh(ctx); err != nil || h.snapshots.Load() != nil {
+		return nil
+	}
+	_, err = h.configuration.Commit(ctx, doc, 0, "settings", "first document")
+	if err != nil && h.configuration.Refresh(ctx) == nil && h.snapshots.Load() != nil {
+		return nil // another host was first
+	}
+	return err
+}
+
+func (h *host) refresh(ctx context.Context) {
+	if err := h.configuration.Refresh(ctx); err != nil {
+		h.log.Warn().Err(err).Msg("configuration_refresh_failed")
+	}
+	if err := h.members.Refresh(ctx); err != nil {
+		h.log.Warn().Err(err).Msg("members_refresh_failed")
+	}
+}
+
+func (h *host) bodyBytes() int64 {
+	if snapshot := h.snapshots.Load(); snapshot != nil {
+		return snapshot.Limits.BodyBytes
+	}
+	return document.DefaultBodyBytes
+}
+
+func (h *host) ready() error {
+	if h.snapshots.Load() == nil {
+		return errors.New("no configuration is in force")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/data/document/snapshot.go
@@ -0,0 +1,166 @@
+package document
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"redwingloft/pkg/api"
+)
+
+// Defaults of the optional fields of Limits.
+const (
+	DefaultQueueLength = 1000
+	DefaultBodyBytes   = 4 << 20
+	DefaultRetryShare  = 0.10
+)
+
+// Snapshot is a compiled document. It is immutable: a request loads one snapshot
+// and uses it to its end.
+type Snapshot struct {
+	Revision api.Revision
+	// Document is the source of the snapshot and must not be changed.
+	Document *Document
+	// Limits has the defaults filled in.
+	Limits     Limits
+	Pipelines  map[api.PipelineName]*Pipeline
+	Groups     map[api.GroupName]*Group
+	Services   map[api.ServiceName]*CompiledService
+	Workspaces map[api.WorkspaceName]*CompiledWorkspace
+	Operators  map[string]*Operator
+}
+
+// CompiledService is a service with its calls by name.
+type CompiledService struct {
+	*Service
+	CallsByName map[api.CallName]*Call
+}
+
+// CompiledWorkspace is a workspace with what it may use by name.
+type CompiledWorkspace struct {
+	*Workspace
+	// Versions maps each pipeline to the one version that serves the workspace.
+	Versions map[api.PipelineName]*Version
+	Allowed  map[api.ServiceName]bool
+}
+
+// Compile checks doc whole and returns its snapshot. A document with faults is
+// refused with an InvalidError that lists all of them.
+func Compile(doc *Document, revision api.Revision) (*Snapshot, error) {
+	if faults := doc.Validate(); len(faults) > 0 {
+		return nil, &InvalidError{Faults: faults}
+	}
+	s := &Snapshot{
+		Revision:   revision,
+		Document:   doc,
+		Limits:     withDefaults(doc.Limits),
+		Pipelines:  make(map[api.PipelineName]*Pipeline, len(doc.Pipelines)),
+		Groups:     make(map[api.GroupName]*Group, len(doc.Groups)),
+		Services:   make(map[api.ServiceName]*CompiledService, len(doc.Services)),
+		Workspaces: make(map[api.WorkspaceName]*CompiledWorkspace, len(doc.Workspaces)),
+		Operators:  make(map[string]*Operator, len(doc.Operators)),
+	}
+	for i := range doc.Pipelines {
+		s.Pipelines[doc.Pipelines[i].Name] = &doc.Pipelines[i]
+	}
+	for i := range doc.Groups {
+		s.Groups[doc.Groups[i].Name] = &doc.Groups[i]
+	}
+	for i := range doc.Services {
+		s.Services[doc.Services[i].Name] = compileService(&doc.Services[i])
+	}
+	for i := range doc.Workspaces {
+		s.Workspaces[doc.Workspaces[i].Name] = s.compileWorkspace(&doc.Workspaces[i])
+	}
+	for i := range doc.Operators {
+		s.Operators[doc.Operators[i].Name] = &doc.Operators[i]
+	}
+	return s, nil
+}
+
+func withDefaults(l Limits) Limits {
+	if l.QueueLength == 0 {
+		l.QueueLength = DefaultQueueLength
+	}
+	if l.BodyBytes == 0 {
+		l.BodyBytes = DefaultBodyBytes
+	}
+	if l.RetryShare == 0 {
+		l.RetryShare = DefaultRetryShare
+	}
+	return l
+}
+
+func compileService(service *Service) *CompiledService {
+	compiled := &CompiledService{Service: service, CallsByName: make(map[api.CallName]*Call, len(service.Calls))}
+	for i := range service.Calls {
+		compiled.CallsByName[service.Calls[i].Name] = &service.Calls[i]
+	}
+	return compiled
+}
+
+func (s *Snapshot) compileWorkspace(workspace *Workspace) *CompiledWorkspace {
+	compiled := &CompiledWorkspace{
+		Workspace: workspace,
+		Versions:  make(map[api.PipelineName]*Version, len(workspace.Serves)),
+		Allowed:   make(map[api.ServiceName]bool, len(workspace.Services)),
+	}
+	for _, serve := range workspace.Serves {
+		compiled.Versions[serve.Pipeline] = s.Pipelines[serve.Pipeline].version(serve.Version)
+	}
+	for _, service := range workspace.Services {
+		compiled.Allowed[service] = true
+	}
+	return compiled
+}
+
+func (p *Pipeline) version(name api.VersionName) *Version {
+	for i := range p.Versions {
+		if p.Versions[i].Name == name {
+			return &p.Versions[i]
+		}
+	}
+	return nil
+}
+
+// Version returns the named version of a pipeline, or nil.
+func (s *Snapshot) Version(pipeline api.PipelineName, version api.VersionName) *Version {
+	p := s.Pipelines[pipeline]
+	if p == nil {
+		return nil
+	}
+	return p.version(version)
+}
+
+// InvalidError is returned for a document with faults.
+type InvalidError struct {
+	// Faults holds at least one fault.
+	Faults []api.Fault
+}
+
+// Error names the number of faults and the first of them.
+func (e *InvalidError) Error() string {
+	first := e.Faults[0]
+	return fmt.Sprintf("the document has %d faults; the first is at %s: %s", len(e.Faults), first.Path, first.Message)
+}
+
+// Holder holds the snapshot in force. Its revision never falls. The zero value holds none.
+type Holder struct {
+	current atomic.Pointer[Snapshot]
+}
+
+// Load returns the snapshot in force, or nil before the first Store.
+func (h *Holder) Load() *Snapshot { return h.current.Load() }
+
+// Store puts s in force and reports true, or reports false where the revision
+// in force is not lower than that of s.
+func (h *Holder) Store(s *Snapshot) bool {
+	for {
+		old := h.current.Load()
+		if old != nil && old.Revision >= s.Revision {
+			return false
+		}
+		if h.current.CompareAndSwap(old, s) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/data/settings/reader.go
@@ -0,0 +1,165 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+)
+
+// section reads the keys of one INI section. It collects faults in place of
+// stopping at the first, and remembers the known keys to find unknown ones.
+type section struct {
+	name  string
+	file  *ini.Section
+	known map[string]string
+	all   *loader
+}
+
+// loader holds what all sections of a file share.
+type loader struct {
+	file     *ini.File
+	faults   []Fault
+	sections []*section
+}
+
+// Fault is one fault of a settings file.
+type Fault struct {
+	Section string
+	Key     string
+	Message string
+}
+
+// String returns the fault as "[section] key: message".
+func (f Fault) String() string {
+	if f.Key == "" {
+		return fmt.Sprintf("[%s]: %s", f.Section, f.Message)
+	}
+	return fmt.Sprintf("[%s] %s: %s", f.Section, f.Key, f.Message)
+}
+
+// FaultsError is returned for a settings file with faults.
+type FaultsError struct {
+	// Faults holds at least one fault.
+	Faults []Fault
+}
+
+// Error lists all faults.
+func (e *FaultsError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, fault := range e.Faults {
+		lines = append(lines, fault.String())
+	}
+	return "the settings are not valid: " + strings.Join(lines, "; ")
+}
+
+func (l *loader) section(name string) *section {
+	s := &section{name: name, file: l.file.Section(name), known: map[string]string{}, all: l}
+	l.sections = append(l.sections, s)
+	return s
+}
+
+func (s *section) faultf(key, format string, args ...any) {
+	s.all.faults = append(s.all.faults, Fault{s.name, key, fmt.Sprintf(format, args...)})
+}
+
+// text returns the value of key, or fallback where it is absent.
+func (s *section) text(key, fallback string) string {
+	s.known[key] = fallback
+	if !s.file.HasKey(key) {
+		return fallback
+	}
+	return strings.TrimSpace(s.file.Key(key).String())
+}
+
+func (s *section) oneOf(key, fallback string, allowed ...string) string {
+	value := s.text(key, fallback)
+	for _, choice := range allowed {
+		if value == choice {
+			return value
+		}
+	}
+	s.faultf(key, "%q is not one of %s", value, strings.Join(allowed, ", "))
+	return fallback
+}
+
+// list returns the comma-separated values of key.
+func (s *section) list(key string) []string {
+	var values []string
+	for _, value := range strings.Split(s.text(key, ""), ",") {
+		if value = strings.TrimSpace(value); value != "" {
+			values = append(values, value)
+		}
+	}
+	return values
+}
+
+func (s *section) duration(key string, fallback, low, high time.Duration) time.Duration {
+	text := s.text(key, fallback.String())
+	value, err := time.ParseDuration(text)
+	switch {
+	case err != nil:
+		s.faultf(key, "%q is not a duration such as 500ms or 3s", text)
+	case value < low || value > high:
+		s.faultf(key, "%s is not between %s and %s", value, low, high)
+	default:
+		return value
+	}
+	return fallback
+}
+
+func (s *section) number(key string, fallback, low, high int) int {
+	text := s.text(key, strconv.Itoa(fallback))
+	value, err := strconv.Atoi(text)
+	switch {
+	case err != nil:
+		s.faultf(key, "%q is not a whole number", text)
+	case value < low || value > high:
+		s.faultf(key, "%d is not between %d and %d", value, low, high)
+	default:
+		return value
+	}
+	return fallback
+}
+
+// address returns an "ip:port"; an empty value is allowed where fallback is empty.
+func (s *section) address(key, fallback string) string {
+	value := s.text(key, fallback)
+	if value == "" && fallback == "" {
+		return ""
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		s.faultf(key, "%q is not an IP address with a port", value)
+		return fallback
+	}
+	return value
+}
+
+// unknown reports keys that no load function asked for.
+func (l *loader) unknown() {
+	declared := map[string]*section{}
+	for _, s := range l.sections {
+		declared[s.name] = s
+	}
+	for _, found := range l.file.Sections() {
+		name := found.Name()
+		if name == ini.DefaultSection {
+			name = ""
+		}
+		s := declared[name]
+		if s == nil {
+			if len(found.Keys()) > 0 || name != "" {
+				l.faults = append(l.faults, Fault{Section: name, Message: "unknown section"})
+			}
+			continue
+		}
+		for _, key := range found.KeyStrings() {
+			if _, known := s.known[key]; !known {
+				s.faultf(key, "unknown key")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/data/settings/settings.go
@@ -0,0 +1,66 @@
+// Package settings reads the settings of a host from an INI file. Each section
+// has a file of its own with a load function.
+package settings
+
+import (
+	"fmt"
+
+	"gopkg.in/ini.v1"
+)
+
+// Settings are the checked settings of a host.
+type Settings struct {
+	Host     Host
+	Caller   Caller
+	Peer     Peer
+	Operator Operator
+	Admin    Admin
+	Store    Store
+	HostList HostList
+	Document Document
+	Log      Log
+	Trace    Trace
+}
+
+// Load reads and checks a file. All faults are reported at once in a FaultsError.
+func Load(path string) (*Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, path)
+	if err != nil {
+		return nil, fmt.Errorf("the settings file can't be read: %w", err)
+	}
+	return check(file)
+}
+
+// Parse reads and checks the content of a file.
+func Parse(data []byte) (*Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, data)
+	if err != nil {
+		return nil, fmt.Errorf("the settings can't be read: %w", err)
+	}
+	return check(file)
+}
+
+func check(file *ini.File) (*Settings, error) {
+	l := &loader{file: file}
+	s := l.settings()
+	l.unknown()
+	if len(l.faults) > 0 {
+		return nil, &FaultsError{Faults: l.faults}
+	}
+	return s, nil
+}
+
+func (l *loader) settings() *Settings {
+	return &Settings{
+		Host:     loadHost(l.section("host")),
+		Caller:   loadCaller(l.section("caller")),
+		Peer:     loadPeer(l.section("peer")),
+		Operator: loadOperator(l.section("operator")),
+		Admin:    loadAdmin(l.section("admin")),
+		Store:    loadStore(l.section("store")),
+		HostList: loadHostList(l.section("host_list")),
+		Document: loadDocument(l.section("document")),
+		Log:      loadLog(l.section("log")),
+		Trace:    loadTrace(l.section("trace")),
+	}
+}
--- /dev/null
+++ b/internal/helper/logging/logging.go
@@ -0,0 +1,52 @@
+// Package logging sets up the process log: one line of key=value pairs an event.
+package logging
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/phuslu/log"
+)
+
+// New returns a logger that writes lines of key=value pairs to out. Level is
+// one of "debug", "info", "warn" and "error"; every line carries host.
+func New(out io.Writer, level string, host string) *log.Logger {
+	logger := &log.Logger{
+		Level:      log.ParseLevel(level),
+		TimeField:  "time",
+		TimeFormat: log.TimeFormatUnixMs,
+		Writer:     &log.ConsoleWriter{Writer: out, Formatter: format},
+	}
+	if host != "" {
+		logger.Context = log.NewContext(nil).Str("host", host).Value()
+	}
+	return logger
+}
+
+// Discard returns a logger that drops every event.
+func Discard() *log.Logger {
+	return &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
+}
+
+func format(out io.Writer, args *log.FormatterArgs) (int, error) {
+	line := make([]byte, 0, 256)
+	line = fmt.Appendf(line, "time=%s level=%s event=%s", args.Time, args.Level, quote(args.Message))
+	for _, pair := range args.KeyValues {
+		line = fmt.Appendf(line, " %s=%s", pair.Key, quote(pair.Value))
+	}
+	line = append(line, '\n')
+	return out.Write(line)
+}
+
+// quote returns value as it is where it holds no space, quote, equals sign or control character.
+func quote(value string) string {
+	if value == "" {
+		return `""`
+	}
+	for _, r := range value {
+		if r <= ' ' || r == '"' || r == '=' || r == 0x7f {
+			return fmt.Sprintf("%q", value)
+		}
+	}
+	return value
+}
--- /dev/null
+++ b/internal/helper/metric/metric.go
@@ -0,0 +1,77 @@
+// Package metric wraps the metrics registry of a process and writes it in the
+// Prometheus text format.
+package metric
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"redwingloft/pkg/api"
+)
+
+// Set is the metrics of one process. The zero value works.
+type Set struct {
+	// Registry holds all metrics; nil means that counts are dropped until Init is called.
+	Registry metrics.Registry
+}
+
+// New returns a set with a counter for every error kind, so that each refusal
+// reason is listed from the start.
+func New() *Set {
+	set := &Set{Registry: metrics.NewRegistry()}
+	for _, answer := range api.Kinds {
+		set.Counter(answer.Counter)
+	}
+	return set
+}
+
+// Counter returns the counter of the given name, such as "retry.dial_failed".
+func (s *Set) Counter(name string) metrics.Counter {
+	if s == nil || s.Registry == nil {
+		return metrics.NilCounter{}
+	}
+	return metrics.GetOrRegisterCounter(name, s.Registry)
+}
+
+// Gauge returns the gauge of the given name.
+func (s *Set) Gauge(name string) metrics.GaugeFloat64 {
+	if s == nil || s.Registry == nil {
+		return metrics.NilGaugeFloat64{}
+	}
+	return metrics.GetOrRegisterGaugeFloat64(name, s.Registry)
+}
+
+// Counters returns the value of every counter by name.
+func (s *Set) Counters() map[string]int64 {
+	values := map[string]int64{}
+	if s == nil || s.Registry == nil {
+		return values
+	}
+	s.Registry.Each(func(name string, metric any) {
+		if counter, ok := metric.(metrics.Counter); ok {
+			values[name] = counter.Count()
+		}
+	})
+	return values
+}
+
+// Write writes all counters and gauges in the Prometheus text format, sorted by name.
+func (s *Set) Write(out io.Writer) error {
+	var lines []string
+	s.Registry.Each(func(name string, metric any) {
+		exposed := "redwingloft_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		switch value := metric.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("# TYPE %s counter\n%s %d\n", exposed, exposed, value.Count()))
+		case metrics.GaugeFloat64:
+			lines = append(lines, fmt.Sprintf("# TYPE %s gauge\n%s %g\n", exposed, exposed, value.Value()))
+		}
+	})
+	sort.Strings(lines)
+	_, err := io.WriteString(out, strings.Join(lines, ""))
+	return err
+}
--- /dev/null
+++ b/internal/helper/timer/timer.go
@@ -0,0 +1,94 @@
+// Package timer provides the one timer service of a process. Parts subscribe
+// to periods in place of running tickers of their own, and tests advance the
+// clock by hand.
+package timer
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// resolution is the step at which the service looks for subscriptions that are due.
+const resolution = 10 * time.Millisecond
+
+// Service calls subscribers at their periods. The zero value uses the system clock.
+type Service struct {
+	// Clock returns the current time; nil means time.Now. Its values carry a monotonic reading.
+	Clock func() time.Time
+
+	mu            sync.Mutex
+	subscriptions map[*subscription]struct{}
+}
+
+type subscription struct {
+	period time.Duration
+	// due is the next time at which call runs.
+	due  time.Time
+	call func(now time.Time)
+	// running is true while call runs; a period that passes meanwhile is skipped.
+	running bool
+}
+
+// Now returns the current time of the service.
+func (s *Service) Now() time.Time {
+	if s.Clock != nil {
+		return s.Clock()
+	}
+	return time.Now()
+}
+
+// Every calls f once a period, each time in a goroutine of its own and never
+// twice at once, until the returned function is called.
+func (s *Service) Every(period time.Duration, f func(now time.Time)) (cancel func()) {
+	sub := &subscription{period: period, due: s.Now().Add(period), call: f}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.subscriptions == nil {
+		s.subscriptions = map[*subscription]struct{}{}
+	}
+	s.subscriptions[sub] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.subscriptions, sub)
+	}
+}
+
+// Run drives the subscriptions until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	ticker := time.NewTicker(resolution)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			s.Tick()
+		}
+	}
+}
+
+// Tick starts every subscription that is due. Tests call it after advancing their clock.
+func (s *Service) Tick() {
+	now := s.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sub := range s.subscriptions {
+		if now.Before(sub.due) || sub.running {
+			continue
+		}
+		sub.due = now.Add(sub.period)
+		sub.running = true
+		go s.invoke(sub, now)
+	}
+}
+
+func (s *Service) invoke(sub *subscription, now time.Time) {
+	defer func() {
+		s.mu.Lock()
+		sub.running = false
+		s.mu.Unlock()
+	}()
+	sub.call(now)
+}
--- /dev/null
+++ b/internal/plugin/etcd/wire.go
@@ -0,0 +1,135 @@
+package etcd
+
+import (
+	"redwingloft/internal/data/store"
+)
+
+// The gateway encodes keys and values in base64, as encoding/json does for byte
+// slices, and 64-bit integers as strings.
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+	Limit    int64  `json:"limit,omitempty,string"`
+}
+
+type header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type keyValue struct {
+	Key            []byte `json:"key"`
+	Value          []byte `json:"value"`
+	CreateRevision int64  `json:"create_revision,string"`
+	ModRevision    int64  `json:"mod_revision,string"`
+}
+
+func (kv keyValue) entry() store.Entry {
+	return store.Entry{
+		Key:     string(kv.Key),
+		Value:   kv.Value,
+		Version: store.Version(kv.ModRevision),
+		Created: store.Version(kv.CreateRevision),
+	}
+}
+
+type rangeReply struct {
+	Header header     `json:"header"`
+	Kvs    []keyValue `json:"kvs"`
+}
+
+type putRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value"`
+	Lease int64  `json:"lease,omitempty,string"`
+}
+
+type deleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+type compare struct {
+	Key         []byte `json:"key"`
+	Target      string `json:"target"`
+	Result      string `json:"result"`
+	ModRevision int64  `json:"mod_revision,string"`
+}
+
+type operation struct {
+	Put    *putRequest    `json:"request_put,omitempty"`
+	Delete *deleteRequest `json:"request_delete_range,omitempty"`
+	Range  *rangeRequest  `json:"request_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare,omitempty"`
+	Success []operation `json:"success,omitempty"`
+	Failure []operation `json:"failure,omitempty"`
+}
+
+type txnReply struct {
+	Header    header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+	Responses []struct {
+		Range *rangeReply `json:"response_range"`
+	} `json:"responses"`
+}
+
+func newTxnRequest(txn store.Txn) txnRequest {
+	request := txnRequest{}
+	for _, condition := range txn.If {
+		request.Compare = append(request.Compare, compare{
+			Key: []byte(condition.Key), Target: "MOD", Result: "EQUAL", ModRevision: int64(condition.Version),
+		})
+	}
+	for _, put := range txn.Puts {
+		request.Success = append(request.Success, operation{Put: &putRequest{
+			Key: []byte(put.Key), Value: put.Value, Lease: int64(put.Lease),
+		}})
+	}
+	for _, key := range txn.Deletes {
+		request.Success = append(request.Success, operation{Delete: &deleteRequest{Key: []byte(key)}})
+	}
+	for _, key := range txn.ReadElse {
+		request.Failure = append(request.Failure, operation{Range: &rangeRequest{Key: []byte(key)}})
+	}
+	return request
+}
+
+type leaseRequest struct {
+	ID  int64 `json:"ID,omitempty,string"`
+	TTL int64 `json:"TTL,omitempty,string"`
+}
+
+type leaseReply struct {
+	ID  int64 `json:"ID,string"`
+	TTL int64 `json:"TTL,string"`
+}
+
+type watchRequest struct {
+	Create struct {
+		Key           []byte `json:"key"`
+		RangeEnd      []byte `json:"range_end,omitempty"`
+		StartRevision int64  `json:"start_revision,omitempty,string"`
+	} `json:"create_request"`
+}
+
+type watchReply struct {
+	Result struct {
+		Header       header `json:"header"`
+		Canceled     bool   `json:"canceled"`
+		CancelReason string `json:"cancel_reason"`
+		Events       []struct {
+			Type string   `json:"type"`
+			KV   keyValue `json:"kv"`
+		} `json:"events"`
+	} `json:"result"`
+}
+
+func (r watchReply) events() []store.Event {
+	events := make([]store.Event, 0, len(r.Result.Events))
+	for _, event := range r.Result.Events {
+		events = append(events, store.Event{Entry: event.KV.entry(), Deleted: event.Type == "DELETE"})
+	}
+	return events
+}
--- /dev/null
+++ b/internal/plugin/memory/memory.go
@@ -0,0 +1,267 @@
+// Package memory is an embedded key-value store for a host that runs alone and
+// for tests. It keeps nothing over a restart.
+package memory
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/kernel"
+)
+
+func init() {
+	kernel.Stores.Register("memory", func(kernel.StoreOptions) (store.Store, error) { return New(), nil })
+}
+
+// Store is an in-memory key-value store.
+type Store struct {
+	// Clock returns the current time; nil means time.Now.
+	Clock func() time.Time
+
+	mu sync.Mutex
+	// version rises by one with each applied transaction.
+	version   store.Version
+	entries   map[string]entry
+	leases    map[store.LeaseID]*lease
+	lastLease store.LeaseID
+	// history holds the events of all versions, for watches that start in the past.
+	history []versioned
+	changed chan struct{}
+}
+
+type entry struct {
+	store.Entry
+	lease store.LeaseID
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+type versioned struct {
+	version store.Version
+	event   store.Event
+}
+
+// historyLimit bounds the kept events; a watch from before them fails.
+const historyLimit = 100_000
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{
+		entries: map[string]entry{},
+		leases:  map[store.LeaseID]*lease{},
+		changed: make(chan struct{}),
+	}
+}
+
+func (s *Store) now() time.Time {
+	if s.Clock != nil {
+		return s.Clock()
+	}
+	return time.Now()
+}
+
+// Get returns the entry of key, or nil.
+func (s *Store) Get(_ context.Context, key string) (*store.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	return s.get(key), nil
+}
+
+func (s *Store) get(key string) *store.Entry {
+	found, exists := s.entries[key]
+	if !exists {
+		return nil
+	}
+	copied := found.Entry
+	copied.Value = append([]byte(nil), found.Value...)
+	return &copied
+}
+
+// List returns the entries under prefix in key order.
+func (s *Store) List(_ context.Context, prefix, from string, limit int) ([]store.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var keys []string
+	for key := range s.entries {
+		if strings.HasPrefix(key, prefix) && key >= from {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	if limit > 0 && len(keys) > limit {
+		keys = keys[:limit]
+	}
+	list := make([]store.Entry, 0, len(keys))
+	for _, key := range keys {
+		list = append(list, *s.get(key))
+	}
+	return list, nil
+}
+
+// Txn applies txn where all its compares hold.
+func (s *Store) Txn(_ context.Context, txn store.Txn) (store.TxnResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, compare := range txn.If {
+		if s.entries[compare.Key].Version != compare.Version {
+			return s.readElse(txn.ReadElse), nil
+		}
+	}
+	for _, put := range txn.Puts {
+		if put.Lease != 0 && s.leases[put.Lease] == nil {
+			return store.TxnResult{}, store.ErrUnavailable.New("lease %d does not exist", put.Lease)
+		}
+	}
+	if len(txn.Puts)+len(txn.Deletes) > 0 {
+		s.version++
+	}
+	for _, put := range txn.Puts {
+		s.put(put)
+	}
+	for _, key := range txn.Deletes {
+		s.remove(key)
+	}
+	s.notify()
+	return store.TxnResult{Applied: true, Version: s.version}, nil
+}
+
+func (s *Store) readElse(keys []string) store.TxnResult {
+	result := store.TxnResult{Version: s.version}
+	for _, key := range keys {
+		if found := s.get(key); found != nil {
+			result.Entries = append(result.Entries, *found)
+		}
+	}
+	return result
+}
+
+func (s *Store) put(put store.Put) {
+	old, exists := s.entries[put.Key]
+	created := s.version
+	if exists {
+		created = old.Created
+	}
+	value := append([]byte(nil), put.Value...)
+	stored := store.Entry{Key: put.Key, Value: value, Version: s.version, Created: created}
+	s.entries[put.Key] = entry{Entry: stored, lease: put.Lease}
+	s.record(store.Event{Entry: stored})
+}
+
+func (s *Store) remove(key string) {
+	if _, exists := s.entries[key]; !exists {
+		return
+	}
+	delete(s.entries, key)
+	s.record(store.Event{Entry: store.Entry{Key: key, Version: s.version}, Deleted: true})
+}
+
+func (s *Store) record(event store.Event) {
+	s.history = append(s.history, versioned{s.version, event})
+	if len(s.history) > historyLimit {
+		s.history = append([]versioned(nil), s.history[historyLimit/2:]...)
+	}
+}
+
+func (s *Store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire deletes the keys of ended leases. The caller holds mu.
+func (s *Store) expire() {
+	now := s.now()
+	for id, held := range s.leases {
+		if now.After(held.end) {
+			s.dropLease(id)
+		}
+	}
+}
+
+func (s *Store) dropLease(id store.LeaseID) {
+	delete(s.leases, id)
+	s.version++
+	for key, found := range s.entries {
+		if found.lease == id {
+			s.remove(key)
+		}
+	}
+	s.notify()
+}
+
+// Grant makes a lease.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLease++
+	s.leases[s.lastLease] = &lease{ttl: ttl, end: s.now().Add(ttl)}
+	return s.lastLease, nil
+}
+
+// KeepAlive extends a lease by its whole time to live.
+func (s *Store) KeepAlive(_ context.Context, id store.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	held := s.leases[id]
+	if held == nil {
+		return store.ErrUnavailable.New("lease %d does not exist", id)
+	}
+	held.end = s.now().Add(held.ttl)
+	return nil
+}
+
+// Revoke ends a lease and deletes its keys.
+func (s *Store) Revoke(_ context.Context, id store.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] != nil {
+		s.dropLease(id)
+	}
+	return nil
+}
+
+// Watch calls f with the changes under prefix from version from on.
+func (s *Store) Watch(ctx context.Context, prefix string, from store.Version, f func([]store.Event)) error {
+	next := from
+	for {
+		events, changed, last, err := s.since(prefix, next)
+		if err != nil {
+			return err
+		}
+		next = last + 1
+		if len(events) > 0 {
+			f(events)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+func (s *Store) since(prefix string, from store.Version) ([]store.Event, <-chan struct{}, store.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if len(s.history) > 0 && from < s.history[0].version && s.history[0].version > 1 {
+		return nil, nil, 0, store.ErrUnavailable.New("version %d is compacted", from)
+	}
+	var events []store.Event
+	for _, past := range s.history {
+		if past.version >= from && strings.HasPrefix(past.event.Key, prefix) {
+			events = append(events, past.event)
+		}
+	}
+	return events, s.changed, max(s.version, from-1), nil
+}
--- /dev/null
+++ b/internal/tool/layers/main.go
@@ -0,0 +1,95 @@
+// Command layers checks that imports go down the layers: command, handlers,
+// services, plug-ins, kernel, data, helpers, public.
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strings"
+)
+
+// layers lists path prefixes from the lowest layer to the highest.
+var layers = []string{
+	"redwingloft/pkg/api",
+	"redwingloft/pkg",
+	"redwingloft/internal/helper",
+	"redwingloft/internal/data",
+	"redwingloft/internal/kernel",
+	"redwingloft/internal/plugin",
+	"redwingloft/internal/service",
+	"redwingloft/internal/web",
+	"redwingloft/cmd",
+}
+
+// standins is the path of the second program, which the first must not link.
+const standins = "redwingloft/standin"
+
+type listed struct {
+	ImportPath string
+	Imports    []string
+}
+
+func main() {
+	faults, err := check()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "layers:", err)
+		os.Exit(1)
+	}
+	for _, fault := range faults {
+		fmt.Println(fault)
+	}
+	if len(faults) > 0 {
+		os.Exit(1)
+	}
+}
+
+func check() ([]string, error) {
+	command := exec.Command("go", "list", "-json=ImportPath,Imports", "./...")
+	command.Stderr = os.Stderr
+	out, err := command.Output()
+	if err != nil {
+		return nil, err
+	}
+	var faults []string
+	decoder := json.NewDecoder(strings.NewReader(string(out)))
+	for {
+		var p listed
+		err := decoder.Decode(&p)
+		if errors.Is(err, io.EOF) {
+			return faults, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		faults = append(faults, upward(p)...)
+	}
+}
+
+// upward returns the imports of a package that point up.
+func upward(p listed) []string {
+	own := layer(p.ImportPath)
+	if own < 0 {
+		return nil
+	}
+	var faults []string
+	for _, imported := range p.Imports {
+		if layer(imported) > own || strings.HasPrefix(imported, standins) {
+			faults = append(faults, fmt.Sprintf("%s imports %s, which is in a higher layer", p.ImportPath, imported))
+		}
+	}
+	return faults
+}
+
+// layer returns the index of the lowest layer whose prefix matches, or -1.
+func layer(path string) int {
+	for i, prefix := range layers {
+		if path == prefix || strings.HasPrefix(path, prefix+"/") {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/standin/keyvalue/keyvalue.go
@@ -0,0 +1,164 @@
+// Package keyvalue is a stand-in of the platform's key-value service. It serves
+// the part of the etcd version 3 JSON gateway that redwingloft uses.
+package keyvalue
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/plugin/memory"
+)
+
+// Server serves the gateway over an in-memory store.
+type Server struct {
+	Store *memory.Store
+
+	mu    sync.Mutex
+	calls map[string]int64
+}
+
+// New returns a server of an empty store.
+func New() *Server {
+	return &Server{Store: memory.New(), calls: map[string]int64{}}
+}
+
+// Calls returns the number of calls by path.
+func (s *Server) Calls() map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := map[string]int64{}
+	for path, count := range s.calls {
+		copied[path] = count
+	}
+	return copied
+}
+
+// Routes returns the mux of the gateway.
+func (s *Server) Routes() http.Handler {
+	mux := http.NewServeMux()
+	handle(s, mux, "/v3/kv/range", s.rangeKeys)
+	handle(s, mux, "/v3/kv/txn", s.txn)
+	handle(s, mux, "/v3/lease/grant", s.grant)
+	handle(s, mux, "/v3/lease/keepalive", s.keepAlive)
+	handle(s, mux, "/v3/lease/revoke", s.revoke)
+	mux.HandleFunc("POST /v3/watch", s.watch)
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.Calls()) })
+	return mux
+}
+
+func (s *Server) count(path string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[path]++
+}
+
+func handle[Request any](s *Server, mux *http.ServeMux, path string, f func(context.Context, Request) (any, error)) {
+	mux.HandleFunc("POST "+path, func(w http.ResponseWriter, r *http.Request) {
+		s.count(path)
+		var request Request
+		if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answer, err := f(r.Context(), request)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+			return
+		}
+		reply(w, answer)
+	})
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Server) rangeKeys(ctx context.Context, request rangeRequest) (any, error) {
+	answer := rangeReply{}
+	if len(request.RangeEnd) == 0 {
+		entry, err := s.Store.Get(ctx, string(request.Key))
+		if err != nil || entry == nil {
+			return answer, err
+		}
+		answer.Kvs = append(answer.Kvs, newKeyValue(*entry))
+		return answer, nil
+	}
+	entries, err := s.Store.List(ctx, "", string(request.Key), 0)
+	if err != nil {
+		return nil, err
+	}
+	for _, entry := range entries {
+		if entry.Key >= string(request.RangeEnd) || (request.Limit > 0 && len(answer.Kvs) == int(request.Limit)) {
+			break
+		}
+		answer.Kvs = append(answer.Kvs, newKeyValue(entry))
+	}
+	return answer, nil
+}
+
+func (s *Server) txn(ctx context.Context, request txnRequest) (any, error) {
+	result, err := s.Store.Txn(ctx, request.store())
+	if err != nil {
+		return nil, err
+	}
+	answer := txnReply{Succeeded: result.Applied}
+	answer.Header.Revision = int64(result.Version)
+	found := map[string]store.Entry{}
+	for _, entry := range result.Entries {
+		found[entry.Key] = entry
+	}
+	if !result.Applied {
+		for _, operation := range request.Failure {
+			answer.Responses = append(answer.Responses, rangeResponse(operation, found))
+		}
+	}
+	return answer, nil
+}
+
+func (s *Server) grant(ctx context.Context, request leaseRequest) (any, error) {
+	id, err := s.Store.Grant(ctx, time.Duration(request.TTL)*time.Second)
+	return leaseReply{ID: int64(id), TTL: request.TTL}, err
+}
+
+func (s *Server) keepAlive(ctx context.Context, request leaseRequest) (any, error) {
+	answer := struct {
+		Result leaseReply `json:"result"`
+	}{leaseReply{ID: request.ID, TTL: 1}}
+	// An ended lease is answered with a TTL of 0, as the gateway does.
+	if err := s.Store.KeepAlive(ctx, store.LeaseID(request.ID)); err != nil {
+		answer.Result.TTL = 0
+	}
+	return answer, nil
+}
+
+func (s *Server) revoke(ctx context.Context, request leaseRequest) (any, error) {
+	return struct{}{}, s.Store.Revoke(ctx, store.LeaseID(request.ID))
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	s.count("/v3/watch")
+	var request watchRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	control := http.NewResponseController(w)
+	encoder := json.NewEncoder(w)
+	_ = encoder.Encode(newWatchReply(nil))
+	_ = control.Flush()
+	from := store.Version(request.Create.StartRevision)
+	err := s.Store.Watch(r.Context(), string(request.Create.Key), from, func(events []store.Event) {
+		_ = encoder.Encode(newWatchReply(events))
+		_ = control.Flush()
+	})
+	if err != nil && r.Context().Err() == nil {
+		canceled := newWatchReply(nil)
+		canceled.Result.Canceled, canceled.Result.CancelReason = true, err.Error()
+		_ = encoder.Encode(canceled)
+	}
+}
