Bound retries and hedges by one budget

Retries and hedges shared no bound, so a failing group tripled its own load (three attempts for each stage). Each first attempt now adds its share to a credit from which retries and hedges are paid. A windowed counter was ruled out: it needs a reset that races with the request path; the credit is one atomic. A reserve of 10 attempts and one attempt per 5 s keep hosts with little traffic able to retry.

--- /dev/null
+++ b/internal/service/retry/budget.go
@@ -0,0 +1,162 @@
+// Package retry bounds the extra attempts of a host to a share of its first attempts.
+package retry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"redwingloft/internal/helper/metric"
+)
+
+const (
+	// unit is one attempt in the fixed-point credit.
+	unit = 1000
+	// reserve is the credit above the share, so that a host with little traffic
+	// survives the loss of one upstream.
+	reserve = 10 * unit
+	// maxCredit bounds what first attempts save up, so that a long quiet time does
+	// not pay for a storm of retries.
+	maxCredit = 50 * unit
+	// maxDebt bounds what Charge may overdraw.
+	maxDebt = 50 * unit
+	// minimumInterval is the time after which one extra attempt is granted without credit.
+	minimumInterval = 5 * time.Second
+)
+
+// Reason tells why an extra attempt is made.
+type Reason string
+
+// The reasons. Those of failed attempts equal the reasons of the upstream package.
+const (
+	ReasonHedge    Reason = "hedge"
+	ReasonResume   Reason = "resume"
+	ReasonDial     Reason = "dial_failed"
+	ReasonNoAnswer Reason = "no_answer"
+	ReasonStatus   Reason = "status"
+	ReasonDraining Reason = "draining"
+	ReasonSilent   Reason = "silent"
+	ReasonBroken   Reason = "broken"
+)
+
+var reasons = [...]Reason{
+	ReasonHedge, ReasonResume, ReasonDial, ReasonNoAnswer, ReasonStatus, ReasonDraining, ReasonSilent, ReasonBroken,
+}
+
+// Budget grants retries and hedges as a share of first attempts. Each first
+// attempt adds its share to the credit and each extra attempt takes one from it,
+// so that over time the extra attempts stay below the share plus a small minimum.
+// All methods are safe for concurrent use and take no lock. The zero value works;
+// a nil budget grants everything.
+type Budget struct {
+	// Metrics counts extra attempts as "retry.<reason>" and refused ones as
+	// "retry.refused.<reason>"; nil counts nothing.
+	Metrics *metric.Set
+	// Clock returns the current time; nil means time.Now.
+	Clock func() time.Time
+
+	// credit is in thousandths of an attempt, without the reserve.
+	credit atomic.Int64
+	// granted is the time of the last grant without credit, since started.
+	granted  atomic.Int64
+	setup    sync.Once
+	started  time.Time
+	counters map[Reason]counters
+}
+
+type counters struct{ granted, refused interface{ Inc(int64) } }
+
+// First adds the share of one first attempt, between 0 and 1.
+func (b *Budget) First(share float64) {
+	if b == nil {
+		return
+	}
+	b.prepare()
+	b.add(int64(share * unit))
+}
+
+// Take reports whether an extra attempt may be made, and takes it from the credit.
+func (b *Budget) Take(reason Reason) bool {
+	if b == nil {
+		return true
+	}
+	b.prepare()
+	if b.spend() || b.minimum() {
+		b.count(reason).granted.Inc(1)
+		return true
+	}
+	b.count(reason).refused.Inc(1)
+	return false
+}
+
+// Charge takes an extra attempt that can't be refused, such as the continuation
+// of a stream whose caller already has a part; later retries and hedges make up for it.
+func (b *Budget) Charge(reason Reason) {
+	if b == nil {
+		return
+	}
+	b.prepare()
+	b.add(-unit)
+	b.count(reason).granted.Inc(1)
+}
+
+func (b *Budget) add(amount int64) {
+	for {
+		old := b.credit.Load()
+		next := max(min(old+amount, maxCredit), -reserve-maxDebt)
+		if next == old || b.credit.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+func (b *Budget) spend() bool {
+	for {
+		old := b.credit.Load()
+		if old-unit < -reserve {
+			return false
+		}
+		if b.credit.CompareAndSwap(old, old-unit) {
+			return true
+		}
+	}
+}
+
+// minimum grants one attempt an interval.
+func (b *Budget) minimum() bool {
+	now := int64(b.now().Sub(b.started))
+	last := b.granted.Load()
+	return now-last >= int64(minimumInterval) && b.granted.CompareAndSwap(last, now)
+}
+
+func (b *Budget) now() time.Time {
+	if b.Clock != nil {
+		return b.Clock()
+	}
+	return time.Now()
+}
+
+// prepare looks the counters up once, because the metrics registry takes a lock.
+func (b *Budget) prepare() {
+	b.setup.Do(func() {
+		b.started = b.now()
+		b.counters = make(map[Reason]counters, len(reasons))
+		for _, reason := range reasons {
+			b.counters[reason] = b.lookUp(reason)
+		}
+	})
+}
+
+func (b *Budget) lookUp(reason Reason) counters {
+	return counters{
+		granted: b.Metrics.Counter("retry." + string(reason)),
+		refused: b.Metrics.Counter("retry.refused." + string(reason)),
+	}
+}
+
+func (b *Budget) count(reason Reason) counters {
+	if known, found := b.counters[reason]; found {
+		return known
+	}
+	return b.lookUp(reason)
+}
--- /dev/null
+++ b/internal/service/retry/budget_test.go
@@ -0,0 +1,64 @@
+package retry
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/helper/metric"
+)
+
+// TestBudgetBoundsExtraAttempts guards against retries that multiply the load
+// when every attempt fails, also under concurrent use.
+func TestBudgetBoundsExtraAttempts(t *testing.T) {
+	start := time.Now()
+	budget := &Budget{Metrics: metric.New(), Clock: func() time.Time { return start }}
+	var wait sync.WaitGroup
+	for range 10 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for range 1000 {
+				budget.First(0.1)
+				budget.Take(ReasonDial)
+				budget.Take(ReasonHedge)
+			}
+		}()
+	}
+	wait.Wait()
+	counts := budget.Metrics.Counters()
+	granted := counts["retry.dial_failed"] + counts["retry.hedge"]
+	assert.Assert(t, granted <= 1000+reserve/unit, "granted %d", granted)
+	assert.Assert(t, granted >= 1000, "granted %d", granted)
+	assert.Equal(t, granted+counts["retry.refused.dial_failed"]+counts["retry.refused.hedge"], int64(20_000))
+}
+
+// TestBudgetKeepsMinimum guards against a host with next to no traffic that may never retry again.
+func TestBudgetKeepsMinimum(t *testing.T) {
+	now := time.Now()
+	budget := &Budget{Clock: func() time.Time { return now }}
+	for budget.Take(ReasonStatus) {
+	}
+	now = now.Add(minimumInterval)
+	assert.Assert(t, budget.Take(ReasonStatus))
+	assert.Assert(t, !budget.Take(ReasonStatus))
+}
+
+// TestBudgetChargeDelaysRetries guards against continued streams that come on top of the share.
+func TestBudgetChargeDelaysRetries(t *testing.T) {
+	start := time.Now()
+	budget := &Budget{Clock: func() time.Time { return start }}
+	for range reserve/unit + 2 {
+		budget.Charge(ReasonResume)
+	}
+	for range 20 {
+		budget.First(0.1)
+	}
+	assert.Assert(t, !budget.Take(ReasonHedge))
+	for range 10 {
+		budget.First(0.1)
+	}
+	assert.Assert(t, budget.Take(ReasonHedge))
+}
