Split the deadline, hedge and continue streams in the executor

The thin executor retried three times without a bound on the added load, gave the first stage the whole deadline and lost the tokens of a broken attempt that had been received but not returned. Each stage is now one goroutine that owns all state and takes tokens and results from its attempts' own channels: a token counts once it was received over an unbuffered channel, so that a continued stream starts exactly after it, and a late result stays in the buffered channel of its attempt. Two attempts that write to the caller directly behind a compare-and-swap were ruled out: an emit could then run after Run had returned.

A stream that breaks after its last token is complete: the bound left would be 0, which the protocol leaves out and engines read as no bound.

Quantiles come from a histogram of atomic buckets (error at most 1/8, halved every 10 s). The hedge delay is the p95, at most four medians, because a straggler that serves over 5% of the attempts raises the p95 to its own time and would never be hedged again.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -80,7 +80,7 @@
 	router, sender := &route.Router{}, upstream.NewSender()
 	requests := &request.Service{
 		Snapshot: h.snapshots.Load, Key: sealKey(h.settings.Peer.Secret),
-		Executor: &pipeline.Executor{Table: table, Router: router, Sender: sender},
+		Executor: &pipeline.Executor{Table: table, Router: router, Send: sender.Do},
 		Table:    table, Router: router, Sender: sender,
 	}
 	requests.Orders = &order.Desk{Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder}
--- a/internal/data/document/snapshot.go
+++ b/internal/data/document/snapshot.go
@@ -24,6 +24,8 @@
 	Limits     Limits
 	Pipelines  map[api.PipelineName]*Pipeline
 	Groups     map[api.GroupName]*Group
+	// Slots is the number of slots of all upstreams of a group together.
+	Slots      map[api.GroupName]int
 	Services   map[api.ServiceName]*CompiledService
 	Workspaces map[api.WorkspaceName]*CompiledWorkspace
 	Operators  map[string]*Operator
@@ -55,6 +57,7 @@
 		Limits:     withDefaults(doc.Limits),
 		Pipelines:  make(map[api.PipelineName]*Pipeline, len(doc.Pipelines)),
 		Groups:     make(map[api.GroupName]*Group, len(doc.Groups)),
+		Slots:      make(map[api.GroupName]int, len(doc.Groups)),
 		Services:   make(map[api.ServiceName]*CompiledService, len(doc.Services)),
 		Workspaces: make(map[api.WorkspaceName]*CompiledWorkspace, len(doc.Workspaces)),
 		Operators:  make(map[string]*Operator, len(doc.Operators)),
@@ -64,6 +67,9 @@
 	}
 	for i := range doc.Groups {
 		s.Groups[doc.Groups[i].Name] = &doc.Groups[i]
+		for _, upstream := range doc.Groups[i].Upstreams {
+			s.Slots[doc.Groups[i].Name] += upstream.Slots
+		}
 	}
 	for i := range doc.Services {
 		s.Services[doc.Services[i].Name] = compileService(&doc.Services[i])
--- a/internal/service/pipeline/executor.go
+++ b/internal/service/pipeline/executor.go
@@ -1,25 +1,21 @@
-// Package pipeline runs the stages of one request.
+// Package pipeline runs the stages of one request: it splits the deadline,
+// retries and hedges within one budget, and continues broken streams.
 package pipeline
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net/http"
 	"time"
 
 	"redwingloft/internal/data/document"
 	"redwingloft/internal/data/work"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/kernel"
+	"redwingloft/internal/service/retry"
 	"redwingloft/internal/service/route"
 	"redwingloft/internal/service/upstream"
 	"redwingloft/pkg/api"
 )
 
-// maxAttempts bounds the attempts of one stage.
-const maxAttempts = 3
-
 // Request is one run of a version.
 type Request struct {
 	ID        api.RequestID
@@ -36,11 +32,12 @@
 	// Partial is the text of the last stage that the caller already has.
 	Partial       string
 	PartialTokens int
-	// MaxTokens bounds the text of the last stage; 0 means the bound of the stage.
+	// MaxTokens bounds the text of the last stage, Partial included; 0 means the bound of the stage.
 	MaxTokens int
 }
 
-// Observer is told of the progress of a run. Nil fields are skipped.
+// Observer is told of the progress of a run, in the goroutine of Run. Nil fields
+// are skipped. An error of an observer means that the caller is gone; it ends the run.
 type Observer struct {
 	// Prepared is called before the last stage with its input, from which any host can resume.
 	Prepared func(stage int, item work.Item) error
@@ -48,7 +45,7 @@
 	Token func(work.Token) error
 }
 
-// Result is the whole answer of a run.
+// Result is the whole answer of a run. A failed run has the stages up to the failure.
 type Result struct {
 	// Text is the whole text, Request.Partial included.
 	Text   string
@@ -56,48 +53,88 @@
 	Stages []api.StageCost
 }
 
-// Executor runs requests.
+// Executor runs requests. All its methods are safe for concurrent use.
 type Executor struct {
 	Table  *upstream.Table
 	Router *route.Router
-	Sender *upstream.Sender
+	// Send sends one attempt; Do of an upstream.Sender.
+	Send func(context.Context, upstream.Attempt) error
+	// Budget grants retries and hedges; nil grants all within the bounds of a stage.
+	Budget *retry.Budget
+	// NoHedge turns hedges off.
+	NoHedge bool
+
+	latency latencies
+}
+
+// runState is what is known of the upstreams' work on a request.
+type runState struct {
+	// sent is true once an upstream may have received a part of the request.
+	sent bool
+	// answered is true once an upstream gave a result or a token.
+	answered bool
 }
 
-// Run runs the stages of a request in order. The deadline is that of ctx.
+func (s *runState) state() api.RunState {
+	switch {
+	case s.answered:
+		return api.RunYes
+	case s.sent:
+		return api.RunUnknown
+	}
+	return api.RunNo
+}
+
+// Run runs the stages of a request in order. The deadline is that of ctx. The run
+// state of an error covers this run only, not an earlier one that it resumes.
 func (x *Executor) Run(ctx context.Context, request Request, observer Observer) (Result, error) {
-	result := Result{}
+	result := Result{Stages: make([]api.StageCost, 0, len(request.Version.Stages)-request.First)}
+	state := &runState{}
 	item := request.Item
 	last := len(request.Version.Stages) - 1
 	for index := request.First; index <= last; index++ {
-		stage := &request.Version.Stages[index]
-		run := stageRun{executor: x, request: &request, stage: stage, input: work.Input{Stage: stage, Item: item, MaxTokens: stage.MaxTokens}}
+		stage := x.newStage(&request, state, index, item)
 		if index == last {
-			if err := prepare(&run, &request, observer, index, item); err != nil {
+			if err := stage.prepareLast(observer, item); err != nil {
 				return result, err
 			}
 		}
-		output, err := run.do(ctx)
-		result.Stages = append(result.Stages, run.cost)
+		output, err := stage.run(ctx)
+		result.Stages = append(result.Stages, stage.cost)
 		if err != nil {
 			return result, err
 		}
-		item = advance(item, stage, output)
-		result.Tokens = run.input.PartialTokens + output.Tokens
+		item = advance(item, stage.stage, output)
+		result.Tokens = output.Tokens
 	}
 	result.Text = item.Text
 	return result, nil
 }
 
-func prepare(run *stageRun, request *Request, observer Observer, index int, item work.Item) error {
+func (x *Executor) newStage(request *Request, state *runState, index int, item work.Item) *stageRun {
+	stage := &request.Version.Stages[index]
+	return &stageRun{
+		executor: x, request: request, state: state, index: index, stage: stage,
+		group:    request.Snapshot.Groups[stage.Group],
+		measured: x.latency.get(keyOf(request.Pipeline, stage)),
+		input:    work.Input{Stage: stage, Item: item, MaxTokens: stage.MaxTokens},
+		cost:     api.StageCost{Stage: stage.Name},
+	}
+}
+
+// prepareLast connects the last stage with the observer and with the text that the caller already has.
+func (r *stageRun) prepareLast(observer Observer, item work.Item) error {
 	if observer.Prepared != nil {
-		if err := observer.Prepared(index, item); err != nil {
-			return err
+		if err := observer.Prepared(r.index, item); err != nil {
+			return r.withRun(r.callerGone(err))
 		}
 	}
-	run.emit = observer.Token
-	run.input.Partial, run.input.PartialTokens = request.Partial, request.PartialTokens
-	if request.MaxTokens > 0 {
-		run.input.MaxTokens = request.MaxTokens
+	r.emit = observer.Token
+	r.input.Partial, r.input.PartialTokens = r.request.Partial, r.request.PartialTokens
+	r.text.WriteString(r.request.Partial)
+	r.tokens = r.request.PartialTokens
+	if r.request.MaxTokens > 0 {
+		r.input.MaxTokens = r.request.MaxTokens
 	}
 	return nil
 }
@@ -118,81 +155,28 @@
 	return item
 }
 
-// stageRun is one stage of one request.
-type stageRun struct {
-	executor *Executor
-	request  *Request
-	stage    *document.Stage
-	input    work.Input
-	// emit gets the tokens of the last stage; nil elsewhere.
-	emit  func(work.Token) error
-	cost  api.StageCost
-	tried []*upstream.Instance
-}
-
-func (r *stageRun) do(ctx context.Context) (work.Output, error) {
-	start := time.Now()
-	r.cost.Stage = r.stage.Name
-	defer func() { r.cost.DurationMs = float64(time.Since(start).Microseconds()) / 1000 }()
-	group := r.request.Snapshot.Groups[r.stage.Group]
-	codec, err := kernel.CodecFor(group)
+// run runs the stage to its accepted output.
+func (r *stageRun) run(ctx context.Context) (work.Output, error) {
+	codec, err := kernel.CodecFor(r.group)
 	if err != nil {
-		return work.Output{}, fault.Wrap(api.KindInternal, err, "stage %s", r.stage.Name)
+		return work.Output{}, r.withRun(fault.Wrap(api.KindInternal, err, "stage %s", r.stage.Name))
 	}
-	var last error
-	for range maxAttempts {
-		instance := r.executor.Router.Pick(r.executor.Table.Group(group.Name), route.Query{Avoid: r.tried})
-		if instance == nil {
-			break
-		}
-		r.tried = append(r.tried, instance)
-		r.cost.Attempts++
-		output, err := r.attempt(ctx, instance, codec)
-		if err == nil {
-			output.Text = r.input.Partial + output.Text
-			return output, nil
-		}
-		last = err
-		if ctx.Err() != nil {
-			break
-		}
-		r.input.Partial += output.Text
-		r.input.PartialTokens += output.Tokens
+	r.codec = codec
+	start := time.Now()
+	ctx, cancel := r.stageContext(ctx)
+	defer cancel()
+	output, err := r.race(ctx)
+	now := time.Now()
+	r.settle(output)
+	r.cost.DurationMs = elapsed(start, now)
+	if err != nil {
+		return output, r.withRun(err)
 	}
-	return work.Output{}, r.failure(ctx, last)
-}
-
-func (r *stageRun) attempt(ctx context.Context, instance *upstream.Instance, codec kernel.Codec) (work.Output, error) {
-	var output work.Output
-	input := r.input
-	emit := func(token work.Token) error {
-		if r.emit == nil {
-			return nil
-		}
-		return r.emit(token)
+	if r.request.Partial == "" {
+		r.measured.whole.Record(now.Sub(start), now)
 	}
-	err := r.executor.Sender.Do(ctx, upstream.Attempt{
-		Instance: instance,
-		Build: func(ctx context.Context, base string) (*http.Request, error) {
-			return codec.Request(ctx, base, input)
-		},
-		Read: func(_ int, _ http.Header, body io.Reader) error {
-			var err error
-			output, err = codec.Read(body, input, emit)
-			return err
-		},
-	})
-	return output, err
-}
-
-func (r *stageRun) failure(ctx context.Context, last error) error {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return fault.New(api.KindDeadlineExceeded, "the deadline passed in stage %s", r.stage.Name)
-	case ctx.Err() != nil:
-		return fault.New(api.KindCallerGone, "the caller left in stage %s", r.stage.Name)
-	case last == nil:
-		return fault.New(api.KindNoUpstream, "no upstream of group %s is available", r.stage.Group)
+	if r.stage.Kind == document.StageGenerate {
+		output.Text, output.Tokens = r.text.String(), r.tokens
 	}
-	return fault.Wrap(api.KindStageFailed, last, "stage %s failed", r.stage.Name)
+	return output, nil
 }
