--- /dev/null
+++ b/internal/service/admission/queue_test.go
@@ -0,0 +1,352 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/pkg/api"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// workspaceNames returns the workspaces of the target size.
+func workspaceNames() []api.WorkspaceName {
+	names := make([]api.WorkspaceName, 5100)
+	for i := range names {
+		names[i] = api.WorkspaceName(fmt.Sprintf("workspace-%d", i))
+	}
+	return names
+}
+
+// newQueue returns a queue with one group "engines" of the given slots.
+func newQueue(slots, length int) *Queue {
+	snapshot := &document.Snapshot{
+		Revision: 1, Slots: map[api.GroupName]int{"engines": slots}, Limits: document.Limits{QueueLength: length},
+	}
+	return &Queue{Snapshot: func() *document.Snapshot { return snapshot }}
+}
+
+// entered is a ticket in a goroutine of its own.
+type entered struct {
+	*Ticket
+	cancel  context.CancelFunc
+	release func()
+	err     error
+	done    chan struct{}
+}
+
+// enter sends a ticket to the queue and returns once it waits or is decided.
+func enter(ctx context.Context, q *Queue, t *Ticket) *entered {
+	e := &entered{Ticket: t, done: make(chan struct{})}
+	ctx, e.cancel = context.WithCancel(ctx)
+	before := q.Load().Queued
+	go func() {
+		defer close(e.done)
+		e.release, e.err = q.Enter(ctx, t)
+	}()
+	for {
+		select {
+		case <-e.done:
+			return e
+		default:
+		}
+		if q.Load().Queued > before {
+			return e
+		}
+		time.Sleep(10 * time.Microsecond)
+	}
+}
+
+func (e *entered) finished() bool {
+	select {
+	case <-e.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestQueueIsFair guards against a workspace that gets less than its weight's part
+// of the slots while it waits, whatever the others send and with which priority.
+func TestQueueIsFair(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := &pool{flows: map[api.WorkspaceName]*flow{}}
+		p.limit.setBound(1)
+		weights := map[api.WorkspaceName]float64{}
+		longest := 0.0
+		for i := range rapid.IntRange(2, 5).Draw(t, "workspaces") {
+			name := api.WorkspaceName(fmt.Sprint(i))
+			weights[name] = float64(rapid.IntRange(1, 4).Draw(t, "weight"))
+			priority := rapid.SampledFrom([]api.Priority{api.PriorityHigh, api.PriorityNormal, api.PriorityLow}).Draw(t, "priority")
+			for range 200 {
+				work := time.Duration(rapid.IntRange(10, 100).Draw(t, "work")) * time.Millisecond
+				longest = max(longest, work.Seconds())
+				p.enqueue(&Ticket{Workspace: name, Weight: weights[name], Time: work, Priority: priority})
+			}
+		}
+		served := map[api.WorkspaceName]float64{}
+		for range 200 { // all flows still wait
+			next := p.next()
+			p.serve(next)
+			served[next.Workspace] += next.work()
+			for one, a := range weights {
+				for other, b := range weights {
+					lead := served[one]/a - served[other]/b
+					assert.Assert(t, lead <= longest/a+longest/b+1e-9, "%s leads %s by %g", one, other, lead)
+				}
+			}
+			if p.flows[next.Workspace].count == 0 {
+				return
+			}
+		}
+	})
+}
+
+// TestTicketsAreDecidedOnce guards against a ticket that is started after its
+// caller was told that it was not run, and against slots and places that are lost
+// when cancels, deadlines, drains and starts race.
+func TestTicketsAreDecidedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const slots = 3
+		q := newQueue(slots, rapid.IntRange(1, 20).Draw(t, "length"))
+		var running atomic.Int64
+		var exceeded atomic.Bool
+		var wait sync.WaitGroup
+		for i := range rapid.IntRange(1, 60).Draw(t, "requests") {
+			deadline := time.Duration(rapid.IntRange(0, 3000).Draw(t, "deadline")) * time.Microsecond
+			hold := time.Duration(rapid.IntRange(0, 300).Draw(t, "hold")) * time.Microsecond
+			cancel := rapid.Bool().Draw(t, "cancel")
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				ctx, stop := context.WithTimeout(context.Background(), deadline)
+				defer stop()
+				if cancel {
+					go stop()
+				}
+				ticket := &Ticket{Workspace: api.WorkspaceName(fmt.Sprint(i % 4)), Group: "engines"}
+				release, err := q.Enter(ctx, ticket)
+				if err != nil {
+					assert.Check(t, ticket.State() == StateRefused)
+					assert.Check(t, fault.RunOf(err) == api.RunNo, "%v", err)
+					return
+				}
+				assert.Check(t, ticket.State() == StateStarted)
+				if running.Add(1) > slots {
+					exceeded.Store(true)
+				}
+				time.Sleep(hold)
+				running.Add(-1)
+				release()
+				release()
+			}()
+		}
+		if rapid.Bool().Draw(t, "drain") {
+			q.Refuse(func() error { return fault.New(api.KindDraining, "draining") })
+		}
+		wait.Wait()
+		assert.Assert(t, !exceeded.Load(), "more than %d ran at once", slots)
+		assert.Equal(t, q.Load(), Load{})
+		for _, p := range q.pools {
+			assert.Equal(t, p.running, 0.0)
+		}
+	})
+}
+
+// TestEarlyRefusal guards against a request that waits although it can't be
+// answered in time, and against refusing one that can.
+func TestEarlyRefusal(t *testing.T) {
+	q := newQueue(1, 100)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	first := enter(ctx, q, &Ticket{Workspace: "a", Group: "engines", Time: 20 * time.Second})
+	second := enter(ctx, q, &Ticket{Workspace: "a", Group: "engines", Time: 30 * time.Second})
+	late := enter(ctx, q, &Ticket{Workspace: "a", Group: "engines", Time: 40 * time.Second})
+	assert.Equal(t, fault.KindOf(late.err), api.KindDeadlineUnreachable)
+	// Another workspace does not wait behind the backlog of the first.
+	other := enter(ctx, q, &Ticket{Workspace: "b", Group: "engines", Time: 25 * time.Second})
+	assert.Equal(t, q.Load(), Load{Queued: 2, Running: 1})
+	first.release()
+	<-other.done
+	assert.NilError(t, other.err)
+	assert.Equal(t, second.State(), StateWaiting)
+	other.release()
+	<-second.done
+	second.release()
+}
+
+// TestExpiredTicketsAreNotRun guards against work on requests that can't be
+// answered in time any more after a burst.
+func TestExpiredTicketsAreNotRun(t *testing.T) {
+	now := time.Now()
+	var mu sync.Mutex
+	q := newQueue(1, 100)
+	q.Clock = func() time.Time { mu.Lock(); defer mu.Unlock(); return now }
+	ctx, cancel := context.WithDeadline(t.Context(), now.Add(time.Minute))
+	defer cancel()
+	first := enter(ctx, q, &Ticket{Workspace: "a", Group: "engines"})
+	var waiting []*entered
+	for range 10 {
+		waiting = append(waiting, enter(ctx, q, &Ticket{Workspace: "a", Group: "engines", Time: time.Second}))
+	}
+	mu.Lock()
+	now = now.Add(59500 * time.Millisecond)
+	mu.Unlock()
+	first.release()
+	for _, e := range waiting {
+		<-e.done
+		assert.Equal(t, fault.KindOf(e.err), api.KindDeadlineUnreachable)
+		assert.Equal(t, e.State(), StateRefused)
+	}
+}
+
+// TestFullQueueShedsHeaviestWorkspace guards against a full queue that refuses a
+// small workspace because of a large one's backlog.
+func TestFullQueueShedsHeaviestWorkspace(t *testing.T) {
+	q := newQueue(1, 5)
+	first := enter(t.Context(), q, &Ticket{Workspace: "large", Group: "engines"})
+	var large []*entered
+	for i := range 5 {
+		priority := api.PriorityNormal
+		if i == 2 {
+			priority = api.PriorityLow
+		}
+		large = append(large, enter(t.Context(), q, &Ticket{Workspace: "large", Group: "engines", Priority: priority}))
+	}
+	small := &entered{Ticket: &Ticket{Workspace: "small", Group: "engines"}, done: make(chan struct{})}
+	go func() {
+		defer close(small.done)
+		small.release, small.err = q.Enter(t.Context(), small.Ticket)
+	}()
+	<-large[2].done
+	assert.Equal(t, fault.KindOf(large[2].err), api.KindOverloaded)
+	first.release()
+	<-small.done // ahead of the backlog that the large workspace was served for already
+	assert.NilError(t, small.err)
+	small.release()
+	for i, e := range large {
+		if i != 2 {
+			<-e.done
+			assert.NilError(t, e.err)
+			e.release()
+		}
+	}
+}
+
+// TestPriorityWithinWorkspace guards against an urgent request that waits behind its own workspace's bulk work.
+func TestPriorityWithinWorkspace(t *testing.T) {
+	q := newQueue(1, 10)
+	first := enter(t.Context(), q, &Ticket{Workspace: "a", Group: "engines"})
+	low := enter(t.Context(), q, &Ticket{Workspace: "a", Group: "engines", Priority: api.PriorityLow})
+	high := enter(t.Context(), q, &Ticket{Workspace: "a", Group: "engines", Priority: api.PriorityHigh})
+	first.release()
+	<-high.done
+	assert.Assert(t, !low.finished())
+	high.release()
+	<-low.done
+	low.release()
+}
+
+// TestLimitFollowsHostsAndLatency guards against hosts that together exceed the
+// slots, and against a limit that stays up while latency rises.
+func TestLimitFollowsHostsAndLatency(t *testing.T) {
+	q := newQueue(80, 100)
+	q.Hosts = func() int { return 4 }
+	release, err := q.Enter(t.Context(), &Ticket{Workspace: "a", Group: "engines"})
+	assert.NilError(t, err)
+	defer release()
+	l := &q.pools["engines"].limit
+	assert.Equal(t, l.value(), 20.0)
+	for range 1000 {
+		l.sample(100*time.Millisecond, 20)
+	}
+	assert.Equal(t, l.value(), 20.0)
+	for range 60 {
+		l.sample(time.Second, 20)
+	}
+	low := l.value()
+	assert.Assert(t, low < 12, "the limit is %g", low)
+	for range 1000 {
+		l.sample(100*time.Millisecond, 20)
+	}
+	assert.Equal(t, l.value(), 20.0)
+}
+
+// TestFlowMemoryIsBounded guards against the state of workspaces that sent a request once.
+func TestFlowMemoryIsBounded(t *testing.T) {
+	q := newQueue(4, 10)
+	for _, name := range workspaceNames() {
+		release, err := q.Enter(t.Context(), &Ticket{Workspace: name, Group: "engines"})
+		assert.NilError(t, err)
+		release()
+	}
+	for range 10_000 { // the busy workspace moves the virtual time past all others
+		release, err := q.Enter(t.Context(), &Ticket{Workspace: "busy", Group: "engines"})
+		assert.NilError(t, err)
+		release()
+	}
+	for i := range 10_000 {
+		release, err := q.Enter(t.Context(), &Ticket{Workspace: api.WorkspaceName(fmt.Sprintf("other-%d", i)), Group: "engines"})
+		assert.NilError(t, err)
+		release()
+	}
+	assert.Assert(t, len(q.pools["engines"].flows) <= 2*5100, "%d flows", len(q.pools["engines"].flows))
+}
+
+// BenchmarkEnter measures an admission without a wait, with the workspaces of the target size.
+func BenchmarkEnter(b *testing.B) {
+	q, names := newQueue(1000, 1000), workspaceNames()
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		release, err := q.Enter(context.Background(), &Ticket{Workspace: names[i%len(names)], Group: "engines"})
+		if err != nil {
+			b.Fatal(err)
+		}
+		release()
+		i++
+	}
+}
+
+// BenchmarkRefuse measures an early refusal beside a backlog of 1000 workspaces.
+func BenchmarkRefuse(b *testing.B) {
+	q, names := newQueue(1, 2000), workspaceNames()
+	running, err := q.Enter(context.Background(), &Ticket{Workspace: "running", Group: "engines"})
+	assert.NilError(b, err)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	var waiting sync.WaitGroup
+	for i := range 1000 {
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			_, err := q.Enter(ctx, &Ticket{Workspace: names[i], Group: "engines", Time: time.Second})
+			assert.Check(b, fault.KindOf(err) == api.KindCallerGone, "%v", err)
+		}()
+	}
+	for q.Load().Queued < 1000 {
+		time.Sleep(time.Millisecond)
+	}
+	late, stop := context.WithTimeout(context.Background(), 30*time.Minute)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		if _, err := q.Enter(late, &Ticket{Workspace: names[i%1000], Group: "engines", Time: time.Hour}); err == nil {
+			b.Fatal("the ticket was admitted")
+		}
+		i++
+	}
+	stop()
+	cancel()
+	waiting.Wait()
+	running()
+}
