Admit, hold, account for and drain requests

RunPipeline and CallService take the workspace quota, wait in the fair queue and ask the gate right before the start. The gate does not block: a held ticket gives its slot back, so that a handover of one large workspace does not occupy the slots of the others, and the request is checked again under the configuration in force when it goes on. Repeatable service calls are tried on up to three upstreams within the retry budget; orders are sent once.

Drain refuses new requests as not run and waits for those in progress, queued ones included.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -18,11 +18,14 @@
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/helper/timer"
 	"redwingloft/internal/kernel"
+	"redwingloft/internal/service/account"
+	"redwingloft/internal/service/admission"
 	"redwingloft/internal/service/configuration"
 	"redwingloft/internal/service/member"
 	"redwingloft/internal/service/order"
 	"redwingloft/internal/service/pipeline"
 	"redwingloft/internal/service/request"
+	"redwingloft/internal/service/retry"
 	"redwingloft/internal/service/route"
 	"redwingloft/internal/service/upstream"
 	"redwingloft/internal/web/admin"
@@ -80,13 +83,27 @@
 	router, sender := &route.Router{}, upstream.NewSender()
 	requests := &request.Service{
 		Snapshot: h.snapshots.Load, Key: sealKey(h.settings.Peer.Secret),
-		Executor: &pipeline.Executor{Table: table, Router: router, Send: sender.Do},
-		Table:    table, Router: router, Sender: sender,
+		Executor: &pipeline.Executor{
+			Table: table, Router: router, Send: sender.Do, Budget: &retry.Budget{Metrics: h.metrics},
+		},
+		Queue: &admission.Queue{Snapshot: h.snapshots.Load},
+		Quota: &admission.Quota{Limit: h.workspaceLimit},
+		Book:  &account.Book{},
+		Table: table, Router: router, Sender: sender,
 	}
 	requests.Orders = &order.Desk{Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder}
 	return requests
 }
 
+// workspaceLimit returns the rate a second and the burst of a workspace over all hosts.
+func (h *host) workspaceLimit(name api.WorkspaceName) (rate, burst float64) {
+	snapshot := h.snapshots.Load()
+	if snapshot == nil || snapshot.Workspaces[name] == nil {
+		return 0, 0
+	}
+	return snapshot.Workspaces[name].RequestsPerSecond, snapshot.Workspaces[name].Burst
+}
+
 // sealKey returns the key of resume tokens; a host without a peer secret runs alone and makes its own.
 func sealKey(secret string) []byte {
 	if secret != "" {
--- a/internal/data/document/snapshot.go
+++ b/internal/data/document/snapshot.go
@@ -21,9 +21,9 @@
 	// Document is the source of the snapshot and must not be changed.
 	Document *Document
 	// Limits has the defaults filled in.
-	Limits     Limits
-	Pipelines  map[api.PipelineName]*Pipeline
-	Groups     map[api.GroupName]*Group
+	Limits    Limits
+	Pipelines map[api.PipelineName]*Pipeline
+	Groups    map[api.GroupName]*Group
 	// Slots is the number of slots of all upstreams of a group together.
 	Slots      map[api.GroupName]int
 	Services   map[api.ServiceName]*CompiledService
--- a/internal/service/account/book.go
+++ b/internal/service/account/book.go
@@ -83,11 +83,34 @@
 }
 
 // Add accounts for one request with the stages that it reached; err is nil where
-// it was answered. It takes one lock for some additions.
+// it was answered. It takes one lock for some additions. A nil book does nothing.
 func (b *Book) Add(key Key, stages []api.StageCost, err error) {
+	if b == nil {
+		return
+	}
+	now := b.now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.line(key, now)
+	e.count(err)
+	for i := range stages {
+		e.spend(&stages[i])
+	}
+}
+
+// Spend accounts for the cost of a stage apart from the end of its request. A nil book does nothing.
+func (b *Book) Spend(key Key, stage api.StageCost) {
+	if b == nil {
+		return
+	}
 	now := b.now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.line(key, now).spend(&stage)
+}
+
+// line returns the line of a key.
+func (b *Book) line(key Key, now time.Time) *entry {
 	if b.lines == nil {
 		b.lines, b.since = map[Key]*entry{}, now
 	}
@@ -96,14 +119,7 @@
 		e = b.open(key, now)
 	}
 	e.used = now
-	e.count(err)
-	for _, stage := range stages {
-		e.stage(stage.Stage).add(Stage{
-			Runs: 1, Attempts: int64(stage.Attempts), DurationMs: stage.DurationMs, Cost: stage.Cost, LostCost: stage.LostCost,
-		})
-		e.Cost += stage.Cost
-		e.LostCost += stage.LostCost
-	}
+	return e
 }
 
 func (b *Book) now() time.Time {
@@ -223,6 +239,14 @@
 	return &l.Stages[len(l.Stages)-1]
 }
 
+func (l *Line) spend(stage *api.StageCost) {
+	l.stage(stage.Stage).add(Stage{
+		Runs: 1, Attempts: int64(stage.Attempts), DurationMs: stage.DurationMs, Cost: stage.Cost, LostCost: stage.LostCost,
+	})
+	l.Cost += stage.Cost
+	l.LostCost += stage.LostCost
+}
+
 // merge adds the sums of another line.
 func (l *Line) merge(other *Line) {
 	l.Requests += other.Requests
--- a/internal/service/admission/ticket.go
+++ b/internal/service/admission/ticket.go
@@ -25,8 +25,9 @@
 type Ticket struct {
 	ID        api.RequestID
 	Workspace api.WorkspaceName
-	// Pipeline is empty for a call of a plain service.
+	// Pipeline is empty for a call of a plain service, Service for a run of a pipeline.
 	Pipeline api.PipelineName
+	Service  api.ServiceName
 	Priority api.Priority
 	// Revision is the configuration under which the request would start.
 	Revision api.Revision
--- a/internal/service/request/request.go
+++ b/internal/service/request/request.go
@@ -3,22 +3,18 @@
 package request
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"io"
-	"net/http"
-	"strconv"
 	"time"
 
 	"redwingloft/internal/data/document"
-	"redwingloft/internal/data/store"
 	"redwingloft/internal/data/work"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/secret"
+	"redwingloft/internal/service/account"
+	"redwingloft/internal/service/admission"
 	"redwingloft/internal/service/order"
 	"redwingloft/internal/service/pipeline"
 	"redwingloft/internal/service/route"
@@ -26,9 +22,6 @@
 	"redwingloft/pkg/api"
 )
 
-// maxServiceReply bounds the answer of a plain service.
-const maxServiceReply = 8 << 20
-
 // Caller is the identity and the bounds that come with every request.
 type Caller struct {
 	ID         api.RequestID
@@ -43,9 +36,18 @@
 type Service struct {
 	// Snapshot returns the configuration in force, or nil before the first.
 	Snapshot func() *document.Snapshot
-	// Gate refuses a request that this host may not start now; nil admits all.
-	// Release is called when the request has ended.
-	Gate func(ctx context.Context, workspace *document.CompiledWorkspace, pipeline api.PipelineName) (release func(), err error)
+	// Gate is asked right before a ticket starts; nil admits all. It must not block.
+	// It returns a function to call when the request has ended, which may be nil, or
+	// an error that refuses the request as not run, or a channel that is closed when
+	// the ticket may try again, as during a handover. It must hold a ticket whose
+	// Revision is lower than the newest that it knows.
+	Gate func(ticket *admission.Ticket) (release func(), held <-chan struct{}, err error)
+	// Queue admits requests; nil starts all at once.
+	Queue *admission.Queue
+	// Quota limits workspaces; nil limits none.
+	Quota *admission.Quota
+	// Book accounts for requests; nil for none.
+	Book *account.Book
 	// Key seals resume tokens; all hosts of a site share it.
 	Key      []byte
 	Executor *pipeline.Executor
@@ -53,6 +55,8 @@
 	Table    *upstream.Table
 	Router   *route.Router
 	Sender   *upstream.Sender
+
+	progress progress
 }
 
 // Stream receives the events of a streamed answer. Nil fields are skipped.
@@ -102,34 +106,27 @@
 
 // RunPipeline runs a pipeline for a caller.
 func (s *Service) RunPipeline(ctx context.Context, caller Caller, name api.PipelineName, body api.RunRequest, stream Stream) (*Answer, error) {
-	snapshot := s.Snapshot()
-	workspace, err := s.authenticate(snapshot, caller)
-	if err != nil {
+	if err := s.progress.enter(); err != nil {
 		return nil, err
 	}
-	declared, version := snapshot.Pipelines[name], workspace.Versions[name]
-	if declared == nil || version == nil {
-		return nil, fault.New(api.KindNotFound, "no pipeline %q serves workspace %q", name, caller.Workspace)
-	}
-	run := pipeline.Request{
-		ID: caller.ID, Workspace: caller.Workspace, Pipeline: name, Snapshot: snapshot, Version: version,
-		Priority: caller.Priority, Item: work.Item{Input: body.Input}, MaxTokens: body.MaxTokens,
-	}
-	events := uint64(0)
-	if body.Resume != nil {
-		if err := s.resume(&run, body.Resume); err != nil {
-			return nil, err
-		}
-		events = body.Resume.LastEvent
+	defer s.progress.leave()
+	run, err := s.prepare(s.Snapshot(), caller, name, body)
+	if err != nil {
+		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, bound(caller.Deadline, declared.Deadline))
+	ctx, cancel := context.WithTimeout(ctx, bound(caller.Deadline, run.Snapshot.Pipelines[name].Deadline))
 	defer cancel()
-	release, err := s.admit(ctx, workspace, name)
+	key := account.Key{Workspace: caller.Workspace, Pipeline: name, Version: run.Version.Name}
+	run, release, err := s.startPipeline(ctx, caller, run, body)
 	if err != nil {
+		s.Book.Add(key, nil, err)
 		return nil, err
 	}
 	defer release()
-	result, err := s.Executor.Run(ctx, run, s.observer(&run, stream, &events))
+	events := run.events
+	result, err := s.Executor.Run(ctx, run.Request, s.observer(&run.Request, stream, &events))
+	key.Version = run.Version.Name
+	s.Book.Add(key, result.Stages, err)
 	if err != nil {
 		return nil, err
 	}
@@ -141,11 +138,34 @@
 	return answer, nil
 }
 
-func (s *Service) admit(ctx context.Context, workspace *document.CompiledWorkspace, name api.PipelineName) (func(), error) {
-	if s.Gate == nil {
-		return func() {}, nil
+// preparedRun is a run that was checked against one configuration.
+type preparedRun struct {
+	pipeline.Request
+	workspace *document.CompiledWorkspace
+	resumed   bool
+	// events is the number of token events that the caller already has.
+	events uint64
+}
+
+// prepare checks a run against a configuration.
+func (s *Service) prepare(snapshot *document.Snapshot, caller Caller, name api.PipelineName, body api.RunRequest) (*preparedRun, error) {
+	workspace, err := s.authenticate(snapshot, caller)
+	if err != nil {
+		return nil, err
+	}
+	version := workspace.Versions[name]
+	if snapshot.Pipelines[name] == nil || version == nil {
+		return nil, fault.New(api.KindNotFound, "no pipeline %q serves workspace %q", name, caller.Workspace)
 	}
-	return s.Gate(ctx, workspace, name)
+	run := &preparedRun{workspace: workspace, resumed: body.Resume != nil, Request: pipeline.Request{
+		ID: caller.ID, Workspace: caller.Workspace, Pipeline: name, Snapshot: snapshot, Version: version,
+		Priority: caller.Priority, Item: work.Item{Input: body.Input}, MaxTokens: body.MaxTokens,
+	}}
+	if body.Resume != nil {
+		run.events = body.Resume.LastEvent
+		return run, s.resume(&run.Request, body.Resume)
+	}
+	return run, nil
 }
 
 func (s *Service) observer(run *pipeline.Request, stream Stream, events *uint64) pipeline.Observer {
@@ -200,104 +220,3 @@
 	}
 	return asked
 }
-
-// CallService calls a plain service for a caller. Calls that may not be repeated go through the order desk.
-func (s *Service) CallService(ctx context.Context, caller Caller, service api.ServiceName, name api.CallName, key string, body []byte) (*api.ServiceAnswer, error) {
-	snapshot := s.Snapshot()
-	workspace, err := s.authenticate(snapshot, caller)
-	if err != nil {
-		return nil, err
-	}
-	declared := snapshot.Services[service]
-	if declared == nil || !workspace.Allowed[service] || declared.CallsByName[name] == nil {
-		return nil, fault.New(api.KindNotFound, "no call %q of service %q is open to workspace %q", name, service, caller.Workspace)
-	}
-	call := declared.CallsByName[name]
-	ctx, cancel := context.WithTimeout(ctx, bound(caller.Deadline, call.Deadline))
-	defer cancel()
-	release, err := s.admit(ctx, workspace, "")
-	if err != nil {
-		return nil, err
-	}
-	defer release()
-	var outcome order.Outcome
-	if call.Repeatable {
-		outcome, err = s.send(ctx, declared.Group, call, body, "", 0)
-	} else {
-		placed := order.Order{Workspace: caller.Workspace, Service: service, Call: name, Key: key, Body: body}
-		outcome, err = s.Orders.Call(ctx, placed)
-	}
-	if err != nil {
-		return nil, err
-	}
-	return &api.ServiceAnswer{RequestID: caller.ID, Status: outcome.Status, Body: jsonBody(outcome.Body), Replayed: outcome.Replayed}, nil
-}
-
-// SendOrder sends an order once; it is the Send of the order desk.
-func (s *Service) SendOrder(ctx context.Context, placed order.Order, fencing store.Version) (order.Outcome, error) {
-	snapshot := s.Snapshot()
-	declared := snapshot.Services[placed.Service]
-	if declared == nil || declared.CallsByName[placed.Call] == nil {
-		return order.Outcome{}, fault.New(api.KindNotFound, "call %q of service %q is no longer configured", placed.Call, placed.Service)
-	}
-	return s.send(ctx, declared.Group, declared.CallsByName[placed.Call], placed.Body, placed.Key, fencing)
-}
-
-func (s *Service) send(ctx context.Context, group api.GroupName, call *document.Call, body []byte, key string, fencing store.Version) (order.Outcome, error) {
-	instance := s.Router.Pick(s.Table.Group(group), route.Query{})
-	if instance == nil {
-		return order.Outcome{}, fault.New(api.KindNoUpstream, "no upstream of group %s is available", group)
-	}
-	var outcome order.Outcome
-	err := s.Sender.Do(ctx, upstream.Attempt{
-		Instance:  instance,
-		Exclusive: key != "",
-		AnyStatus: true,
-		Build: func(ctx context.Context, base string) (*http.Request, error) {
-			request, err := http.NewRequestWithContext(ctx, call.Method, base+call.Path, bytes.NewReader(body))
-			if err != nil {
-				return nil, err
-			}
-			request.Header.Set("Content-Type", "application/json")
-			if key != "" {
-				request.Header.Set(api.HeaderIdempotencyKey, key)
-				request.Header.Set(api.HeaderFencing, strconv.FormatInt(int64(fencing), 10))
-			}
-			return request, nil
-		},
-		Read: func(status int, _ http.Header, body io.Reader) error {
-			data, err := io.ReadAll(io.LimitReader(body, maxServiceReply))
-			outcome = order.Outcome{Status: status, Body: data}
-			return err
-		},
-	})
-	if err != nil {
-		return order.Outcome{}, sendFault(ctx, err, key != "")
-	}
-	return outcome, nil
-}
-
-// sendFault maps a failed send. An order whose bytes may have arrived has an unknown outcome.
-func sendFault(ctx context.Context, err error, isOrder bool) error {
-	switch {
-	case upstream.IsErrNotSent(err):
-		return fault.Wrap(api.KindNoUpstream, err, "the upstream can't be reached")
-	case isOrder:
-		return fault.Wrap(api.KindOrderOutcomeUnknown, err, "the order was sent and no answer arrived")
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return fault.Wrap(api.KindDeadlineExceeded, err, "the deadline passed")
-	}
-	return fault.Wrap(api.KindStageFailed, err, "the service failed")
-}
-
-// jsonBody returns body where it is JSON and as a JSON string otherwise.
-func jsonBody(body []byte) json.RawMessage {
-	if json.Valid(body) {
-		return body
-	}
-	text, err := json.Marshal(string(body))
-	if err != nil {
-		return json.RawMessage("null")
-	}
-	return text
-}
--- /dev/null
+++ b/internal/service/request/service.go
@@ -0,0 +1,251 @@
+package request
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/service/account"
+	"redwingloft/internal/service/admission"
+	"redwingloft/internal/service/order"
+	"redwingloft/internal/service/retry"
+	"redwingloft/internal/service/route"
+	"redwingloft/internal/service/upstream"
+	"redwingloft/pkg/api"
+)
+
+const (
+	// maxServiceReply bounds the answer of a plain service.
+	maxServiceReply = 8 << 20
+	// maxCallAttempts bounds the attempts of a repeatable call.
+	maxCallAttempts = 3
+)
+
+// CallService calls a plain service for a caller. Calls that may not be repeated go through the order desk.
+func (s *Service) CallService(ctx context.Context, caller Caller, service api.ServiceName, name api.CallName, key string, body []byte) (*api.ServiceAnswer, error) {
+	if err := s.progress.enter(); err != nil {
+		return nil, err
+	}
+	defer s.progress.leave()
+	prepared, err := s.prepareCall(s.Snapshot(), caller, service, name)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, bound(caller.Deadline, prepared.call.Deadline))
+	defer cancel()
+	outcome, err := s.runCall(ctx, caller, prepared, key, body)
+	s.Book.Add(prepared.key, nil, err)
+	if err != nil {
+		return nil, err
+	}
+	return &api.ServiceAnswer{RequestID: caller.ID, Status: outcome.Status, Body: jsonBody(outcome.Body), Replayed: outcome.Replayed}, nil
+}
+
+// preparedCall is a call that was checked against one configuration.
+type preparedCall struct {
+	key       account.Key
+	snapshot  *document.Snapshot
+	workspace *document.CompiledWorkspace
+	service   *document.CompiledService
+	call      *document.Call
+}
+
+// prepareCall checks a call against a configuration.
+func (s *Service) prepareCall(snapshot *document.Snapshot, caller Caller, service api.ServiceName, name api.CallName) (*preparedCall, error) {
+	workspace, err := s.authenticate(snapshot, caller)
+	if err != nil {
+		return nil, err
+	}
+	declared := snapshot.Services[service]
+	if declared == nil || !workspace.Allowed[service] || declared.CallsByName[name] == nil {
+		return nil, fault.New(api.KindNotFound, "no call %q of service %q is open to workspace %q", name, service, caller.Workspace)
+	}
+	key := account.Key{Workspace: caller.Workspace, Service: service}
+	return &preparedCall{key, snapshot, workspace, declared, declared.CallsByName[name]}, nil
+}
+
+func (s *Service) runCall(ctx context.Context, caller Caller, prepared *preparedCall, key string, body []byte) (order.Outcome, error) {
+	if err := s.take(ctx, prepared.workspace); err != nil {
+		return order.Outcome{}, err
+	}
+	release, err := s.start(ctx, func() (*admission.Ticket, error) {
+		next, err := s.prepareCall(s.Snapshot(), caller, prepared.service.Name, prepared.call.Name)
+		if err != nil {
+			return nil, err
+		}
+		*prepared = *next
+		return &admission.Ticket{
+			ID: caller.ID, Workspace: caller.Workspace, Service: prepared.service.Name, Priority: caller.Priority,
+			Revision: prepared.snapshot.Revision, Weight: prepared.workspace.Weight, Group: prepared.service.Group,
+		}, nil
+	})
+	if err != nil {
+		return order.Outcome{}, err
+	}
+	defer release()
+	if prepared.call.Repeatable {
+		return s.sendRepeatable(ctx, prepared, body)
+	}
+	placed := order.Order{
+		Workspace: caller.Workspace, Service: prepared.service.Name, Call: prepared.call.Name, Key: key, Body: body,
+	}
+	return s.Orders.Call(ctx, placed)
+}
+
+// SendOrder sends an order once; it is the Send of the order desk.
+func (s *Service) SendOrder(ctx context.Context, placed order.Order, fencing store.Version) (order.Outcome, error) {
+	snapshot := s.Snapshot()
+	declared := snapshot.Services[placed.Service]
+	if declared == nil || declared.CallsByName[placed.Call] == nil {
+		return order.Outcome{}, fault.New(api.KindNotFound, "call %q of service %q is no longer configured", placed.Call, placed.Service)
+	}
+	outcome, err := s.send(ctx, serviceSend{
+		key:   account.Key{Workspace: placed.Workspace, Service: placed.Service},
+		group: snapshot.Groups[declared.Group], call: declared.CallsByName[placed.Call],
+		body: placed.Body, idempotency: placed.Key, fencing: fencing,
+	}, nil)
+	if err != nil {
+		return order.Outcome{}, callFault(ctx, err, true)
+	}
+	return outcome, nil
+}
+
+// sendRepeatable sends a call that may be repeated, on other upstreams within the retry budget.
+func (s *Service) sendRepeatable(ctx context.Context, prepared *preparedCall, body []byte) (order.Outcome, error) {
+	var tried []*upstream.Instance
+	sent := false
+	s.Executor.Budget.First(prepared.snapshot.Limits.RetryShare)
+	for {
+		outcome, err := s.send(ctx, serviceSend{
+			key: prepared.key, group: prepared.snapshot.Groups[prepared.service.Group], call: prepared.call, body: body,
+		}, &tried)
+		if err == nil {
+			return outcome, nil
+		}
+		sent = sent || !notSent(err)
+		var failed *upstream.SendError
+		again := errors.As(err, &failed) && ctx.Err() == nil && len(tried) < maxCallAttempts
+		if again && s.Executor.Budget.Take(retry.Reason(failed.Reason)) {
+			continue
+		}
+		run := api.RunNo
+		if sent {
+			run = api.RunUnknown
+		}
+		return order.Outcome{}, fault.WithRun(callFault(ctx, err, false), run)
+	}
+}
+
+// serviceSend is one send of a call.
+type serviceSend struct {
+	key   account.Key
+	group *document.Group
+	call  *document.Call
+	body  []byte
+	// idempotency and fencing are set for orders.
+	idempotency string
+	fencing     store.Version
+}
+
+// send sends a call once, avoiding the instances that were tried, and accounts for
+// its cost. It returns a *upstream.SendError or a no_upstream error.
+func (s *Service) send(ctx context.Context, call serviceSend, tried *[]*upstream.Instance) (order.Outcome, error) {
+	query := route.Query{}
+	if tried != nil {
+		query.Avoid = *tried
+	}
+	instance := s.Router.Pick(s.Table.Group(call.group.Name), query)
+	if instance == nil {
+		return order.Outcome{}, fault.New(api.KindNoUpstream, "no upstream of group %s is available", call.group.Name)
+	}
+	if tried != nil {
+		*tried = append(*tried, instance)
+	}
+	start := time.Now()
+	var outcome order.Outcome
+	err := s.Sender.Do(ctx, upstream.Attempt{
+		Instance:  instance,
+		Exclusive: call.idempotency != "",
+		AnyStatus: true,
+		Build: func(ctx context.Context, base string) (*http.Request, error) {
+			return call.request(ctx, base)
+		},
+		Read: func(status int, _ http.Header, body io.Reader) error {
+			data, err := io.ReadAll(io.LimitReader(body, maxServiceReply))
+			outcome = order.Outcome{Status: status, Body: data}
+			return err
+		},
+	})
+	s.spend(call, time.Since(start), err)
+	return outcome, err
+}
+
+func (c serviceSend) request(ctx context.Context, base string) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, c.call.Method, base+c.call.Path, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if c.idempotency != "" {
+		request.Header.Set(api.HeaderIdempotencyKey, c.idempotency)
+		request.Header.Set(api.HeaderFencing, strconv.FormatInt(int64(c.fencing), 10))
+	}
+	return request, nil
+}
+
+// spend accounts for the cost of one send; one that did not reach the upstream costs nothing.
+func (s *Service) spend(call serviceSend, took time.Duration, err error) {
+	stage := api.StageCost{
+		Stage: api.StageName(call.call.Name), Attempts: 1, DurationMs: float64(took.Microseconds()) / 1000,
+		Cost: took.Seconds() * float64(call.group.CostPerSecond),
+	}
+	switch {
+	case notSent(err):
+		stage.Cost = 0
+	case err != nil:
+		stage.LostCost = stage.Cost
+	}
+	s.Book.Spend(call.key, stage)
+}
+
+// notSent reports whether an error of send is certain not to have reached an upstream.
+func notSent(err error) bool {
+	return upstream.IsErrNotSent(err) || fault.Is(err, api.KindNoUpstream)
+}
+
+// callFault maps a failed send. An order whose bytes may have arrived has an unknown outcome.
+func callFault(ctx context.Context, err error, isOrder bool) *errorx.Error {
+	switch {
+	case notSent(err):
+		return fault.WithRun(fault.Wrap(api.KindNoUpstream, err, "the upstream can't be reached"), api.RunNo)
+	case isOrder:
+		return fault.Wrap(api.KindOrderOutcomeUnknown, err, "the order was sent and no answer arrived")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return fault.Wrap(api.KindDeadlineExceeded, err, "the deadline passed")
+	case ctx.Err() != nil:
+		return fault.Wrap(api.KindCallerGone, err, "the caller left")
+	}
+	return fault.Wrap(api.KindStageFailed, err, "the service failed")
+}
+
+// jsonBody returns body where it is JSON and as a JSON string otherwise.
+func jsonBody(body []byte) json.RawMessage {
+	if json.Valid(body) {
+		return body
+	}
+	text, err := json.Marshal(string(body))
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return text
+}
