console: pages, sessions, operator JSON interface and config subcommands

Purpose: operators change the configuration through forms and the command line. Each form makes one whole document from the base revision that it carries; the document is checked whole, its difference is shown, and it is committed by compare-and-swap on that base.

The review page carries the values of the form and not the document, so that a change to one workspace stays a small form at 5,100 workspaces; only a pasted document travels whole. A rebase names a second revision ('onto') and is made again at each step, so the server keeps no drafts and any host can serve any step.

Ruled out: http.TimeoutHandler (buffers a second time), a lock-out of operator names (anyone could lock an editor out; the limit counts name and address), Referrer-Policy no-referrer (browsers then send 'Origin: null' with forms).

--- /dev/null
+++ b/cmd/config_history.go
@@ -0,0 +1,47 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"redwingloft/internal/web/console"
+)
+
+func configHistoryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "history",
+		Usage: "list the revisions, the newest first",
+		Flags: operatorFlags(
+			&cli.IntFlag{Name: "limit", Usage: "`number` of revisions at most", Value: 20},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
+		),
+		Action: configHistory,
+	}
+}
+
+func configHistory(ctx context.Context, c *cli.Command) error {
+	client, err := newOperatorClient(c)
+	if err != nil {
+		return err
+	}
+	var answer console.HistoryAnswer
+	path := fmt.Sprintf("%s?limit=%d", console.PathHistory, c.Int("limit"))
+	if err := client.do(ctx, http.MethodGet, path, nil, &answer); err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return json.NewEncoder(c.Root().Writer).Encode(answer)
+	}
+	table := tabwriter.NewWriter(c.Root().Writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "REVISION\tTIME\tOPERATOR\tCOMMENT")
+	for _, entry := range answer.Revisions {
+		fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", entry.Revision, entry.Time.UTC().Format(time.RFC3339), entry.Author, entry.Comment)
+	}
+	return table.Flush()
+}
--- /dev/null
+++ b/cmd/config_validate.go
@@ -0,0 +1,34 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+)
+
+func configValidateCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "validate",
+		Usage:     "check a document without a host and list all its faults",
+		ArgsUsage: "FILE",
+		Action:    configValidate,
+	}
+}
+
+func configValidate(_ context.Context, c *cli.Command) error {
+	path, err := oneFile(c)
+	if err != nil {
+		return err
+	}
+	doc, err := readDocument(path)
+	if err != nil {
+		return err
+	}
+	if faults := doc.Validate(); len(faults) > 0 {
+		printFaults(c.Root().Writer, faults)
+		return fmt.Errorf("%s has %d faults", path, len(faults))
+	}
+	_, err = fmt.Fprintf(c.Root().Writer, "%s is valid\n", path)
+	return err
+}
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -48,6 +48,7 @@
 	members       *member.Service
 	requests      *request.Service
 	snapshots     *document.Holder
+	table         *upstream.Table
 }
 
 func newHost(s *settings.Settings, logger *log.Logger) (*host, error) {
@@ -71,6 +72,7 @@
 		},
 	}
 	table := &upstream.Table{}
+	h.table = table
 	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply}
 	h.requests = newRequests(h, kv, keys, table)
 	return h, nil
@@ -112,6 +114,9 @@
 		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log,
 	}
 	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, callers.Routes())
+	if h.settings.Operator.Listen != "" {
+		addServer(group, h.settings.Operator.Listen, h.settings.Operator.TLS, h.newConsole().Routes())
+	}
 	if h.settings.Admin.Listen != "" {
 		handler := &admin.Handler{Metrics: h.metrics, Ready: h.ready}
 		addServer(group, h.settings.Admin.Listen, settings.TLS{}, handler.Routes())
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -11,6 +11,7 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			settingsCommand(),
+			configCommand(),
 			hostsCommand(),
 			callCommand(),
 			versionCommand(),
--- a/internal/helper/secret/secret.go
+++ b/internal/helper/secret/secret.go
@@ -68,3 +68,6 @@
 	mac.Write(payload)
 	return mac.Sum(nil)
 }
+
+// Derive returns a key for one purpose, so that a value sealed for another purpose never opens with it.
+func Derive(key []byte, purpose string) []byte { return sign(key, []byte(purpose)) }
--- /dev/null
+++ b/internal/web/console/pasted.go
@@ -0,0 +1,106 @@
+package console
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/pkg/api"
+)
+
+const (
+	keyText     = "text"
+	keyRevision = "revision"
+)
+
+func documentForm() *form {
+	documentLayout := func(*document.Document, url.Values) layout {
+		return layout{Fields: []field{
+			{Key: keyText, Label: "Whole document (JSON)", Kind: fieldArea, custom: true},
+			{Key: "upload", Label: "Or upload a file", Help: "A file takes the place of the text.", Kind: fieldFile, custom: true},
+		}}
+	}
+	return &form{
+		path: "/document/edit", title: "Whole document", list: "/document", get: true, layout: documentLayout,
+		fill: func(doc *document.Document, _ url.Values) (url.Values, bool) {
+			encoded, err := doc.Encode()
+			return url.Values{keyText: {string(encoded)}}, err == nil
+		},
+		apply: func(_ *visit, doc *document.Document, values url.Values, _ layout) outcome {
+			parsed, err := document.Parse([]byte(values.Get(keyText)))
+			if err != nil {
+				return outcome{faults: []api.Fault{{Path: keyText, Message: err.Error()}}}
+			}
+			*doc = *parsed
+			return outcome{}
+		},
+	}
+}
+
+// readUpload takes an uploaded file as the text of the document.
+func readUpload(r *visit, values url.Values) error {
+	file, header, err := r.FormFile("upload")
+	if err != nil {
+		return errors.New("the uploaded file can't be read")
+	}
+	defer file.Close()
+	if header.Size > document.MaxSize {
+		return errors.New("the uploaded file is larger than a document may be")
+	}
+	data, err := io.ReadAll(file)
+	if err != nil {
+		return errors.New("the uploaded file can't be read")
+	}
+	if header.Filename != "" {
+		values.Set(keyText, strings.ToValidUTF8(string(data), "\uFFFD"))
+	}
+	return nil
+}
+
+// restoreForm commits the document of an earlier revision as a new revision.
+func (h *Handler) restoreForm() *form {
+	return &form{
+		path: "/history/restore", title: "Restore a revision", list: "/history",
+		layout: func(*document.Document, url.Values) layout {
+			return layout{Fields: []field{{Key: keyRevision, Label: "Revision to restore", Kind: fieldNumber, custom: true}}}
+		},
+		apply: func(r *visit, doc *document.Document, values url.Values, _ layout) outcome {
+			revision, err := parseRevision(values.Get(keyRevision))
+			if err != nil {
+				return outcome{faults: []api.Fault{{Path: keyRevision, Message: "not a revision"}}}
+			}
+			old, err := h.at(r.Context(), revision)
+			if err != nil {
+				return outcome{faults: []api.Fault{{Path: keyRevision, Message: err.Error()}}}
+			}
+			*doc = *old.Clone()
+			return outcome{}
+		},
+	}
+}
+
+func (h *Handler) document(r *visit) {
+	doc, revision := h.current()
+	encoded, err := visible(doc, r.operator).Encode()
+	if err != nil {
+		h.showError(r, http.StatusInternalServerError, "The document can't be encoded.")
+		return
+	}
+	h.page(r, http.StatusOK, "document", "Document", documentView{Revision: revision, Text: string(encoded)})
+}
+
+func (h *Handler) download(r *visit) {
+	doc, revision := h.current()
+	encoded, err := visible(doc, r.operator).Encode()
+	if err != nil {
+		h.showError(r, http.StatusInternalServerError, "The document can't be encoded.")
+		return
+	}
+	r.w.Header().Set("Content-Type", "application/json")
+	r.w.Header().Set("Content-Disposition", `attachment; filename="document-`+formatRevision(revision)+`.json"`)
+	// The browser may have left; there is nobody to tell.
+	_, _ = r.w.Write(encoded)
+}
