console: handler tests; phone layout and clearer titles after looking at the pages

Purpose: the tests drive the pages as a browser does: they read the forms from the page and send them back, so a field that is lost between two steps fails them. They cover roles, sessions, sign-in limits, cross-site posts, faults, two operators, lost store, credentials, bulk moves and restores.

Seen in headless Chromium at 390, 500 and 1200 pixels and in dark mode: tables were cut off at phone width, so tables with links and forms become stacked rows; the page of a version didn't name it; a changed hash read 'changed -> changed'.

Conclusion: go test ./internal/web/console passes.

--- a/cmd/console.go
+++ b/cmd/console.go
@@ -36,7 +36,7 @@
 	for _, address := range h.members.Addresses(h.settings.Host.DataCentre).Hosts {
 		host := console.HostStatus{Host: address.Host, DataCentre: address.DataCentre, Address: address.Address}
 		if address.Host == h.settings.Host.ID {
-			host.Revision = snapshot.Revision
+			host.Revision, host.State = snapshot.Revision, "this host"
 		}
 		status.Hosts = append(status.Hosts, host)
 	}
--- a/internal/data/document/diff.go
+++ b/internal/data/document/diff.go
@@ -17,9 +17,6 @@
 	ChangeChanged ChangeKind = "changed"
 )
 
-// hiddenChange stands for the values of credential and password hashes.
-const hiddenChange = "changed"
-
 // hiddenFields are the JSON names of fields whose values are never shown.
 var hiddenFields = map[string]bool{"credential_hashes": true, "password_hash": true}
 
@@ -28,7 +25,7 @@
 	// Path names the place by element names, such as "workspaces[arima].serves[visit-plan].version".
 	Path string     `json:"path"`
 	Kind ChangeKind `json:"kind"`
-	// Old and New are readable renderings. Hashes appear as "changed".
+	// Old and New are readable renderings. Both are empty for changed hashes.
 	Old string `json:"old,omitempty"`
 	New string `json:"new,omitempty"`
 
@@ -41,11 +38,13 @@
 
 // String returns the change in one line.
 func (c Change) String() string {
-	switch c.Kind {
-	case ChangeAdded:
+	switch {
+	case c.Kind == ChangeAdded:
 		return fmt.Sprintf("+ %s: %s", c.Path, c.New)
-	case ChangeRemoved:
+	case c.Kind == ChangeRemoved:
 		return fmt.Sprintf("- %s: %s", c.Path, c.Old)
+	case c.Old == "" && c.New == "":
+		return fmt.Sprintf("~ %s: changed", c.Path)
 	default:
 		return fmt.Sprintf("~ %s: %s -> %s", c.Path, c.Old, c.New)
 	}
@@ -94,11 +93,11 @@
 func (d *differ) add(kind ChangeKind, steps []step, before, after reflect.Value) {
 	c := Change{Kind: kind, Path: joinPath(steps), steps: slices.Clone(steps), value: after}
 	hidden := hiddenFields[steps[len(steps)-1].name]
-	if before.IsValid() {
-		c.Old = describeValue(before, hidden)
+	if before.IsValid() && !hidden {
+		c.Old = describeValue(before)
 	}
-	if after.IsValid() {
-		c.New = describeValue(after, hidden)
+	if after.IsValid() && !hidden {
+		c.New = describeValue(after)
 	}
 	d.changes = append(d.changes, c)
 }
@@ -216,10 +215,8 @@
 }
 
 // describeValue renders a value in one line; zero fields are left out.
-func describeValue(v reflect.Value, hidden bool) string {
+func describeValue(v reflect.Value) string {
 	switch {
-	case hidden:
-		return hiddenChange
 	case v.Kind() == reflect.Struct:
 		return describeStruct(v)
 	case v.Kind() == reflect.Slice:
@@ -241,7 +238,7 @@
 		name := jsonName(v.Type().Field(i))
 		empty := v.Field(i).IsZero() || v.Field(i).Kind() == reflect.Slice && v.Field(i).Len() == 0
 		if !empty && !hiddenFields[name] {
-			parts = append(parts, name+" "+describeValue(v.Field(i), false))
+			parts = append(parts, name+" "+describeValue(v.Field(i)))
 		}
 	}
 	return strings.Join(parts, ", ")
@@ -251,7 +248,7 @@
 	if v.Kind() == reflect.Struct {
 		return "(" + describeStruct(v) + ")"
 	}
-	return describeValue(v, false)
+	return describeValue(v)
 }
 
 // Apply returns a copy of doc with changes made by Diff. A change whose place
--- /dev/null
+++ b/internal/web/console/console_test.go
@@ -0,0 +1,480 @@
+package console
+
+import (
+	"context"
+	"html"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/helper/secret"
+	"redwingloft/pkg/api"
+)
+
+const examplePassword = "for-local-use-only"
+
+// site keeps revisions in memory and serves one console on them.
+type site struct {
+	t       *testing.T
+	handler *Handler
+	routes  http.Handler
+	holder  document.Holder
+
+	mu        sync.Mutex
+	documents []*document.Document
+	entries   []Entry
+	now       time.Time
+	// commitError, where not nil, is returned by the next commits.
+	commitError error
+}
+
+func newSite(t *testing.T) *site {
+	data, err := os.ReadFile("../../../deployments/greenhand/document.json")
+	assert.NilError(t, err)
+	doc, err := document.Parse(data)
+	assert.NilError(t, err)
+	s := &site{t: t, now: time.Unix(1_800_000_000, 0)}
+	_, err = s.commit(t.Context(), doc, 0, "settings", "first document")
+	assert.NilError(t, err)
+	s.handler = &Handler{
+		Config:  Configuration{Snapshot: s.holder.Load, At: s.at, History: s.history, Commit: s.commit},
+		Status:  func() Status { return Status{Revision: 1, Counters: map[string]int64{"refused.overloaded": 7}} },
+		Key:     []byte("seal-key-of-the-test"),
+		Session: time.Hour, Secure: true, Log: logging.Discard(), Clock: func() time.Time { return s.now },
+	}
+	s.routes = s.handler.Routes()
+	return s
+}
+
+func (s *site) commit(_ context.Context, doc *document.Document, base api.Revision, author, comment string) (api.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.commitError != nil {
+		return 0, s.commitError
+	}
+	if int(base) != len(s.documents) {
+		return 0, fault.New(api.KindConflict, "revision %d is in force", len(s.documents))
+	}
+	snapshot, err := document.Compile(doc, base+1)
+	if err != nil {
+		return 0, fault.Wrap(api.KindBadRequest, err, "not valid")
+	}
+	s.documents = append(s.documents, doc)
+	s.entries = append([]Entry{{Revision: base + 1, Author: author, Comment: comment, Time: s.now}}, s.entries...)
+	s.holder.Store(snapshot)
+	return base + 1, nil
+}
+
+func (s *site) at(_ context.Context, revision api.Revision) (*document.Document, Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision == 0 || int(revision) > len(s.documents) {
+		return nil, Entry{}, fault.New(api.KindNotFound, "revision %d does not exist", revision)
+	}
+	return s.documents[revision-1], Entry{Revision: revision}, nil
+}
+
+func (s *site) history(_ context.Context, limit int) ([]Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[:min(limit, len(s.entries))], nil
+}
+
+func (s *site) revision() api.Revision { return s.holder.Load().Revision }
+
+func (s *site) workspace(name api.WorkspaceName) *document.CompiledWorkspace {
+	return s.holder.Load().Workspaces[name]
+}
+
+// browser is one signed-in operator.
+type browser struct {
+	*site
+	cookie string
+	// header is added to each request.
+	header map[string]string
+}
+
+func (s *site) send(r *http.Request) *httptest.ResponseRecorder {
+	recorder := httptest.NewRecorder()
+	s.routes.ServeHTTP(recorder, r)
+	return recorder
+}
+
+func (s *site) signIn(name, password string) *httptest.ResponseRecorder {
+	form := url.Values{"name": {name}, "password": {password}, "next": {"/history"}}
+	r := httptest.NewRequest(http.MethodPost, "/sign-in", strings.NewReader(form.Encode()))
+	r.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	return s.send(r)
+}
+
+func (s *site) browser(name string) *browser {
+	answer := s.signIn(name, examplePassword)
+	assert.Equal(s.t, answer.Code, http.StatusSeeOther, answer.Body.String())
+	return &browser{site: s, cookie: strings.Split(answer.Header().Get("Set-Cookie"), ";")[0]}
+}
+
+func (b *browser) get(path string) (int, string) {
+	r := httptest.NewRequest(http.MethodGet, path, nil)
+	r.Header.Set("Cookie", b.cookie)
+	answer := b.send(r)
+	return answer.Code, answer.Body.String()
+}
+
+func (b *browser) post(path string, values url.Values) (int, string) {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(values.Encode()))
+	r.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	r.Header.Set("Cookie", b.cookie)
+	for name, value := range b.header {
+		r.Header.Set(name, value)
+	}
+	answer := b.send(r)
+	return answer.Code, answer.Body.String()
+}
+
+var (
+	formPattern   = regexp.MustCompile(`(?s)<form[^>]*method="post" action="([^"]*)".*?</form>`)
+	inputPattern  = regexp.MustCompile(`<input type="(\w+)"([^>]*)>`)
+	selectPattern = regexp.MustCompile(`(?s)<select[^>]*name="([^"]*)"[^>]*>(.*?)</select>`)
+	optionPattern = regexp.MustCompile(`<option value="([^"]*)"( selected)?`)
+	areaPattern   = regexp.MustCompile(`(?s)<textarea[^>]*name="([^"]*)"[^>]*>\n?(.*?)</textarea>`)
+	namePattern   = regexp.MustCompile(`name="([^"]*)"`)
+	valuePattern  = regexp.MustCompile(`value="([^"]*)"`)
+)
+
+func match(pattern *regexp.Regexp, text string) string {
+	if found := pattern.FindStringSubmatch(text); found != nil {
+		return html.UnescapeString(found[1])
+	}
+	return ""
+}
+
+// fields returns what a browser would send for the form with the given action.
+func fields(t *testing.T, page, action string) url.Values {
+	t.Helper()
+	for _, form := range formPattern.FindAllStringSubmatch(page, -1) {
+		if form[1] != action {
+			continue
+		}
+		values := url.Values{}
+		for _, input := range inputPattern.FindAllStringSubmatch(form[0], -1) {
+			name, value := match(namePattern, input[2]), match(valuePattern, input[2])
+			choice := input[1] == "checkbox" || input[1] == "radio"
+			if name == "" || input[1] == "file" || choice && !strings.Contains(input[2], " checked") {
+				continue
+			}
+			if choice && value == "" {
+				value = "on"
+			}
+			values.Add(name, value)
+		}
+		for _, list := range selectPattern.FindAllStringSubmatch(form[0], -1) {
+			for i, option := range optionPattern.FindAllStringSubmatch(list[2], -1) {
+				if i == 0 || option[2] != "" {
+					values.Set(html.UnescapeString(list[1]), html.UnescapeString(option[1]))
+				}
+			}
+		}
+		for _, area := range areaPattern.FindAllStringSubmatch(form[0], -1) {
+			values.Set(html.UnescapeString(area[1]), html.UnescapeString(area[2]))
+		}
+		return values
+	}
+	t.Fatalf("the page has no form for %s: %s", action, page)
+	return nil
+}
+
+// fill opens a page and returns its form with some fields changed.
+func (b *browser) fill(page, action string, changed ...string) url.Values {
+	b.t.Helper()
+	status, body := b.get(page)
+	assert.Equal(b.t, status, http.StatusOK, body)
+	values := fields(b.t, body, action)
+	for i := 0; i < len(changed); i += 2 {
+		values.Set(changed[i], changed[i+1])
+	}
+	return values
+}
+
+// press sends a form with one of its buttons and checks the status of the answer.
+func (b *browser) press(action string, values url.Values, button string, want int) string {
+	b.t.Helper()
+	values.Set("action", button)
+	status, body := b.post(action, values)
+	assert.Equal(b.t, status, want, body)
+	return body
+}
+
+// change reviews and commits a form.
+func (b *browser) change(action string, values url.Values) string {
+	b.t.Helper()
+	review := b.press(action, values, "review", http.StatusOK)
+	confirmed := fields(b.t, review, action)
+	confirmed.Set("comment", "the reason")
+	return b.press(action, confirmed, "commit", http.StatusOK)
+}
+
+// TestRoles guards against a viewer who changes the configuration or reads hashes.
+func TestRoles(t *testing.T) {
+	s := newSite(t)
+	viewer := s.browser("viewer")
+	for _, path := range []string{"/", "/pipelines", "/serving", "/services", "/groups", "/workspaces", "/history", "/document", "/document.json"} {
+		status, body := viewer.get(path)
+		assert.Equal(t, status, http.StatusOK, path)
+		assert.Assert(t, !strings.Contains(body, "$2a$") && !strings.Contains(body, s.workspace("arima").CredentialHashes[0]), path)
+		assert.Assert(t, !strings.Contains(body, "Review"), path)
+	}
+	_, page := viewer.get("/")
+	token := fields(t, page, "/sign-out").Get("token")
+	for _, f := range s.handler.forms() {
+		if f.get {
+			status, _ := viewer.get(f.path)
+			assert.Equal(t, status, http.StatusForbidden, f.path)
+		}
+		status, _ := viewer.post(f.path, url.Values{"token": {token}, "base": {"1"}, "action": {"commit"}, "deployment": {"other"}})
+		assert.Equal(t, status, http.StatusForbidden, f.path)
+	}
+	status, _ := viewer.get("/operators")
+	assert.Equal(t, status, http.StatusForbidden)
+	assert.Equal(t, s.revision(), api.Revision(1))
+}
+
+// TestSessionEnds guards against cookies that work after their time, after a new
+// password, after the operator's removal, or when they were altered.
+func TestSessionEnds(t *testing.T) {
+	s := newSite(t)
+	editor := s.browser("editor")
+	status, _ := editor.get("/")
+	assert.Equal(t, status, http.StatusOK)
+
+	altered := *editor
+	altered.cookie = editor.cookie[:len(editor.cookie)-2] + "xx"
+	status, _ = altered.get("/")
+	assert.Equal(t, status, http.StatusSeeOther)
+
+	viewer := s.browser("viewer")
+	values := editor.fill("/operators/edit?name=viewer", "/operators/edit", "password", "another password")
+	editor.change("/operators/edit", values)
+	status, _ = viewer.get("/")
+	assert.Equal(t, status, http.StatusSeeOther)
+
+	s.now = s.now.Add(time.Hour + time.Second)
+	status, _ = editor.get("/")
+	assert.Equal(t, status, http.StatusSeeOther)
+}
+
+// TestCookieAndHeaders guards against a cookie that scripts, other sites or plain
+// HTTP get, and against pages that run foreign content.
+func TestCookieAndHeaders(t *testing.T) {
+	s := newSite(t)
+	answer := s.signIn("editor", examplePassword)
+	cookie := answer.Header().Get("Set-Cookie")
+	for _, attribute := range []string{"HttpOnly", "Secure", "SameSite=Strict", "Path=/"} {
+		assert.Assert(t, strings.Contains(cookie, attribute), cookie)
+	}
+	assert.Equal(t, answer.Header().Get("Location"), "/history")
+	assert.Assert(t, strings.HasPrefix(answer.Header().Get("Content-Security-Policy"), "default-src 'none'; style-src 'self'"))
+	assert.Equal(t, answer.Header().Get("X-Content-Type-Options"), "nosniff")
+	for _, next := range []string{"//evil.example", "https://evil.example/", `/\evil.example`, "evil"} {
+		assert.Equal(t, localPath(next), "/", next)
+	}
+}
+
+// TestFailedSignInsAreLimited guards against guessing passwords, through the page or the JSON interface.
+func TestFailedSignInsAreLimited(t *testing.T) {
+	s := newSite(t)
+	for range failuresPerName {
+		assert.Equal(t, s.signIn("editor", "wrong").Code, http.StatusUnauthorized)
+	}
+	assert.Equal(t, s.signIn("editor", examplePassword).Code, http.StatusTooManyRequests)
+	assert.Equal(t, s.signIn("viewer", examplePassword).Code, http.StatusSeeOther)
+	r := httptest.NewRequest(http.MethodGet, PathConfig, nil)
+	r.SetBasicAuth("editor", examplePassword)
+	assert.Equal(t, s.send(r).Code, http.StatusServiceUnavailable)
+	s.now = s.now.Add(failureWindow + time.Second)
+	assert.Equal(t, s.signIn("editor", examplePassword).Code, http.StatusSeeOther)
+}
+
+// TestCrossSitePosts guards against other sites that post with the operator's cookie.
+func TestCrossSitePosts(t *testing.T) {
+	s := newSite(t)
+	editor := s.browser("editor")
+	values := editor.fill("/site", "/site", "deployment", "other")
+	for _, header := range []map[string]string{{"Origin": "https://evil.example"}, {"Origin": "null"}, {"Sec-Fetch-Site": "cross-site"}} {
+		editor.header = header
+		editor.press("/site", values, "commit", http.StatusForbidden)
+	}
+	editor.header = map[string]string{"Origin": "https://example.com"}
+	other := s.browser("editor").fill("/site", "/site")
+	values.Set("token", other.Get("token"))
+	body := editor.press("/site", values, "commit", http.StatusForbidden)
+	assert.Equal(t, s.revision(), api.Revision(1))
+	// A form of an ended session comes back filled in.
+	again := fields(t, body, "/site")
+	assert.Equal(t, again.Get("deployment"), "other")
+	editor.change("/site", again)
+	assert.Equal(t, s.revision(), api.Revision(2))
+}
+
+// TestFaultsKeepTheForm guards against a form that shows only its first fault or loses what was entered.
+func TestFaultsKeepTheForm(t *testing.T) {
+	s := newSite(t)
+	editor := s.browser("editor")
+	values := editor.fill("/versions/edit?pipeline=visit-plan&name=new", "/versions/edit",
+		"stages[0].group", "rerankers", "stages[1].top_k", "many", "stages[3].prompt", "Line one\r\nline <two>")
+	body := editor.press("/versions/edit", values, "review", http.StatusUnprocessableEntity)
+	assert.Assert(t, strings.Contains(body, "2 faults"), body)
+	assert.Assert(t, strings.Contains(body, `pipelines[visit-plan].versions[1].stages[0].group`))
+	assert.Assert(t, strings.Contains(body, `href="#f-stages-1-top_k"`) && strings.Contains(body, `id="f-stages-1-top_k"`))
+	again := fields(t, body, "/versions/edit")
+	assert.Equal(t, again.Get("stages[1].top_k"), "many")
+	assert.Equal(t, again.Get("stages[0].group"), "rerankers")
+	assert.Equal(t, strings.ReplaceAll(again.Get("stages[3].prompt"), "\r\n", "\n"), "Line one\nline <two>")
+	again.Set("stages[0].group", "encoders")
+	again.Set("stages[1].top_k", "9")
+	editor.change("/versions/edit", again)
+	stages := s.holder.Load().Version("visit-plan", "new").Stages
+	assert.Equal(t, len(stages), 4)
+	assert.Equal(t, stages[1].TopK, 9)
+	assert.Equal(t, stages[3].Prompt, "Line one\nline <two>")
+}
+
+// TestStageRows guards against rows that are added, moved or removed wrongly.
+func TestStageRows(t *testing.T) {
+	s := newSite(t)
+	editor := s.browser("editor")
+	values := editor.fill("/versions/edit?pipeline=visit-plan&copy=old", "/versions/edit", "name", "third",
+		"stages[2].remove_row", "on", "stages[4].name", "draft", "stages[4].kind", "generate", "stages[4].group", "loft-models", "stages[4].position", "3.5")
+	body := editor.press("/versions/edit", values, "more", http.StatusOK)
+	editor.change("/versions/edit", fields(t, body, "/versions/edit"))
+	var order []string
+	for _, stage := range s.holder.Load().Version("visit-plan", "third").Stages {
+		order = append(order, string(stage.Name))
+	}
+	assert.DeepEqual(t, order, []string{"encode", "retrieve", "draft", "generate"})
+	editor.change("/pipelines/edit", editor.fill("/pipelines/edit", "/pipelines/edit", "name", "short", "versions[0].name", "v1",
+		"versions[0].stages[0].name", "answer", "versions[0].stages[0].kind", "generate", "versions[0].stages[0].group", "loft-models"))
+	assert.Equal(t, len(s.holder.Load().Version("short", "v1").Stages), 1)
+}
+
+// TestTwoOperators guards against a change that overwrites another one unseen.
+func TestTwoOperators(t *testing.T) {
+	s := newSite(t)
+	one, two := s.browser("editor"), s.browser("editor")
+	mine := one.fill("/workspaces/edit?name=arima", "/workspaces/edit", "weight", "3")
+	clash := one.fill("/workspaces/edit?name=tobago", "/workspaces/edit", "burst", "7")
+	two.change("/workspaces/edit", two.fill("/workspaces/edit?name=tobago", "/workspaces/edit", "burst", "500"))
+
+	body := one.press("/workspaces/edit", mine, "commit", http.StatusConflict)
+	assert.Equal(t, s.revision(), api.Revision(2))
+	assert.Assert(t, strings.Contains(body, "workspaces[tobago].burst") && strings.Contains(body, "the reason"))
+	review := one.press("/workspaces/edit", fields(t, body, "/workspaces/edit"), "rebase", http.StatusOK)
+	one.press("/workspaces/edit", fields(t, review, "/workspaces/edit"), "commit", http.StatusOK)
+	assert.Equal(t, s.workspace("arima").Weight, 3.0)
+	assert.Equal(t, s.workspace("tobago").Burst, 500.0)
+
+	body = one.press("/workspaces/edit", clash, "commit", http.StatusConflict)
+	assert.Assert(t, !strings.Contains(body, `value="rebase"`))
+	body = one.press("/workspaces/edit", fields(t, body, "/workspaces/edit"), "rebase", http.StatusConflict)
+	body = one.press("/workspaces/edit", fields(t, body, "/workspaces/edit"), "restart", http.StatusOK)
+	again := fields(t, body, "/workspaces/edit")
+	assert.Equal(t, again.Get("burst"), "7")
+	one.change("/workspaces/edit", again)
+	assert.Equal(t, s.workspace("tobago").Burst, 7.0)
+}
+
+// TestCommitFailureKeepsTheChange guards against a change that is lost while the key-value service is out.
+func TestCommitFailureKeepsTheChange(t *testing.T) {
+	s := newSite(t)
+	editor := s.browser("editor")
+	s.commitError = fault.New(api.KindStoreUnavailable, "the commit was not applied")
+	values := editor.fill("/site", "/site", "limits.queue_length", "77")
+	values.Set("comment", "shorter queue")
+	body := editor.press("/site", values, "commit", http.StatusServiceUnavailable)
+	again := fields(t, body, "/site")
+	assert.Equal(t, again.Get("limits.queue_length"), "77")
+	assert.Equal(t, again.Get("comment"), "shorter queue")
+	s.commitError = nil
+	editor.press("/site", again, "commit", http.StatusOK)
+	assert.Equal(t, s.holder.Load().Limits.QueueLength, 77)
+	assert.Equal(t, s.entries[0].Comment, "shorter queue")
+}
+
+// TestNewWorkspace guards against a credential that does not work, is shown
+// before it is in force, or is stored in plain text.
+func TestNewWorkspace(t *testing.T) {
+	s := newSite(t)
+	editor := s.browser("editor")
+	values := editor.fill("/workspaces/edit", "/workspaces/edit", "name", "couva", "serves[visit-plan]", "new")
+	review := editor.press("/workspaces/edit", values, "review", http.StatusOK)
+	assert.Assert(t, !strings.Contains(review, `class="token"`))
+	body := editor.press("/workspaces/edit", fields(t, review, "/workspaces/edit"), "commit", http.StatusOK)
+	token := match(regexp.MustCompile(`<code class="token">(\w+)</code>`), body)
+	workspace := s.workspace("couva")
+	assert.Equal(t, len(workspace.CredentialHashes), 1)
+	assert.Assert(t, secret.TokenMatches(token, workspace.CredentialHashes[0]))
+	assert.Equal(t, string(workspace.Versions["visit-plan"].Name), "new")
+
+	values = editor.fill("/workspaces/edit?name=couva", "/workspaces/edit", "drop_credentials", fingerprint(workspace.CredentialHashes[0]), "new_credential", "on")
+	editor.change("/workspaces/edit", values)
+	assert.Equal(t, len(s.workspace("couva").CredentialHashes), 1)
+	assert.Assert(t, !secret.TokenMatches(token, s.workspace("couva").CredentialHashes[0]))
+}
+
+// TestBulkMove guards against a bulk choice that moves too few or too many workspaces.
+func TestBulkMove(t *testing.T) {
+	s := newSite(t)
+	editor := s.browser("editor")
+	version := func(name api.WorkspaceName) string { return string(s.workspace(name).Versions["care-note"].Name) }
+	values := editor.fill("/serving?filter=o", "/serving", "bulk", "care-note/new", "scope", "filter")
+	editor.change("/serving", values)
+	assert.Equal(t, version("tobago"), "new")
+	assert.Equal(t, version("chaguanas"), "old")
+	values = editor.fill("/serving", "/serving", "cell/tobago/care-note", "old")
+	editor.change("/serving", values)
+	assert.Equal(t, version("tobago"), "old")
+	assert.Equal(t, version("port-of-spain"), "new")
+	values = editor.fill("/serving", "/serving", "bulk", "care-note/new")
+	editor.press("/serving", values, "review", http.StatusUnprocessableEntity)
+}
+
+// TestLastEditor guards against a change after which nobody can change the configuration.
+func TestLastEditor(t *testing.T) {
+	s := newSite(t)
+	editor := s.browser("editor")
+	body := editor.press("/operators/edit", editor.fill("/operators/edit?name=editor", "/operators/edit"), "remove", http.StatusUnprocessableEntity)
+	assert.Assert(t, strings.Contains(body, "must be an editor"))
+	body = editor.press("/operators/edit", editor.fill("/operators/edit", "/operators/edit", "name", "ada", "role", "editor", "password", "twelve letters"), "review", http.StatusOK)
+	assert.Assert(t, !strings.Contains(body, "twelve letters"))
+	editor.press("/operators/edit", fields(t, body, "/operators/edit"), "commit", http.StatusOK)
+	assert.Equal(t, s.signIn("ada", "twelve letters").Code, http.StatusSeeOther)
+}
+
+// TestRestoreAndDocument guards against a restored revision that goes back in
+// number, and against a pasted text that is lost on a fault.
+func TestRestoreAndDocument(t *testing.T) {
+	s := newSite(t)
+	editor := s.browser("editor")
+	editor.change("/site", editor.fill("/site", "/site", "limits.queue_length", "5"))
+	_, body := editor.get("/history/diff?from=1&to=2")
+	assert.Assert(t, strings.Contains(body, "limits.queue_length"))
+	editor.change("/history/restore", editor.fill("/history", "/history/restore", "revision", "1"))
+	assert.Equal(t, s.revision(), api.Revision(3))
+	assert.Equal(t, len(document.Diff(s.documents[0], s.documents[2])), 0)
+
+	text := "{\"format\": 1,\n \"deployment\": <b>"
+	values := editor.fill("/document/edit", "/document/edit", "text", text)
+	body = editor.press("/document/edit", values, "review", http.StatusUnprocessableEntity)
+	assert.Equal(t, fields(t, body, "/document/edit").Get("text"), text)
+	assert.Assert(t, strings.Contains(body, "at line 2"))
+}
--- a/internal/web/console/form.go
+++ b/internal/web/console/form.go
@@ -224,7 +224,7 @@
 	switch {
 	case err == nil:
 		h.Log.Info().Str("operator", r.operator.Name).Uint64("revision", uint64(revision)).Int("changes", len(changes)).Msg("configuration_committed")
-		h.page(r, http.StatusOK, "committed", "Committed", committedView{Revision: revision, Changes: changes, Credential: c.outcome.credential, List: c.form.list})
+		h.pageOf(r, c.form.list, http.StatusOK, "committed", "Committed", committedView{Revision: revision, Changes: changes, Credential: c.outcome.credential, List: c.form.list})
 	case fault.Is(err, api.KindConflict):
 		h.showConflict(r, c, fault.ToAPI(err, "").Message)
 	default:
--- a/internal/web/console/forms.go
+++ b/internal/web/console/forms.go
@@ -385,7 +385,7 @@
 		}}
 	}
 	return &form{
-		path: "/site", title: "Site", list: "/", get: true, layout: siteLayout,
+		path: "/site", title: "Site", list: "/site", get: true, layout: siteLayout,
 		fill: func(doc *document.Document, _ url.Values) (url.Values, bool) {
 			return fillValues(siteLayout(doc, nil), reflect.ValueOf(doc).Elem()), true
 		},
--- a/internal/web/console/render.go
+++ b/internal/web/console/render.go
@@ -90,10 +90,15 @@
 
 // page renders a page for a signed-in operator.
 func (h *Handler) page(r *visit, status int, name, title string, view any) {
+	h.pageOf(r, r.URL.Path, status, name, title, view)
+}
+
+// pageOf renders a page that belongs to the entry of the navigation with the given path.
+func (h *Handler) pageOf(r *visit, path string, status int, name, title string, view any) {
 	doc, revision := h.current()
 	h.execute(r.w, status, name, frame{
 		Title: title, Operator: r.operator, Token: r.token, Site: doc.Deployment, Revision: revision,
-		Nav: navigation(r.operator, r.URL.Path), View: view,
+		Nav: navigation(r.operator, path), View: view,
 	})
 }
 
@@ -251,13 +256,28 @@
 		if notes.more {
 			spare = 4 * spareRows
 		}
+		shown[l.Rows.Key] = fieldID(rowKey(l.Rows, 0, l.Rows.Columns[0].Key))
 		for i := range rows + spare {
 			view.Rows = append(view.Rows, newRowView(l.Rows, i, i >= rows, values, byKey, shown))
 		}
 	}
 	view.Faults = faultViews(doc, notes, shown)
 	view.Hidden = hiddenValues(values, func(key string) bool { _, is := shown[key]; return is && key != "name" || key == keyComment })
-	h.page(r, status, "form", f.title, view)
+	h.pageOf(r, f.list, status, "form", formTitle(f, values), view)
+}
+
+// formTitle names the element that a form edits.
+func formTitle(f *form, values url.Values) string {
+	title := f.title
+	if item := values.Get(keyItem); item != "" {
+		title += " " + item
+	} else if f.removable {
+		title = "New " + strings.ToLower(title)
+	}
+	if pipeline := values.Get(keyPipeline); pipeline != "" {
+		title += " of " + pipeline
+	}
+	return title
 }
 
 // faultsByKey maps the keys of fields to the messages of their faults.
--- a/internal/web/console/review.go
+++ b/internal/web/console/review.go
@@ -39,7 +39,7 @@
 	if failure != "" {
 		status = http.StatusServiceUnavailable
 	}
-	h.page(r, status, "review", "Review the change", reviewView{
+	h.pageOf(r, c.form.list, status, "review", "Review the change", reviewView{
 		Form: newResend(c), Changes: changes, Comment: c.values.Get(keyComment),
 		Onto: c.onto, Rebased: c.onto != c.base, Fault: failure, List: c.form.list,
 	})
@@ -74,5 +74,5 @@
 			}
 		}
 	}
-	h.page(r, http.StatusConflict, "conflict", "Another change came first", view)
+	h.pageOf(r, c.form.list, http.StatusConflict, "conflict", "Another change came first", view)
 }
--- a/internal/web/console/serving.go
+++ b/internal/web/console/serving.go
@@ -36,6 +36,7 @@
 
 type cellView struct {
 	Key      string
+	Pipeline string
 	Label    string
 	Current  string
 	Versions []option
@@ -128,8 +129,9 @@
 
 func newCell(workspace document.Workspace, pipeline document.Pipeline, values url.Values) cellView {
 	cell := cellView{
-		Key:   cellPrefix + string(workspace.Name) + "/" + string(pipeline.Name),
-		Label: "Version of " + string(pipeline.Name) + " for " + string(workspace.Name),
+		Key:      cellPrefix + string(workspace.Name) + "/" + string(pipeline.Name),
+		Pipeline: string(pipeline.Name),
+		Label:    "Version of " + string(pipeline.Name) + " for " + string(workspace.Name),
 	}
 	for _, serve := range workspace.Serves {
 		if serve.Pipeline == pipeline.Name {
