--- a/internal/web/console/console_test.go
+++ b/internal/web/console/console_test.go
@@ -1,8 +1,11 @@
 package console
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"html"
+	"mime/multipart"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -478,3 +481,47 @@
 	assert.Equal(t, fields(t, body, "/document/edit").Get("text"), text)
 	assert.Assert(t, strings.Contains(body, "at line 2"))
 }
+
+// TestUpload guards against an uploaded file that is ignored or taken in part.
+func TestUpload(t *testing.T) {
+	s := newSite(t)
+	editor := s.browser("editor")
+	values := editor.fill("/document/edit", "/document/edit", "action", "review")
+	var body bytes.Buffer
+	form := multipart.NewWriter(&body)
+	for key := range values {
+		assert.NilError(t, form.WriteField(key, values.Get(key)))
+	}
+	file, err := form.CreateFormFile("upload", "document.json")
+	assert.NilError(t, err)
+	_, err = file.Write([]byte(strings.Replace(values.Get("text"), `"deadline_ms": 7000`, `"deadline_ms": 6000`, 1)))
+	assert.NilError(t, err)
+	assert.NilError(t, form.Close())
+	r := httptest.NewRequest(http.MethodPost, "/document/edit", &body)
+	r.Header.Set("Content-Type", form.FormDataContentType())
+	r.Header.Set("Cookie", editor.cookie)
+	answer := editor.send(r)
+	assert.Equal(t, answer.Code, http.StatusOK, answer.Body.String())
+	editor.press("/document/edit", fields(t, answer.Body.String(), "/document/edit"), "commit", http.StatusOK)
+	assert.Equal(t, s.holder.Load().Pipelines["visit-plan"].Deadline, document.Milliseconds(6000))
+}
+
+// TestLargeGroup guards against a form that can't carry the 1,500 upstreams of the target size.
+func TestLargeGroup(t *testing.T) {
+	s := newSite(t)
+	doc := s.holder.Load().Document.Clone()
+	for i := range 1500 {
+		doc.Groups[0].Upstreams = append(doc.Groups[0].Upstreams, document.Upstream{
+			ID: api.UpstreamID(fmt.Sprintf("more-%d", i)), DataCentre: "dc", Slots: 8,
+			Address: api.Address(fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250)),
+		})
+	}
+	_, err := s.commit(t.Context(), doc, 1, "test", "")
+	assert.NilError(t, err)
+	editor := s.browser("editor")
+	path := "/groups/edit?name=" + string(doc.Groups[0].Name)
+	editor.change("/groups/edit", editor.fill(path, "/groups/edit", "cost_per_second", "7"))
+	group := s.holder.Load().Groups[doc.Groups[0].Name]
+	assert.Equal(t, group.CostPerSecond, document.Cost(7))
+	assert.Equal(t, len(group.Upstreams), len(doc.Groups[0].Upstreams))
+}
--- a/internal/web/console/handler.go
+++ b/internal/web/console/handler.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/phuslu/log"
@@ -134,9 +135,10 @@
 // readForm parses a form within limit. It answers and returns false on a fault.
 func readForm(w http.ResponseWriter, r *http.Request, limit int64) bool {
 	r.Body = http.MaxBytesReader(w, r.Body, limit)
-	err := r.ParseMultipartForm(limit)
-	if errors.Is(err, http.ErrNotMultipart) {
-		err = nil
+	// For other bodies ParseMultipartForm hides the errors of ParseForm, and a form cut off at the limit would pass.
+	err := r.ParseForm()
+	if err == nil && strings.HasPrefix(r.Header.Get("Content-Type"), "multipart/form-data") {
+		err = r.ParseMultipartForm(limit)
 	}
 	var tooLarge *http.MaxBytesError
 	switch {
--- /dev/null
+++ b/internal/web/console/operator_api_test.go
@@ -0,0 +1,88 @@
+package console
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/pkg/api"
+)
+
+// call sends one request of the command line and decodes the answer into result.
+func (s *site) call(operator, method, path string, body, result any) int {
+	s.t.Helper()
+	encoded, err := json.Marshal(body)
+	assert.NilError(s.t, err)
+	r := httptest.NewRequest(method, path, bytes.NewReader(encoded))
+	if operator != "" {
+		r.SetBasicAuth(operator, examplePassword)
+	}
+	answer := s.send(r)
+	assert.NilError(s.t, json.Unmarshal(answer.Body.Bytes(), result), answer.Body.String())
+	return answer.Code
+}
+
+// TestOperatorAPI guards against a commit without an editor, without its base or with faults.
+func TestOperatorAPI(t *testing.T) {
+	s := newSite(t)
+	var refusal api.Error
+	assert.Equal(t, s.call("", http.MethodGet, PathConfig, nil, &refusal), http.StatusUnauthorized)
+	assert.Equal(t, s.call("nobody", http.MethodGet, PathConfig, nil, &refusal), http.StatusUnauthorized)
+
+	var shown ConfigAnswer
+	assert.Equal(t, s.call("viewer", http.MethodGet, PathConfig, nil, &shown), http.StatusOK)
+	assert.Assert(t, !bytes.Contains(shown.Document, []byte("$2a$")))
+	assert.Equal(t, s.call("editor", http.MethodGet, PathConfig, nil, &shown), http.StatusOK)
+	assert.Equal(t, shown.Comment, "first document")
+	doc, err := document.Parse(shown.Document)
+	assert.NilError(t, err)
+	doc.Workspaces[0].Weight = 9
+	changed, err := json.Marshal(doc)
+	assert.NilError(t, err)
+
+	commit := CommitRequest{Document: changed, Base: 1, Comment: "nine"}
+	assert.Equal(t, s.call("viewer", http.MethodPost, PathConfig, commit, &refusal), http.StatusForbidden)
+	var answer CommitAnswer
+	assert.Equal(t, s.call("editor", http.MethodPost, PathConfig, commit, &answer), http.StatusOK)
+	assert.Equal(t, answer.Revision, api.Revision(2))
+	assert.Equal(t, s.call("editor", http.MethodPost, PathConfig, commit, &refusal), http.StatusConflict)
+	assert.Equal(t, refusal.Kind, api.KindConflict)
+
+	commit = CommitRequest{Document: []byte(`{"format": 1}`), Base: 2}
+	assert.Equal(t, s.call("editor", http.MethodPost, PathConfig, commit, &refusal), http.StatusBadRequest)
+	assert.Assert(t, len(refusal.Faults) > 2)
+	var faults ValidateAnswer
+	assert.Equal(t, s.call("viewer", http.MethodPost, PathValidate, ValidateRequest{Document: commit.Document}, &faults), http.StatusOK)
+	assert.DeepEqual(t, faults.Faults, refusal.Faults)
+	assert.Equal(t, s.revision(), api.Revision(2))
+
+	var history HistoryAnswer
+	assert.Equal(t, s.call("viewer", http.MethodGet, PathHistory+"?limit=1", nil, &history), http.StatusOK)
+	assert.Equal(t, len(history.Revisions), 1)
+	assert.Equal(t, history.Revisions[0].Comment, "nine")
+	assert.Equal(t, s.call("viewer", http.MethodGet, PathHistory+"?limit=none", nil, &refusal), http.StatusBadRequest)
+	assert.Equal(t, s.call("editor", http.MethodGet, PathRevisions+"1", nil, &shown), http.StatusOK)
+	assert.Equal(t, shown.Revision, api.Revision(1))
+	assert.Equal(t, s.call("editor", http.MethodGet, PathRevisions+"7", nil, &refusal), http.StatusNotFound)
+	var status Status
+	assert.Equal(t, s.call("viewer", http.MethodGet, PathStatus, nil, &status), http.StatusOK)
+	assert.Equal(t, status.Counters["refused.overloaded"], int64(7))
+}
+
+// TestBodiesAreBounded guards against bodies that fill the memory of a host.
+func TestBodiesAreBounded(t *testing.T) {
+	s := newSite(t)
+	// One long JSON string makes the decoder read on until the limit.
+	large := append([]byte(`{"comment":"`), bytes.Repeat([]byte("a"), maxJSON)...)
+	r := httptest.NewRequest(http.MethodPost, PathConfig, bytes.NewReader(large))
+	r.SetBasicAuth("editor", examplePassword)
+	assert.Equal(t, s.send(r).Code, http.StatusRequestEntityTooLarge)
+	r = httptest.NewRequest(http.MethodPost, "/sign-in", bytes.NewReader(append([]byte("name="), bytes.Repeat([]byte("a"), maxSignIn)...)))
+	r.Header.Set("Content-Type", "application/x-www-form-urlencoded")
+	assert.Equal(t, s.send(r).Code, http.StatusRequestEntityTooLarge)
+}
--- a/internal/web/console/render.go
+++ b/internal/web/console/render.go
@@ -220,6 +220,9 @@
 	Item      string
 	Base      string
 	Removable bool
+	// Upload asks for the encoding of files. It is used only where it is needed,
+	// because Go admits at most 1000 parts in it, fewer than a group of 250 upstreams has.
+	Upload    bool
 	Notice    string
 	Faults    []faultView
 	Fields    []fieldView
@@ -248,6 +251,7 @@
 	}
 	shown := map[string]string{}
 	for _, declared := range l.Fields {
+		view.Upload = view.Upload || declared.Kind == fieldFile
 		view.Fields = append(view.Fields, newFieldView(declared, declared.Key, values, byKey, shown))
 	}
 	if l.Rows != nil {
