--- a/cmd/host.go
+++ b/cmd/host.go
@@ -109,7 +109,7 @@
 		return ctx.Err()
 	}, func(error) { cancel() })
 	callers := &caller.Handler{
-		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log,
+		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log, Timer: h.timer,
 	}
 	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, callers.Routes())
 	if h.settings.Admin.Listen != "" {
--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -15,6 +15,7 @@
 
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/helper/timer"
 	"redwingloft/internal/service/request"
 	"redwingloft/pkg/api"
 )
@@ -28,10 +29,17 @@
 	BodyBytes func() int64
 	Metrics   *metric.Set
 	Log       *log.Logger
+	// Timer drives the signs of life; nil sends none.
+	Timer *timer.Service
+
+	pulse pulse
 }
 
 // Routes returns the mux of the interface.
 func (h *Handler) Routes() http.Handler {
+	if h.Timer != nil {
+		h.Timer.Every(PulsePeriod, h.pulse.beat)
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+api.PathHosts, h.hosts)
 	mux.HandleFunc("POST "+api.PathPipelines+"{pipeline}/run", h.run)
@@ -58,16 +66,18 @@
 		return
 	}
 	pipeline := api.PipelineName(r.PathValue("pipeline"))
+	live, end := h.pulse.add(w)
+	defer end()
 	if body.Stream {
-		h.stream(w, r, caller, pipeline, body)
+		h.stream(live, r, caller, pipeline, body)
 		return
 	}
 	answer, err := h.Service.RunPipeline(r.Context(), caller, pipeline, body, request.Stream{})
 	if err != nil {
-		h.refuse(w, caller.ID, err)
+		h.refuse(live, caller.ID, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, answer.RunAnswer)
+	writeJSON(live, http.StatusOK, answer.RunAnswer)
 }
 
 func (h *Handler) call(w http.ResponseWriter, r *http.Request) {
@@ -82,12 +92,14 @@
 		return
 	}
 	service, name := api.ServiceName(r.PathValue("service")), api.CallName(r.PathValue("call"))
+	live, end := h.pulse.add(w)
+	defer end()
 	answer, err := h.Service.CallService(r.Context(), caller, service, name, r.Header.Get(api.HeaderIdempotencyKey), body)
 	if err != nil {
-		h.refuse(w, caller.ID, err)
+		h.refuse(live, caller.ID, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, answer)
+	writeJSON(live, http.StatusOK, answer)
 }
 
 func requestID(r *http.Request) api.RequestID {
--- a/internal/web/caller/stream.go
+++ b/internal/web/caller/stream.go
@@ -9,44 +9,33 @@
 	"redwingloft/pkg/api"
 )
 
-// eventWriter writes server-sent events and flushes each of them.
+// eventWriter writes server-sent events.
 type eventWriter struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
+	w *liveWriter
 	// started is true once the header was written; an error after that is an event.
 	started bool
 }
 
-func (e *eventWriter) start() {
-	if e.started {
-		return
-	}
-	e.started = true
-	e.w.Header().Set("Content-Type", "text/event-stream")
-	e.w.Header().Set("Cache-Control", "no-store")
-	e.w.WriteHeader(http.StatusOK)
-}
-
 func (e *eventWriter) write(kind api.EventType, number uint64, data any) error {
-	e.start()
 	encoded, err := json.Marshal(data)
 	if err != nil {
 		return err
 	}
-	if number > 0 {
-		if _, err := fmt.Fprintf(e.w, "id: %d\n", number); err != nil {
-			return err
-		}
+	if !e.started {
+		e.started = true
+		e.w.startStream()
 	}
-	if _, err := fmt.Fprintf(e.w, "event: %s\ndata: %s\n\n", kind, encoded); err != nil {
-		return err
+	event := make([]byte, 0, len(encoded)+64)
+	if number > 0 {
+		event = fmt.Appendf(event, "id: %d\n", number)
 	}
-	return e.control.Flush()
+	event = fmt.Appendf(event, "event: %s\ndata: %s\n\n", kind, encoded)
+	return e.w.writeEvent(event)
 }
 
 // stream answers a run with numbered events and one terminal event.
-func (h *Handler) stream(w http.ResponseWriter, r *http.Request, caller request.Caller, pipeline api.PipelineName, body api.RunRequest) {
-	events := &eventWriter{w: w, control: http.NewResponseController(w)}
+func (h *Handler) stream(w *liveWriter, r *http.Request, caller request.Caller, pipeline api.PipelineName, body api.RunRequest) {
+	events := &eventWriter{w: w}
 	answer, err := h.Service.RunPipeline(r.Context(), caller, pipeline, body, request.Stream{
 		Accepted: func(event api.AcceptedEvent) error { return events.write(api.EventAccepted, 0, event) },
 		Token: func(number uint64, event api.TokenEvent) error {
@@ -57,6 +46,7 @@
 	case err != nil && !events.started:
 		h.refuse(w, caller.ID, err)
 	case err != nil:
+		// The caller may have left; there is nobody to tell.
 		_ = events.write(api.EventError, 0, h.failure(caller.ID, err))
 	default:
 		_ = events.write(api.EventDone, 0, answer.Done())
