Add recorded traces, replay, the load generator and the demonstration

'redwingloft replay' sends a trace at its pace and compares each outcome with the stated one; 'serve' records such traces; 'standin trace' makes them from a seed; 'standin demo' runs both example deployments and checks every order against the upstreams' own counts.

--- a/cmd/call.go
+++ b/cmd/call.go
@@ -1,64 +1,88 @@
 package cmd
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net/http"
-	"strconv"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"redwingloft/pkg/api"
+	"redwingloft/pkg/client"
 )
 
 func callCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "call",
-		Usage:     "send one request to a pipeline",
-		ArgsUsage: "PIPELINE INPUT",
+		Usage:     "send one request to a pipeline or a plain service",
+		ArgsUsage: "PIPELINE INPUT | SERVICE/CALL [BODY]",
+		Description: "Asks the given host which addresses to use, as every caller does. A call of a plain\n" +
+			"service is repeated under one idempotency key until it has an answer or the deadline passes.",
 		Flags: []cli.Flag{
 			hostFlag(),
 			&cli.StringFlag{Name: "workspace", Usage: "`name` of the workspace", Required: true},
 			&cli.StringFlag{Name: "token", Usage: "credential of the workspace", Sources: cli.EnvVars("REDWINGLOFT_TOKEN")},
+			&cli.StringFlag{Name: "data-centre", Usage: "data centre of the caller"},
 			&cli.DurationFlag{Name: "deadline", Usage: "time for the whole answer", Value: 7 * time.Second},
-			&cli.BoolFlag{Name: "stream", Usage: "print the events of a streamed answer"},
+			&cli.StringFlag{Name: "method", Usage: "HTTP method of a service call", Value: "POST"},
+			&cli.StringFlag{Name: "key", Usage: "idempotency key of a service call, a UUID version 7; empty makes one"},
+			&cli.BoolFlag{Name: "stream", Usage: "print the text of a pipeline as it arrives"},
 		},
 		Action: runCall,
 	}
 }
 
 func runCall(ctx context.Context, c *cli.Command) error {
-	if c.Args().Len() != 2 {
-		return errors.New("call takes a pipeline and an input")
+	ctx, cancel := context.WithTimeout(ctx, c.Duration("deadline"))
+	defer cancel()
+	caller := &client.Client{
+		Hosts:      []api.Address{api.Address(c.String("host"))},
+		Workspace:  api.WorkspaceName(c.String("workspace")),
+		Token:      c.String("token"),
+		DataCentre: api.DataCentre(c.String("data-centre")),
 	}
-	body, err := json.Marshal(api.RunRequest{Input: c.Args().Get(1), Stream: c.Bool("stream")})
-	if err != nil {
-		return err
+	defer caller.Close()
+	target, rest := c.Args().First(), c.Args().Get(1)
+	service, call, isService := strings.Cut(target, "/")
+	switch {
+	case isService && c.Args().Len() <= 2:
+		return callService(ctx, c, caller, client.Order{
+			Service: api.ServiceName(service), Call: api.CallName(call),
+			Method: c.String("method"), Body: []byte(rest), Key: c.String("key"),
+		})
+	case !isService && c.Args().Len() == 2:
+		return callPipeline(ctx, c, caller, api.PipelineName(target), rest)
 	}
-	target := "http://" + c.String("host") + api.PathPipelines + c.Args().Get(0) + "/run"
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	return errors.New("call takes a pipeline and an input, or a service with its call and a body")
+}
+
+func callService(ctx context.Context, c *cli.Command, caller *client.Client, order client.Order) error {
+	answer, err := caller.Call(ctx, order)
 	if err != nil {
 		return err
 	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(api.HeaderWorkspace, c.String("workspace"))
-	request.Header.Set("Authorization", "Bearer "+c.String("token"))
-	request.Header.Set(api.HeaderDeadline, strconv.FormatInt(c.Duration("deadline").Milliseconds(), 10))
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
+	return json.NewEncoder(c.Root().Writer).Encode(answer)
+}
+
+func callPipeline(ctx context.Context, c *cli.Command, caller *client.Client, pipeline api.PipelineName, input string) error {
+	out := c.Root().Writer
+	if c.Bool("stream") {
+		_, err := caller.Stream(ctx, pipeline, api.RunRequest{Input: input}, func(piece api.TokenEvent) error {
+			_, err := fmt.Fprint(out, piece.Text)
+			return err
+		})
+		fmt.Fprintln(out)
 		return err
 	}
-	defer response.Body.Close()
-	if _, err := io.Copy(c.Root().Writer, response.Body); err != nil {
+	answer, err := caller.Run(ctx, pipeline, api.RunRequest{Input: input})
+	if err != nil {
 		return err
 	}
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("the host answered %d", response.StatusCode)
-	}
-	return nil
+	return json.NewEncoder(out).Encode(api.RunAnswer{
+		RequestID: answer.RequestID, Pipeline: pipeline, Version: answer.Version,
+		Text: answer.Text, Tokens: answer.Tokens, Stages: answer.Stages,
+	})
 }
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -15,6 +16,7 @@
 	"redwingloft/internal/data/document"
 	"redwingloft/internal/data/settings"
 	"redwingloft/internal/data/store"
+	"redwingloft/internal/data/trace"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/helper/timer"
 	"redwingloft/internal/kernel"
@@ -48,6 +50,8 @@
 	members       *member.Service
 	requests      *request.Service
 	snapshots     *document.Holder
+	// recorder is nil where no trace is recorded.
+	recorder *trace.Recorder
 }
 
 func newHost(s *settings.Settings, logger *log.Logger) (*host, error) {
@@ -73,6 +77,12 @@
 	table := &upstream.Table{}
 	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply}
 	h.requests = newRequests(h, kv, keys, table)
+	if s.Trace.Record != "" {
+		if h.recorder, err = trace.NewRecorder(s.Trace.Record, strings.Trim(s.Store.Prefix, "/")); err != nil {
+			return nil, fmt.Errorf("[trace] record: %w", err)
+		}
+		h.recorder.Dropped = func() { h.metrics.Counter("trace.dropped").Inc(1) }
+	}
 	return h, nil
 }
 
@@ -111,6 +121,9 @@
 	callers := &caller.Handler{
 		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log, Timer: h.timer,
 	}
+	if h.recorder != nil {
+		callers.Record = h.recorder.Record
+	}
 	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, callers.Routes())
 	if h.settings.Admin.Listen != "" {
 		handler := &admin.Handler{Metrics: h.metrics, Ready: h.ready}
@@ -179,3 +192,11 @@
 	}
 	return nil
 }
+
+// close ends what outlives the servers.
+func (h *host) close() error {
+	if h.recorder == nil {
+		return nil
+	}
+	return h.recorder.Close()
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -13,6 +13,7 @@
 			settingsCommand(),
 			hostsCommand(),
 			callCommand(),
+			replayCommand(),
 			versionCommand(),
 		},
 	}
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -45,7 +45,7 @@
 	var group run.Group
 	host.addTo(ctx, &group)
 	group.Add(run.SignalHandler(ctx, os.Interrupt, syscall.SIGTERM))
-	err = group.Run()
+	err = errors.Join(group.Run(), host.close())
 	if errors.Is(err, run.ErrSignal) {
 		host.log.Info().Msg("stopped")
 		return nil
--- /dev/null
+++ b/internal/service/replay/report.go
@@ -0,0 +1,232 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"redwingloft/internal/data/trace"
+	"redwingloft/pkg/api"
+)
+
+// The range and precision of the latency histograms.
+const (
+	lowestLatency     = int64(time.Microsecond)
+	highestLatency    = int64(10 * time.Minute)
+	significantDigits = 3
+)
+
+// Report is the result of a replay.
+type Report struct {
+	Deployment string `json:"deployment"`
+	// DurationMs is the time of the whole replay.
+	DurationMs float64 `json:"duration_ms"`
+	Total      Group   `json:"total"`
+	// Workspaces is keyed by name.
+	Workspaces map[api.WorkspaceName]*Group `json:"workspaces"`
+	// Stages is keyed by pipeline, version and stage as "pipeline/version/stage".
+	Stages map[string]*Stage `json:"stages"`
+	// FirstToken and BetweenTokens are over all streamed answers.
+	FirstToken    Quantiles `json:"first_token"`
+	BetweenTokens Quantiles `json:"between_tokens"`
+	// Refusals counts the requests that were not answered by error kind.
+	Refusals map[api.Kind]int `json:"refusals"`
+	// Resumed counts streams that were continued after a break.
+	Resumed int `json:"resumed"`
+	// Faults lists the outcomes that did not hold.
+	Faults []Told `json:"faults"`
+	// Orders lists what was told of each order, for a check against the upstreams' own counts.
+	Orders []Told `json:"orders"`
+}
+
+// Group counts the outcomes of a set of requests.
+type Group struct {
+	Requests int `json:"requests"`
+	Answered int `json:"answered"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	// Attainment is the share of requests answered whole within their deadline.
+	Attainment float64   `json:"attainment"`
+	Cost       float64   `json:"cost"`
+	Latency    Quantiles `json:"latency"`
+
+	histogram *hdrhistogram.Histogram
+}
+
+// Stage is the cost of one stage over all requests.
+type Stage struct {
+	Runs     int     `json:"runs"`
+	Attempts int     `json:"attempts"`
+	Cost     float64 `json:"cost"`
+	LostCost float64 `json:"lost_cost"`
+	MeanMs   float64 `json:"mean_ms"`
+}
+
+// Quantiles are quantiles of a duration in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50Ms float64 `json:"p50_ms"`
+	P95Ms float64 `json:"p95_ms"`
+	P99Ms float64 `json:"p99_ms"`
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestLatency, highestLatency, significantDigits)
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond) }
+	return Quantiles{Count: h.TotalCount(), P50Ms: at(50), P95Ms: at(95), P99Ms: at(99)}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// The value is bounded, so that recording can't fail.
+	_ = h.RecordValue(min(max(int64(d), lowestLatency), highestLatency))
+}
+
+func newReport(t *trace.Trace, told []Told, duration time.Duration) *Report {
+	r := &Report{
+		Deployment: t.Deployment, DurationMs: float64(duration.Milliseconds()),
+		Total:      Group{histogram: newHistogram()},
+		Workspaces: map[api.WorkspaceName]*Group{}, Stages: map[string]*Stage{}, Refusals: map[api.Kind]int{},
+		Faults: []Told{}, Orders: []Told{},
+	}
+	first, between := newHistogram(), newHistogram()
+	for i := range told {
+		r.add(&told[i], first, between)
+	}
+	r.FirstToken, r.BetweenTokens = quantiles(first), quantiles(between)
+	r.Total.finish()
+	for _, group := range r.Workspaces {
+		group.finish()
+	}
+	for _, stage := range r.Stages {
+		stage.MeanMs /= float64(stage.Runs)
+	}
+	return r
+}
+
+func (r *Report) add(t *Told, first, between *hdrhistogram.Histogram) {
+	group := r.Workspaces[t.Workspace]
+	if group == nil {
+		group = &Group{histogram: newHistogram()}
+		r.Workspaces[t.Workspace] = group
+	}
+	cost := r.addStages(t)
+	r.Total.add(t, cost)
+	group.add(t, cost)
+	if t.Outcome != trace.OutcomeAnswered {
+		r.Refusals[t.Kind]++
+	}
+	if t.firstToken > 0 {
+		record(first, t.firstToken)
+	}
+	for _, gap := range t.gaps {
+		record(between, gap)
+	}
+	if t.Fault != "" {
+		r.Faults = append(r.Faults, *t)
+	}
+	if t.IsOrder() {
+		r.Orders = append(r.Orders, *t)
+	}
+}
+
+// addStages adds the stages of an answer and returns its cost.
+func (r *Report) addStages(t *Told) float64 {
+	if t.answer == nil {
+		return 0
+	}
+	if t.answer.Resumed > 0 {
+		r.Resumed++
+	}
+	cost := 0.0
+	for _, spent := range t.answer.Stages {
+		name := fmt.Sprintf("%s/%s/%s", t.entry.Pipeline, t.answer.Version, spent.Stage)
+		stage := r.Stages[name]
+		if stage == nil {
+			stage = &Stage{}
+			r.Stages[name] = stage
+		}
+		stage.Runs++
+		stage.Attempts += spent.Attempts
+		stage.Cost += spent.Cost
+		stage.LostCost += spent.LostCost
+		stage.MeanMs += spent.DurationMs
+		cost += spent.Cost
+	}
+	return cost
+}
+
+func (g *Group) add(t *Told, cost float64) {
+	g.Requests++
+	g.Cost += cost
+	switch t.Outcome {
+	case trace.OutcomeAnswered:
+		g.Answered++
+		record(g.histogram, t.latency)
+	case trace.OutcomeRefused:
+		g.Refused++
+	default:
+		g.Failed++
+	}
+}
+
+func (g *Group) finish() {
+	if g.Requests > 0 {
+		g.Attainment = float64(g.Answered) / float64(g.Requests)
+	}
+	g.Latency = quantiles(g.histogram)
+}
+
+// Write prints the report as text.
+func (r *Report) Write(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(table, "deployment %s\n\n", r.Deployment)
+	fmt.Fprintln(table, "WORKSPACE\tREQUESTS\tANSWERED\tREFUSED\tFAILED\tATTAINMENT\tCOST\tP50 MS\tP95 MS")
+	for _, name := range sortedKeys(r.Workspaces) {
+		r.Workspaces[name].row(table, string(name))
+	}
+	r.Total.row(table, "total")
+	fmt.Fprintln(table, "\nSTAGE\tRUNS\tATTEMPTS\tCOST\tLOST COST\tMEAN MS")
+	for _, name := range sortedKeys(r.Stages) {
+		s := r.Stages[name]
+		fmt.Fprintf(table, "%s\t%d\t%d\t%.4f\t%.4f\t%.1f\n", name, s.Runs, s.Attempts, s.Cost, s.LostCost, s.MeanMs)
+	}
+	fmt.Fprintln(table, "\nTOKENS\tCOUNT\tP50 MS\tP95 MS\tP99 MS")
+	for _, line := range []struct {
+		name string
+		q    Quantiles
+	}{{"first token", r.FirstToken}, {"between tokens", r.BetweenTokens}} {
+		fmt.Fprintf(table, "%s\t%d\t%.1f\t%.1f\t%.1f\n", line.name, line.q.Count, line.q.P50Ms, line.q.P95Ms, line.q.P99Ms)
+	}
+	if len(r.Refusals) > 0 {
+		fmt.Fprintln(table, "\nNOT ANSWERED\tCOUNT")
+		for _, kind := range sortedKeys(r.Refusals) {
+			fmt.Fprintf(table, "%s\t%d\n", kind, r.Refusals[kind])
+		}
+	}
+	fmt.Fprintf(table, "\nresumed streams: %d\noutcomes that did not hold: %d\n", r.Resumed, len(r.Faults))
+	for _, fault := range r.Faults {
+		fmt.Fprintf(table, "  entry %d of workspace %s: %s\n", fault.Index, fault.Workspace, fault.Fault)
+	}
+	return table.Flush()
+}
+
+func (g *Group) row(out io.Writer, name string) {
+	fmt.Fprintf(out, "%s\t%d\t%d\t%d\t%d\t%.4f\t%.4f\t%.1f\t%.1f\n", name, g.Requests, g.Answered, g.Refused,
+		g.Failed, g.Attainment, g.Cost, g.Latency.P50Ms, g.Latency.P95Ms)
+}
+
+func sortedKeys[K ~string, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	return keys
+}
--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
+	"redwingloft/internal/data/trace"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/helper/timer"
@@ -31,6 +32,9 @@
 	Log       *log.Logger
 	// Timer drives the signs of life; nil sends none.
 	Timer *timer.Service
+	// Record is told of every request that was not refused for its form, when it has
+	// ended; nil is skipped.
+	Record func(arrived time.Time, entry trace.Entry)
 
 	pulse pulse
 }
@@ -66,6 +70,7 @@
 		return
 	}
 	pipeline := api.PipelineName(r.PathValue("pipeline"))
+	arrived := time.Now()
 	live, end := h.pulse.add(w)
 	defer end()
 	if body.Stream {
@@ -73,6 +78,7 @@
 		return
 	}
 	answer, err := h.Service.RunPipeline(r.Context(), caller, pipeline, body, request.Stream{})
+	h.recordRun(arrived, caller, pipeline, body, answer, err)
 	if err != nil {
 		h.refuse(live, caller.ID, err)
 		return
@@ -92,9 +98,11 @@
 		return
 	}
 	service, name := api.ServiceName(r.PathValue("service")), api.CallName(r.PathValue("call"))
+	arrived := time.Now()
 	live, end := h.pulse.add(w)
 	defer end()
 	answer, err := h.Service.CallService(r.Context(), caller, service, name, r.Header.Get(api.HeaderIdempotencyKey), body)
+	h.recordCall(arrived, r, caller, body, answer, err)
 	if err != nil {
 		h.refuse(live, caller.ID, err)
 		return
--- a/internal/web/caller/stream.go
+++ b/internal/web/caller/stream.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"time"
 
 	"redwingloft/internal/service/request"
 	"redwingloft/pkg/api"
@@ -35,6 +36,7 @@
 
 // stream answers a run with numbered events and one terminal event.
 func (h *Handler) stream(w *liveWriter, r *http.Request, caller request.Caller, pipeline api.PipelineName, body api.RunRequest) {
+	arrived := time.Now()
 	events := &eventWriter{w: w}
 	answer, err := h.Service.RunPipeline(r.Context(), caller, pipeline, body, request.Stream{
 		Accepted: func(event api.AcceptedEvent) error { return events.write(api.EventAccepted, 0, event) },
@@ -42,6 +44,7 @@
 			return events.write(api.EventToken, number, event)
 		},
 	})
+	h.recordRun(arrived, caller, pipeline, body, answer, err)
 	switch {
 	case err != nil && !events.started:
 		h.refuse(w, caller.ID, err)
--- /dev/null
+++ b/standin/commands.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/data/trace"
+	"redwingloft/standin/demo"
+	"redwingloft/standin/load"
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run the example deployments on loopback against their recorded traces",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "binaries", Usage: "`folder` of the programs", Value: "bin"},
+			&cli.StringFlag{Name: "deployments", Usage: "`folder` of the example deployments", Value: "deployments"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return demo.Run(ctx, demo.Options{
+				Binaries: c.String("binaries"), Folder: c.String("deployments"),
+				Deployments: []string{"greenhand", "blue_mountain"}, Out: c.Root().Writer,
+			})
+		},
+	}
+}
+
+func traceCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "trace",
+		Usage: "write a trace with stated outcomes for the stand-ins of a document",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "document", Usage: "path of the document `file`", Required: true},
+			&cli.UintFlag{Name: "seed", Usage: "seed of the random numbers", Value: 1},
+			&cli.FloatFlag{Name: "rate", Usage: "mean requests a second", Value: 40},
+			&cli.DurationFlag{Name: "duration", Usage: "length of the trace", Value: 10 * time.Second},
+			&cli.FloatFlag{Name: "service-share", Usage: "share of calls of plain services", Value: 0.3},
+			&cli.FloatFlag{Name: "repeat-share", Usage: "share of orders sent twice under the same key", Value: 0.1},
+			&cli.FloatFlag{Name: "burst", Usage: "factor on the rate in the middle fifth", Value: 1},
+			&cli.IntFlag{Name: "topics", Usage: "number of different inputs of a pipeline and workspace", Value: 200},
+		},
+		Action: writeTrace,
+	}
+}
+
+func writeTrace(_ context.Context, c *cli.Command) error {
+	data, err := os.ReadFile(c.String("document"))
+	if err != nil {
+		return err
+	}
+	doc, err := document.Parse(data)
+	if err != nil {
+		return err
+	}
+	made := load.Generate(load.Options{
+		Document: doc, Seed: uint64(c.Uint("seed")), Rate: c.Float("rate"), Duration: c.Duration("duration"),
+		ServiceShare: c.Float("service-share"), RepeatShare: c.Float("repeat-share"),
+		BurstFactor: c.Float("burst"), Topics: c.Int("topics"),
+	})
+	out, err := trace.NewWriter(c.Root().Writer, made.Deployment)
+	if err != nil {
+		return err
+	}
+	for _, entry := range made.Entries {
+		if err := out.Write(entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -53,6 +53,8 @@
 				},
 				Action: deployment,
 			},
+			demoCommand(),
+			traceCommand(),
 		},
 	}
 }
