Find the kind of an error that another error wraps

Cause: errorx.Cast looks at the outermost error only, so that a typed error wrapped with %w was answered as internal with run unknown, and a type name of another library could be cut short of its start. The kind is now looked up through the whole chain.

--- a/internal/helper/fault/fault.go
+++ b/internal/helper/fault/fault.go
@@ -3,6 +3,8 @@
 package fault
 
 import (
+	"errors"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -53,20 +55,35 @@
 
 // Is reports whether err is of the given kind.
 func Is(err error, kind api.Kind) bool {
-	return errorx.IsOfType(err, types[kind])
+	found := typed(err)
+	return found != nil && found.IsOfType(types[kind])
 }
 
 // KindOf returns the kind of err; an error from elsewhere is internal.
 func KindOf(err error) api.Kind {
-	if typed := errorx.Cast(err); typed != nil {
-		kind := api.Kind(typed.Type().FullName()[len("redwingloft."):])
-		if _, known := api.Kinds[kind]; known {
-			return kind
-		}
+	name, own := strings.CutPrefix(typeName(err), namespace.FullName()+".")
+	if _, known := api.Kinds[api.Kind(name)]; own && known {
+		return api.Kind(name)
 	}
 	return api.KindInternal
 }
 
+func typeName(err error) string {
+	if found := typed(err); found != nil {
+		return found.Type().FullName()
+	}
+	return ""
+}
+
+// typed returns the outermost typed error in the chain of err, or nil.
+func typed(err error) *errorx.Error {
+	var found *errorx.Error
+	if errors.As(err, &found) {
+		return found
+	}
+	return nil
+}
+
 // RunOf returns the run state of err.
 func RunOf(err error) api.RunState {
 	if run, ok := property[api.RunState](err, runProperty); ok {
@@ -95,19 +112,19 @@
 }
 
 func message(err error) string {
-	if typed := errorx.Cast(err); typed != nil && typed.Message() != "" {
-		return typed.Message()
+	if found := typed(err); found != nil && found.Message() != "" {
+		return found.Message()
 	}
 	return err.Error()
 }
 
 func property[T any](err error, key errorx.Property) (T, bool) {
 	var none T
-	typed := errorx.Cast(err)
-	if typed == nil {
+	found := typed(err)
+	if found == nil {
 		return none, false
 	}
-	value, ok := typed.Property(key)
+	value, ok := found.Property(key)
 	if !ok {
 		return none, false
 	}
--- /dev/null
+++ b/internal/helper/logging/logging_test.go
@@ -0,0 +1,25 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestOneLineForEachEvent guards against a value from outside that forges a second event or another key.
+func TestOneLineForEachEvent(t *testing.T) {
+	var out bytes.Buffer
+	New(&out, "info", "host-1").Info().Str("workspace", "a\nlevel=error b=\"c\"").Msg("request_refused")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 1, "%q", out.String())
+	assert.Assert(t, strings.HasSuffix(lines[0], `event=request_refused host=host-1 workspace="a\nlevel=error b=\"c\""`), "%q", lines[0])
+}
+
+// TestLevel guards against a log that ignores its level.
+func TestLevel(t *testing.T) {
+	var out bytes.Buffer
+	New(&out, "warn", "").Info().Msg("quiet")
+	assert.Equal(t, out.String(), "")
+}
--- /dev/null
+++ b/internal/helper/secret/secret_test.go
@@ -0,0 +1,38 @@
+package secret
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// TestSealRefusesChanges guards against a sealed value that a caller can alter or make itself.
+func TestSealRefusesChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key, payload := rapid.SliceOfN(rapid.Byte(), 16, 32).Draw(t, "key"), rapid.SliceOf(rapid.Byte()).Draw(t, "payload")
+		sealed := Seal(key, payload)
+		opened, err := Open(key, sealed)
+		if err != nil || string(opened) != string(payload) {
+			t.Fatalf("opened %q, %v", opened, err)
+		}
+		if _, err := Open(append([]byte{1}, key...), sealed); err == nil {
+			t.Fatal("a value sealed with another key was opened")
+		}
+		changed := []byte(sealed)
+		at := rapid.IntRange(0, len(changed)-1).Draw(t, "at")
+		changed[at] ^= 0x01
+		if got, err := Open(key, string(changed)); err == nil && string(got) != string(payload) {
+			t.Fatalf("the changed value was opened as %q", got)
+		}
+	})
+}
+
+// TestPassword guards against a check that accepts any password.
+func TestPassword(t *testing.T) {
+	hash, err := HashPassword("right")
+	assert.NilError(t, err)
+	assert.Assert(t, PasswordMatches("right", hash))
+	assert.Assert(t, !PasswordMatches("wrong", hash))
+	assert.Assert(t, !TokenMatches("wrong", HashToken("right")))
+}
--- /dev/null
+++ b/internal/web/caller/caller_test.go
@@ -0,0 +1,195 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/helper/timer"
+	"redwingloft/internal/service/request"
+	"redwingloft/pkg/api"
+)
+
+// newHandler returns a handler whose service has no configuration.
+func newHandler() *Handler {
+	return &Handler{
+		Service:   &request.Service{Snapshot: func() *document.Snapshot { return nil }},
+		Addresses: func(api.DataCentre) api.AddressList { return api.AddressList{ValidForMs: 1} },
+		BodyBytes: func() int64 { return 1024 },
+		Metrics:   metric.New(),
+		Log:       logging.Discard(),
+	}
+}
+
+func serve(t *testing.T, h *Handler, r *http.Request) (*httptest.ResponseRecorder, api.Error) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	h.Routes().ServeHTTP(w, r)
+	var answer api.Error
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &answer), w.Body.String())
+	return w, answer
+}
+
+// TestMalformedInputIsRefusedAsNotRun guards against malformed input that gets
+// through, panics, or is answered without a kind of the closed list.
+func TestMalformedInputIsRefusedAsNotRun(t *testing.T) {
+	run := api.PathPipelines + "p/run"
+	for name, c := range map[string]struct {
+		method, path, body, header, value string
+		want                              api.Kind
+	}{
+		"not JSON":          {"POST", run, "{", "", "", api.KindBadRequest},
+		"unknown key":       {"POST", run, `{"inputt":"x"}`, "", "", api.KindBadRequest},
+		"two objects":       {"POST", run, `{}{}`, "", "", api.KindBadRequest},
+		"wrong type":        {"POST", run, `{"input":1}`, "", "", api.KindBadRequest},
+		"too large":         {"POST", run, `{"input":"` + strings.Repeat("x", 2000) + `"}`, "", "", api.KindTooLarge},
+		"bad deadline":      {"POST", run, `{}`, api.HeaderDeadline, "soon", api.KindBadRequest},
+		"negative deadline": {"POST", run, `{}`, api.HeaderDeadline, "-1", api.KindBadRequest},
+		"bad priority":      {"POST", run, `{}`, api.HeaderPriority, "urgent", api.KindBadRequest},
+		"unknown path":      {"GET", "/v2/hosts", "", "", "", api.KindNotFound},
+		"no configuration":  {"POST", run, `{}`, "", "", api.KindHostIsolated},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHandler()
+			r := httptest.NewRequest(c.method, c.path, strings.NewReader(c.body))
+			if c.header != "" {
+				r.Header.Set(c.header, c.value)
+			}
+			w, answer := serve(t, h, r)
+			assert.Equal(t, answer.Kind, c.want)
+			assert.Equal(t, answer.Run, api.RunNo)
+			assert.Equal(t, w.Code, api.Kinds[c.want].Status)
+			assert.Equal(t, h.Metrics.Counter(api.Kinds[c.want].Counter).Count(), int64(1))
+		})
+	}
+}
+
+// TestSignsOfLifeBeforeTheHeader guards against a working host that a caller
+// takes for silent.
+func TestSignsOfLifeBeforeTheHeader(t *testing.T) {
+	var p pulse
+	entered, leave := make(chan struct{}), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		live, end := p.add(w)
+		defer end()
+		close(entered)
+		<-leave
+		writeJSON(live, http.StatusOK, "done")
+	}))
+	defer server.Close()
+	var signs atomic.Int64
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, _ textproto.MIMEHeader) error {
+		if code == http.StatusProcessing && signs.Add(1) == 3 {
+			close(leave)
+		}
+		return nil
+	}}
+	go func() {
+		<-entered
+		for signs.Load() < 3 {
+			p.beat(time.Time{})
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.Background(), trace), http.MethodGet, server.URL, nil)
+	assert.NilError(t, err)
+	response, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, strings.TrimSpace(string(body)), `"done"`)
+}
+
+// TestSignsOfLifeDoNotSplitEvents guards against a comment line in the middle of an event.
+func TestSignsOfLifeDoNotSplitEvents(t *testing.T) {
+	var p pulse
+	const events = 200
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		live, end := p.add(w)
+		defer end()
+		out := &eventWriter{w: live}
+		for i := range uint64(events) {
+			if out.write(api.EventToken, i+1, api.TokenEvent{Text: "x", Tokens: 1}) != nil {
+				return
+			}
+			p.beat(time.Time{})
+		}
+	}))
+	defer server.Close()
+	response, err := http.Get(server.URL)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	whole := 0
+	for _, block := range strings.Split(strings.TrimSpace(string(body)), "\n\n") {
+		if block == ": alive" {
+			continue
+		}
+		whole++
+		lines := strings.Split(block, "\n")
+		assert.Equal(t, len(lines), 3, "%q", block)
+	}
+	assert.Equal(t, whole, events)
+}
+
+// TestTimerDrivesSignsOfLife guards against a handler that never subscribes.
+func TestTimerDrivesSignsOfLife(t *testing.T) {
+	h := newHandler()
+	now := time.Now()
+	h.Timer = &timer.Service{Clock: func() time.Time { return now }}
+	h.Routes()
+	w := httptest.NewRecorder()
+	live, end := h.pulse.add(w)
+	defer end()
+	live.startStream()
+	now = now.Add(PulsePeriod)
+	h.Timer.Tick()
+	body := func() string {
+		live.mu.Lock()
+		defer live.mu.Unlock()
+		return w.Body.String()
+	}
+	// The beat runs in a goroutine of its own; the bound only keeps the test from hanging.
+	for range 10_000 {
+		if body() != "" {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, body(), ": alive\n\n")
+}
+
+func FuzzRun(f *testing.F) {
+	f.Add([]byte(`{"input":"x","stream":true}`), "1000", "high")
+	f.Add([]byte(`{"resume":{"token":"a.b","last_event":1,"text":""}}`), "", "")
+	f.Fuzz(func(t *testing.T, body []byte, deadline, priority string) {
+		h := newHandler()
+		r := httptest.NewRequest(http.MethodPost, api.PathPipelines+"p/run", strings.NewReader(string(body)))
+		r.Header.Set(api.HeaderDeadline, deadline)
+		r.Header.Set(api.HeaderPriority, priority)
+		w := httptest.NewRecorder()
+		h.Routes().ServeHTTP(w, r)
+		var answer api.Error
+		if err := json.Unmarshal(w.Body.Bytes(), &answer); err != nil {
+			t.Fatalf("the answer is not JSON: %v", err)
+		}
+		if api.Kinds[answer.Kind].Status != w.Code || answer.Run != api.RunNo {
+			t.Fatalf("answer %+v with status %d", answer, w.Code)
+		}
+	})
+}
