--- a/cmd/console.go
+++ b/cmd/console.go
@@ -53,23 +53,23 @@
 // revisions reads earlier revisions from the key-value service.
 type revisions struct{ *configuration.Service }
 
-func (r *revisions) at(ctx context.Context, revision api.Revision) (*document.Document, console.Entry, error) {
+func (r *revisions) at(ctx context.Context, revision api.Revision) (*document.Document, error) {
 	entry, err := r.Store.Get(ctx, r.Keys.History(revision))
 	if err != nil {
-		return nil, console.Entry{}, fault.Wrap(api.KindStoreUnavailable, err, "the revision can't be read")
+		return nil, fault.Wrap(api.KindStoreUnavailable, err, "the revision can't be read")
 	}
 	if entry == nil {
-		return nil, console.Entry{}, fault.New(api.KindNotFound, "revision %d does not exist", revision)
+		return nil, fault.New(api.KindNotFound, "revision %d does not exist", revision)
 	}
 	manifest, err := readManifest(*entry)
 	if err != nil {
-		return nil, console.Entry{}, err
+		return nil, err
 	}
 	doc, err := document.Parse(manifest.Document)
 	if err != nil {
-		return nil, console.Entry{}, fault.Wrap(api.KindInternal, err, "revision %d is not valid", revision)
+		return nil, fault.Wrap(api.KindInternal, err, "revision %d is not valid", revision)
 	}
-	return doc, consoleEntry(manifest), nil
+	return doc, nil
 }
 
 func (r *revisions) history(ctx context.Context, limit int) ([]console.Entry, error) {
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -14,6 +14,7 @@
 			configCommand(),
 			hostsCommand(),
 			callCommand(),
+			replayCommand(),
 			versionCommand(),
 		},
 	}
--- a/internal/web/console/console_test.go
+++ b/internal/web/console/console_test.go
@@ -79,13 +79,13 @@
 	return base + 1, nil
 }
 
-func (s *site) at(_ context.Context, revision api.Revision) (*document.Document, Entry, error) {
+func (s *site) at(_ context.Context, revision api.Revision) (*document.Document, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if revision == 0 || int(revision) > len(s.documents) {
-		return nil, Entry{}, fault.New(api.KindNotFound, "revision %d does not exist", revision)
+		return nil, fault.New(api.KindNotFound, "revision %d does not exist", revision)
 	}
-	return s.documents[revision-1], Entry{Revision: revision}, nil
+	return s.documents[revision-1], nil
 }
 
 func (s *site) history(_ context.Context, limit int) ([]Entry, error) {
--- a/internal/web/console/handler.go
+++ b/internal/web/console/handler.go
@@ -48,7 +48,7 @@
 	// Snapshot returns the snapshot in force on this host, or nil.
 	Snapshot func() *document.Snapshot
 	// At returns an earlier revision, or an error of kind not_found.
-	At func(ctx context.Context, revision api.Revision) (*document.Document, Entry, error)
+	At func(ctx context.Context, revision api.Revision) (*document.Document, error)
 	// History returns at most limit revisions, the newest first.
 	History func(ctx context.Context, limit int) ([]Entry, error)
 	// Commit puts a document in force where base is still the newest revision.
@@ -167,8 +167,7 @@
 	if doc, current := h.current(); revision == current {
 		return doc, nil
 	}
-	doc, _, err := h.Config.At(ctx, revision)
-	return doc, err
+	return h.Config.At(ctx, revision)
 }
 
 // check returns the faults of a document, the loss of the last editor included:
--- a/internal/web/console/operator_api.go
+++ b/internal/web/console/operator_api.go
@@ -1,6 +1,7 @@
 package console
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -112,16 +113,21 @@
 	if revision == 0 {
 		return nil, fault.New(api.KindNotFound, "no configuration is in force")
 	}
-	entry := Entry{Revision: revision}
-	// The document is in memory; only the description of its commit needs the store.
-	if entries, err := h.Config.History(r.Context(), historyLimit); err == nil {
+	return configAnswer(doc, h.entry(r.Context(), revision), operator)
+}
+
+// entry describes a revision. Author, time and comment are left out where the
+// recent history does not have them, or while the key-value service is out.
+func (h *Handler) entry(ctx context.Context, revision api.Revision) Entry {
+	entries, err := h.Config.History(ctx, historyLimit)
+	if err == nil {
 		for _, found := range entries {
 			if found.Revision == revision {
-				entry = found
+				return found
 			}
 		}
 	}
-	return configAnswer(doc, entry, operator)
+	return Entry{Revision: revision}
 }
 
 func configAnswer(doc *document.Document, entry Entry, operator *document.Operator) (any, error) {
@@ -137,11 +143,11 @@
 	if err != nil {
 		return nil, err
 	}
-	doc, entry, err := h.Config.At(r.Context(), revision)
+	doc, err := h.at(r.Context(), revision)
 	if err != nil {
 		return nil, err
 	}
-	return configAnswer(doc, entry, operator)
+	return configAnswer(doc, h.entry(r.Context(), revision), operator)
 }
 
 func (h *Handler) readHistory(r *http.Request, _ *document.Operator) (any, error) {
