--- a/cmd/config_test.go
+++ b/cmd/config_test.go
@@ -16,10 +16,23 @@
 	"redwingloft/internal/web/console"
 )
 
+// cheapHash is a bcrypt hash of the example password at the lowest cost: the race
+// detector makes the usual cost take more than a second.
+const cheapHash = "$2a$04$Z5xgscSFjM.sClmg2b5uZupXwkBAJxtqZauiBmo9L97/keGbaLTrK"
+
 // startConsole serves the console of a host that runs alone with an example document.
 func startConsole(t *testing.T) {
 	t.Helper()
-	s, err := settings.Parse([]byte("[document]\npath = ../deployments/greenhand/document.json\n"))
+	doc, err := readDocument("../deployments/greenhand/document.json")
+	assert.NilError(t, err)
+	for i := range doc.Operators {
+		doc.Operators[i].PasswordHash = cheapHash
+	}
+	encoded, err := doc.Encode()
+	assert.NilError(t, err)
+	path := filepath.Join(t.TempDir(), "document.json")
+	assert.NilError(t, os.WriteFile(path, encoded, 0o600))
+	s, err := settings.Parse([]byte("[document]\npath = " + path + "\n"))
 	assert.NilError(t, err)
 	h, err := newHost(s, logging.Discard())
 	assert.NilError(t, err)
--- a/internal/web/console/console_test.go
+++ b/internal/web/console/console_test.go
@@ -25,7 +25,12 @@
 	"redwingloft/pkg/api"
 )
 
-const examplePassword = "for-local-use-only"
+const (
+	examplePassword = "for-local-use-only"
+	// cheapHash is a bcrypt hash of examplePassword at the lowest cost: the race
+	// detector makes the usual cost take more than a second.
+	cheapHash = "$2a$04$Z5xgscSFjM.sClmg2b5uZupXwkBAJxtqZauiBmo9L97/keGbaLTrK"
+)
 
 // site keeps revisions in memory and serves one console on them.
 type site struct {
@@ -47,6 +52,9 @@
 	assert.NilError(t, err)
 	doc, err := document.Parse(data)
 	assert.NilError(t, err)
+	for i := range doc.Operators {
+		doc.Operators[i].PasswordHash = cheapHash
+	}
 	s := &site{t: t, now: time.Unix(1_800_000_000, 0)}
 	_, err = s.commit(t.Context(), doc, 0, "settings", "first document")
 	assert.NilError(t, err)
@@ -271,9 +279,44 @@
 	status, _ = viewer.get("/")
 	assert.Equal(t, status, http.StatusSeeOther)
 
+	form := editor.fill("/site", "/site", "deployment", "other")
 	s.now = s.now.Add(time.Hour + time.Second)
 	status, _ = editor.get("/")
 	assert.Equal(t, status, http.StatusSeeOther)
+	editor.press("/site", form, "commit", http.StatusUnauthorized)
+	assert.Equal(t, s.revision(), api.Revision(2))
+}
+
+// TestAnyHostAcceptsTheSession guards against operators who have to sign in again on each host.
+func TestAnyHostAcceptsTheSession(t *testing.T) {
+	one, two := newSite(t), newSite(t)
+	there := &browser{site: two, cookie: one.browser("editor").cookie}
+	there.change("/site", there.fill("/site", "/site", "deployment", "other"))
+	assert.Equal(t, two.revision(), api.Revision(2))
+	stranger := newSite(t)
+	stranger.handler.Key = []byte("the key of another site")
+	stranger.routes = stranger.handler.Routes()
+	there.site = stranger
+	status, _ := there.get("/")
+	assert.Equal(t, status, http.StatusSeeOther)
+}
+
+// TestRebaseMakesFaults guards against a rebase that puts a document in force
+// whose parts are valid only apart.
+func TestRebaseMakesFaults(t *testing.T) {
+	s := newSite(t)
+	one, two := s.browser("editor"), s.browser("editor")
+	mine := one.fill("/workspaces/edit?name=tobago", "/workspaces/edit", "serves[care-note]", "third")
+	two.change("/versions/edit", two.fill("/versions/edit?pipeline=care-note&copy=old", "/versions/edit", "name", "third"))
+	mine.Set("base", "2")
+	gone := two.fill("/versions/edit?pipeline=care-note&name=third", "/versions/edit")
+	two.change("/versions/edit", url.Values{
+		"token": gone["token"], "base": {"2"}, "item": {"third"}, "pipeline": {"care-note"}, "remove": {"yes"},
+	})
+	body := one.press("/workspaces/edit", mine, "commit", http.StatusConflict)
+	body = one.press("/workspaces/edit", fields(t, body, "/workspaces/edit"), "rebase", http.StatusUnprocessableEntity)
+	assert.Assert(t, strings.Contains(body, "has no version"), body)
+	assert.Equal(t, s.revision(), api.Revision(3))
 }
 
 // TestCookieAndHeaders guards against a cookie that scripts, other sites or plain
--- a/internal/web/console/form.go
+++ b/internal/web/console/form.go
@@ -169,15 +169,12 @@
 		c.onto, c.ontoDoc = revision, current
 		c.values.Set(keyOnto, formatRevision(revision))
 	}
-	result, conflicts, err := document.Rebase(c.baseDoc, c.mine, c.ontoDoc)
+	conflicts, faults, err := c.rebase()
 	if err != nil {
 		h.showFailure(r, c, fault.Wrap(api.KindInternal, err, "the change can't be rebased"))
 		return
 	}
-	c.result = result
-	changes := document.Diff(c.ontoDoc, result)
-	// The rebased document may have faults that neither side has, such as a stage whose group the other removed.
-	faults := check(result)
+	changes := document.Diff(c.ontoDoc, c.result)
 	switch {
 	case len(conflicts) > 0 || revision > c.onto:
 		h.showConflict(r, c, "")
@@ -192,6 +189,21 @@
 	}
 }
 
+// rebase makes the result of a change whose own document is valid. The rebased
+// document may still have faults, such as a stage whose group the other operator removed.
+func (c *change) rebase() ([]document.Conflict, []api.Fault, error) {
+	if c.onto == c.base {
+		c.result = c.mine
+		return nil, nil, nil
+	}
+	var conflicts []document.Conflict
+	var err error
+	if c.result, conflicts, err = document.Rebase(c.baseDoc, c.mine, c.ontoDoc); err != nil {
+		return nil, nil, err
+	}
+	return conflicts, check(c.result), nil
+}
+
 // make applies the form to the base and returns all faults of the whole result.
 func (h *Handler) make(r *visit, c *change) []api.Fault {
 	c.mine = c.baseDoc.Clone()
