--- a/internal/web/caller/record.go
+++ b/internal/web/caller/record.go
@@ -18,7 +18,7 @@
 
 // recordRun records a run of a pipeline with the outcome that its caller was told.
 func (h *Handler) recordRun(arrived time.Time, caller request.Caller, pipeline api.PipelineName, body api.RunRequest, answer *request.Answer, err error) {
-	if h.Record == nil || body.Resume != nil {
+	if !h.records(err) || body.Resume != nil {
 		return
 	}
 	entry := newEntry(caller)
@@ -33,7 +33,7 @@
 
 // recordCall records a call of a plain service. The order label is the idempotency key.
 func (h *Handler) recordCall(arrived time.Time, r *http.Request, caller request.Caller, body []byte, answer *api.ServiceAnswer, err error) {
-	if h.Record == nil {
+	if !h.records(err) {
 		return
 	}
 	entry := newEntry(caller)
@@ -49,6 +49,12 @@
 	h.Record(arrived, entry)
 }
 
+// records reports whether a request that ended with err is recorded. A trace
+// holds no credentials, so a request that lacked the right one can't be replayed.
+func (h *Handler) records(err error) bool {
+	return h.Record != nil && !fault.Is(err, api.KindUnauthorized)
+}
+
 func newEntry(caller request.Caller) trace.Entry {
 	deadline := caller.Deadline
 	if deadline <= 0 {
