--- a/internal/web/console/console_test.go
+++ b/internal/web/console/console_test.go
@@ -34,7 +34,7 @@
 
 // site keeps revisions in memory and serves one console on them.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	handler *Handler
 	routes  http.Handler
 	holder  document.Holder
@@ -47,8 +47,10 @@
 	commitError error
 }
 
-func newSite(t *testing.T) *site {
-	data, err := os.ReadFile("../../../deployments/greenhand/document.json")
+func newSite(t *testing.T) *site { return newSiteOf(t, "greenhand") }
+
+func newSiteOf(t testing.TB, deployment string) *site {
+	data, err := os.ReadFile("../../../deployments/" + deployment + "/document.json")
 	assert.NilError(t, err)
 	doc, err := document.Parse(data)
 	assert.NilError(t, err)
@@ -171,7 +173,7 @@
 }
 
 // fields returns what a browser would send for the form with the given action.
-func fields(t *testing.T, page, action string) url.Values {
+func fields(t testing.TB, page, action string) url.Values {
 	t.Helper()
 	for _, form := range formPattern.FindAllStringSubmatch(page, -1) {
 		if form[1] != action {
@@ -568,3 +570,43 @@
 	assert.Equal(t, group.CostPerSecond, document.Cost(7))
 	assert.Equal(t, len(group.Upstreams), len(doc.Groups[0].Upstreams))
 }
+
+// TestUnchangedFormsChangeNothing guards against a field that a form drops or
+// rewrites when an operator only opens it and sends it.
+func TestUnchangedFormsChangeNothing(t *testing.T) {
+	for _, deployment := range []string{"greenhand", "blue_mountain"} {
+		s := newSiteOf(t, deployment)
+		editor := s.browser("editor")
+		links := map[string]bool{"/site": true, "/serving": true, "/document/edit": true}
+		for _, page := range []string{"/pipelines", "/services", "/groups", "/workspaces", "/operators"} {
+			_, body := editor.get(page)
+			for _, link := range regexp.MustCompile(`href="(/\w+/edit\?[^"]*name=[^"]*)"`).FindAllStringSubmatch(body, -1) {
+				links[html.UnescapeString(link[1])] = true
+			}
+		}
+		assert.Assert(t, len(links) > 25, "%d links", len(links))
+		for link := range links {
+			action, _, _ := strings.Cut(link, "?")
+			body := editor.press(action, editor.fill(link, action), "review", http.StatusOK)
+			assert.Assert(t, strings.Contains(body, "The form changes nothing."), "%s: %s", link, body)
+		}
+	}
+}
+
+// BenchmarkBulkReview reviews a move of all workspaces at the target size.
+func BenchmarkBulkReview(b *testing.B) {
+	s := newSiteOf(b, "greenhand")
+	doc := s.holder.Load().Document.Clone()
+	for i := range 5100 - len(doc.Workspaces) {
+		workspace := doc.Workspaces[0]
+		workspace.Name = api.WorkspaceName(fmt.Sprintf("workspace-%d", i))
+		doc.Workspaces = append(doc.Workspaces, workspace)
+	}
+	_, err := s.commit(b.Context(), doc, 1, "benchmark", "")
+	assert.NilError(b, err)
+	editor := s.browser("editor")
+	values := editor.fill("/serving", "/serving", "bulk", "care-note/new", "scope", "all")
+	for b.Loop() {
+		editor.press("/serving", values, "review", http.StatusOK)
+	}
+}
