console: sign-ins that only wait are no failures; upstream state from the table

Cause: a sign-in waits for one of two bcrypt comparisons; the wait was not bounded by the request, and a sign-in that gave up counted as failed. The state of an upstream was always shown as healthy; it now comes from the table.

--- a/cmd/console.go
+++ b/cmd/console.go
@@ -9,6 +9,7 @@
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/service/configuration"
+	"redwingloft/internal/service/upstream"
 	"redwingloft/internal/web/console"
 	"redwingloft/pkg/api"
 )
@@ -43,13 +44,20 @@
 	for _, group := range snapshot.Document.Groups {
 		for _, instance := range h.table.Group(group.Name) {
 			status.Upstreams = append(status.Upstreams, console.UpstreamStatus{
-				Upstream: instance.ID, Group: group.Name, State: "healthy", InFlight: instance.InFlight(),
+				Upstream: instance.ID, Group: group.Name, State: upstreamState(instance), InFlight: instance.InFlight(),
 			})
 		}
 	}
 	return status
 }
 
+func upstreamState(instance *upstream.Instance) string {
+	if instance.Available() {
+		return "healthy"
+	}
+	return "ejected"
+}
+
 // revisions reads earlier revisions from the key-value service.
 type revisions struct{ *configuration.Service }
 
--- a/internal/web/console/console_test.go
+++ b/internal/web/console/console_test.go
@@ -62,7 +62,7 @@
 	assert.NilError(t, err)
 	s.handler = &Handler{
 		Config:  Configuration{Snapshot: s.holder.Load, At: s.at, History: s.history, Commit: s.commit},
-		Status:  func() Status { return Status{Revision: 1, Counters: map[string]int64{"refused.overloaded": 7}} },
+		Status:  exampleStatus,
 		Key:     []byte("seal-key-of-the-test"),
 		Session: time.Hour, Secure: true, Log: logging.Discard(), Clock: func() time.Time { return s.now },
 	}
@@ -70,6 +70,30 @@
 	return s
 }
 
+func exampleStatus() Status {
+	return Status{
+		Host: "host-1", Revision: 4,
+		Hosts:     []HostStatus{{Host: "host-1", Revision: 4}, {Host: "host-2", Revision: 3, State: "draining"}, {Host: "host-3"}},
+		Upstreams: []UpstreamStatus{{Upstream: "encoder-1", State: "ejected", InFlight: 5}, {Upstream: "encoder-2", State: "healthy"}},
+		Pipelines: []PipelineStatus{{Pipeline: "visit-plan", Requests: 8, Attained: 7}, {Pipeline: "care-note"}},
+		Stages:    []StageStatus{{Pipeline: "visit-plan", Stage: "rerank", Attempts: 9, Cost: 1.25, LostCost: 0.5}},
+		Counters:  map[string]int64{"refused.overloaded": 7, "failed.internal": 0, "retry.dial_failed": 3},
+	}
+}
+
+// TestOverview guards against figures that are missing from the overview.
+func TestOverview(t *testing.T) {
+	status, body := newSite(t).browser("viewer").get("/")
+	assert.Equal(t, status, http.StatusOK)
+	for _, want := range []string{
+		"3</strong> hosts, 1 behind", "2</strong> upstreams, 1 not healthy", "not known", "draining", `class="state ejected"`,
+		"87.50 %", "1.25", "0.50", "refused.overloaded</code></th><td class=\"num\">7", "retry.dial_failed</code></th><td class=\"num\">3",
+	} {
+		assert.Assert(t, strings.Contains(body, want), "%q is not in %s", want, body)
+	}
+	assert.Assert(t, !strings.Contains(body, "failed.internal"))
+}
+
 func (s *site) commit(_ context.Context, doc *document.Document, base api.Revision, author, comment string) (api.Revision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -353,6 +377,28 @@
 	assert.Equal(t, s.signIn("editor", examplePassword).Code, http.StatusSeeOther)
 }
 
+// TestBusySignInIsNotAFailure guards against a flood of sign-ins that locks out an operator with the right password.
+func TestBusySignInIsNotAFailure(t *testing.T) {
+	s := newSite(t)
+	var releases []func()
+	for range maxHashing {
+		release, ok := s.handler.attempts.slot(t.Context())
+		assert.Assert(t, ok)
+		releases = append(releases, release)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range failuresPerName + 1 {
+		r := httptest.NewRequestWithContext(ended, http.MethodGet, PathConfig, nil)
+		r.SetBasicAuth("editor", examplePassword)
+		assert.Equal(t, s.send(r).Code, http.StatusServiceUnavailable)
+	}
+	for _, release := range releases {
+		release()
+	}
+	assert.Equal(t, s.signIn("editor", examplePassword).Code, http.StatusSeeOther)
+}
+
 // TestCrossSitePosts guards against other sites that post with the operator's cookie.
 func TestCrossSitePosts(t *testing.T) {
 	s := newSite(t)
@@ -502,6 +548,10 @@
 	editor := s.browser("editor")
 	body := editor.press("/operators/edit", editor.fill("/operators/edit?name=editor", "/operators/edit"), "remove", http.StatusUnprocessableEntity)
 	assert.Assert(t, strings.Contains(body, "must be an editor"))
+	for password, want := range map[string]string{"": "a new operator needs a password", "short": "a password has 12 to 72 bytes"} {
+		body = editor.press("/operators/edit", editor.fill("/operators/edit", "/operators/edit", "name", "ada", "password", password), "review", http.StatusUnprocessableEntity)
+		assert.Assert(t, strings.Contains(body, want) && !strings.Contains(body, "bcrypt"), body)
+	}
 	body = editor.press("/operators/edit", editor.fill("/operators/edit", "/operators/edit", "name", "ada", "role", "editor", "password", "twelve letters"), "review", http.StatusOK)
 	assert.Assert(t, !strings.Contains(body, "twelve letters"))
 	editor.press("/operators/edit", fields(t, body, "/operators/edit"), "commit", http.StatusOK)
--- a/internal/web/console/forms.go
+++ b/internal/web/console/forms.go
@@ -342,35 +342,59 @@
 			item := query.Get("name")
 			return fillElement(doc.Operators, operatorName, item, operatorLayout(doc, url.Values{keyItem: {item}}), document.Operator{Role: document.RoleViewer})
 		},
-		apply: func(_ *visit, doc *document.Document, values url.Values, l layout) outcome {
-			o := element(&doc.Operators, operatorName, "operators", values, l)
-			if o.prefix == "" {
-				return o
-			}
-			password := values.Get(keyPassword)
-			values.Del(keyPassword)
-			if password != "" && (len(password) < minPassword || len(password) > maxPassword) {
-				o.faults = append(o.faults, api.Fault{Path: keyPassword, Message: fmt.Sprintf("a password has %d to %d bytes", minPassword, maxPassword)})
-			} else if password != "" {
-				hash, err := secret.HashPassword(password)
-				if err != nil {
-					o.faults = append(o.faults, api.Fault{Path: keyPassword, Message: "the password can't be hashed"})
-				}
-				// The review page carries the hash in place of the password.
-				values.Set(keyPasswordHash, hash)
-			}
-			if hash := values.Get(keyPasswordHash); hash != "" {
-				i := slices.IndexFunc(doc.Operators, func(candidate document.Operator) bool { return candidate.Name == values.Get(keyItem) })
-				if i < 0 {
-					i = len(doc.Operators) - 1
-				}
-				doc.Operators[i].PasswordHash = hash
-			} else if values.Get(keyItem) == "" && password == "" {
-				o.faults = append(o.faults, api.Fault{Path: keyPassword, Message: "a new operator needs a password"}, api.Fault{Path: keyPasswordHash, Message: "no password"})
-			}
-			return o
-		},
+		apply: applyOperator,
+	}
+}
+
+func applyOperator(_ *visit, doc *document.Document, values url.Values, l layout) outcome {
+	o := element(&doc.Operators, operatorName, "operators", values, l)
+	if o.prefix == "" {
+		return o
+	}
+	o.faults = append(o.faults, hashPassword(values)...)
+	hash := values.Get(keyPasswordHash)
+	if hash == "" {
+		return o
+	}
+	i := slices.IndexFunc(doc.Operators, func(candidate document.Operator) bool { return candidate.Name == values.Get(keyItem) })
+	if i < 0 {
+		i = len(doc.Operators) - 1
+	}
+	doc.Operators[i].PasswordHash = hash
+	return o
+}
+
+// hashPassword puts the hash of an entered password in its place, so that the
+// review page carries the hash and never the password.
+func hashPassword(values url.Values) []api.Fault {
+	password := values.Get(keyPassword)
+	values.Del(keyPassword)
+	missing := values.Get(keyItem) == "" && values.Get(keyPasswordHash) == ""
+	if password == "" && !missing {
+		return nil
+	}
+	if password == "" {
+		return passwordFaults("a new operator needs a password", missing)
+	}
+	if len(password) < minPassword || len(password) > maxPassword {
+		return passwordFaults(fmt.Sprintf("a password has %d to %d bytes", minPassword, maxPassword), missing)
+	}
+	hash, err := secret.HashPassword(password)
+	if err != nil {
+		return passwordFaults("the password can't be hashed", missing)
+	}
+	values.Set(keyPasswordHash, hash)
+	return nil
+}
+
+// passwordFaults names the field, and the missing hash too, in place of the
+// document's fault that it is not a bcrypt hash.
+func passwordFaults(message string, missing bool) []api.Fault {
+	faults := []api.Fault{{Path: keyPassword, Message: message}}
+	if missing {
+		faults = append(faults, api.Fault{Path: keyPasswordHash, Message: "it is missing"})
 	}
+	return faults
 }
 
 func siteForm() *form {
--- a/internal/web/console/operator_api.go
+++ b/internal/web/console/operator_api.go
@@ -84,7 +84,7 @@
 		switch refusal {
 		case "":
 		case api.KindOverloaded:
-			answerJSON(w, nil, fault.New(refusal, "too many failed sign-ins; wait %s", failureWindow))
+			answerJSON(w, nil, fault.WithRetryAfter(fault.New(refusal, "too many sign-ins; wait %s after failed ones", failureWindow), failureWindow))
 			return
 		default:
 			answerJSON(w, nil, fault.New(refusal, "name or password is wrong"))
--- a/internal/web/console/session.go
+++ b/internal/web/console/session.go
@@ -1,6 +1,7 @@
 package console
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"net"
@@ -113,27 +114,33 @@
 	return kept
 }
 
-// succeeded takes back the count of begin.
-func (a *attempts) succeeded(name, address string) {
+// undo takes back the count of begin.
+func (a *attempts) undo(name, address string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	delete(a.counts, address+" "+name)
-	if found, exists := a.counts[address]; exists && found.count > 0 {
-		found.count--
-		a.counts[address] = found
+	for _, key := range []string{address + " " + name, address} {
+		if found, exists := a.counts[key]; exists && found.count > 0 {
+			found.count--
+			a.counts[key] = found
+		}
 	}
 }
 
-// slot waits for the right to compare a password and returns its release.
-func (a *attempts) slot() func() {
+// slot waits for the right to compare a password and returns its release, or
+// false where the request ends first.
+func (a *attempts) slot(ctx context.Context) (func(), bool) {
 	a.mu.Lock()
 	if a.hashing == nil {
 		a.hashing = make(chan struct{}, maxHashing)
 	}
 	hashing := a.hashing
 	a.mu.Unlock()
-	hashing <- struct{}{}
-	return func() { <-hashing }
+	select {
+	case hashing <- struct{}{}:
+		return func() { <-hashing }, true
+	case <-ctx.Done():
+		return nil, false
+	}
 }
 
 // authenticate returns the operator, or the kind of the refusal.
@@ -151,14 +158,18 @@
 	if operator != nil {
 		hash = operator.PasswordHash
 	}
-	release := h.attempts.slot()
+	release, ok := h.attempts.slot(r.Context())
+	if !ok {
+		h.attempts.undo(name, address)
+		return nil, api.KindOverloaded
+	}
 	matches := secret.PasswordMatches(password, hash)
 	release()
 	if operator == nil || !matches {
 		h.Log.Warn().Str("operator", name).Str("address", address).Msg("sign_in_refused")
 		return nil, api.KindUnauthorized
 	}
-	h.attempts.succeeded(name, address)
+	h.attempts.undo(name, address)
 	return operator, ""
 }
 
@@ -185,7 +196,7 @@
 		h.setCookie(w, operator)
 		http.Redirect(w, r, next, http.StatusSeeOther)
 	case api.KindOverloaded:
-		h.render(w, http.StatusTooManyRequests, "sign_in", signInView{Name: name, Next: next, Fault: "Too many failed sign-ins. Wait 15 minutes."})
+		h.render(w, http.StatusTooManyRequests, "sign_in", signInView{Name: name, Next: next, Fault: "Too many sign-ins. Wait 15 minutes after failed ones, or try again."})
 	default:
 		h.render(w, http.StatusUnauthorized, "sign_in", signInView{Name: name, Next: next, Fault: "Name or password is wrong."})
 	}
