Keep fast failures out of the concurrency limit

A request that failed fast pulled the long average of latency down: after an outage the limit fell although nothing was overloaded. Releases now say whether the request was answered; failures count only where they took longer than the average, as time-outs do. Test: TestLimitSurvivesFastFailures.

--- a/internal/service/admission/limit.go
+++ b/internal/service/admission/limit.go
@@ -39,9 +39,14 @@
 	return min(l.current, l.bound)
 }
 
-// sample takes the latency of a request that ended while running slots were occupied.
-func (l *limit) sample(latency time.Duration, running float64) {
+// sample takes the latency of a request that ended while running slots were
+// occupied. A request that failed fast says nothing about load: an outage would
+// pull the long average down, and the limit would fall once answers come again.
+func (l *limit) sample(latency time.Duration, running float64, answered bool) {
 	seconds := latency.Seconds()
+	if !answered && seconds < l.long {
+		return
+	}
 	if l.long == 0 {
 		l.short, l.long = seconds, seconds
 	}
--- a/internal/service/admission/queue.go
+++ b/internal/service/admission/queue.go
@@ -30,8 +30,9 @@
 }
 
 // Enter waits until the ticket may start and returns the function that ends it,
-// or refuses it. An error of Enter is certain: the ticket was not started.
-func (q *Queue) Enter(ctx context.Context, t *Ticket) (release func(), err error) {
+// to be called with whether the request was answered, or refuses it. An error of
+// Enter is certain: the ticket was not started.
+func (q *Queue) Enter(ctx context.Context, t *Ticket) (release func(answered bool), err error) {
 	if err := ctx.Err(); err != nil {
 		t.decide(StateRefused)
 		return nil, ended(err)
@@ -211,15 +212,15 @@
 }
 
 // releaser returns the function that ends a started ticket; it works once.
-func (q *Queue) releaser(t *Ticket) func() {
+func (q *Queue) releaser(t *Ticket) func(answered bool) {
 	start := q.now()
 	var once sync.Once
-	return func() {
+	return func(answered bool) {
 		once.Do(func() {
 			q.mu.Lock()
 			defer q.mu.Unlock()
 			p := t.pool
-			p.limit.sample(q.now().Sub(start), p.running)
+			p.limit.sample(q.now().Sub(start), p.running, answered)
 			p.running -= t.share()
 			p.count--
 			if p.count == 0 {
--- a/internal/service/admission/queue_test.go
+++ b/internal/service/admission/queue_test.go
@@ -40,7 +40,7 @@
 type entered struct {
 	*Ticket
 	cancel  context.CancelFunc
-	release func()
+	release func(answered bool)
 	err     error
 	done    chan struct{}
 }
@@ -147,8 +147,8 @@
 				}
 				time.Sleep(hold)
 				running.Add(-1)
-				release()
-				release()
+				release(true)
+				release(true)
 			}()
 		}
 		if rapid.Bool().Draw(t, "drain") {
@@ -176,13 +176,13 @@
 	// Another workspace does not wait behind the backlog of the first.
 	other := enter(ctx, q, &Ticket{Workspace: "b", Group: "engines", Time: 25 * time.Second})
 	assert.Equal(t, q.Load(), Load{Queued: 2, Running: 1})
-	first.release()
+	first.release(true)
 	<-other.done
 	assert.NilError(t, other.err)
 	assert.Equal(t, second.State(), StateWaiting)
-	other.release()
+	other.release(true)
 	<-second.done
-	second.release()
+	second.release(true)
 }
 
 // TestExpiredTicketsAreNotRun guards against work on requests that can't be
@@ -202,7 +202,7 @@
 	mu.Lock()
 	now = now.Add(59500 * time.Millisecond)
 	mu.Unlock()
-	first.release()
+	first.release(true)
 	for _, e := range waiting {
 		<-e.done
 		assert.Equal(t, fault.KindOf(e.err), api.KindDeadlineUnreachable)
@@ -230,15 +230,15 @@
 	}()
 	<-large[2].done
 	assert.Equal(t, fault.KindOf(large[2].err), api.KindOverloaded)
-	first.release()
+	first.release(true)
 	<-small.done // ahead of the backlog that the large workspace was served for already
 	assert.NilError(t, small.err)
-	small.release()
+	small.release(true)
 	for i, e := range large {
 		if i != 2 {
 			<-e.done
 			assert.NilError(t, e.err)
-			e.release()
+			e.release(true)
 		}
 	}
 }
@@ -249,12 +249,12 @@
 	first := enter(t.Context(), q, &Ticket{Workspace: "a", Group: "engines"})
 	low := enter(t.Context(), q, &Ticket{Workspace: "a", Group: "engines", Priority: api.PriorityLow})
 	high := enter(t.Context(), q, &Ticket{Workspace: "a", Group: "engines", Priority: api.PriorityHigh})
-	first.release()
+	first.release(true)
 	<-high.done
 	assert.Assert(t, !low.finished())
-	high.release()
+	high.release(true)
 	<-low.done
-	low.release()
+	low.release(true)
 }
 
 // TestLimitFollowsHostsAndLatency guards against hosts that together exceed the
@@ -264,41 +264,62 @@
 	q.Hosts = func() int { return 4 }
 	release, err := q.Enter(t.Context(), &Ticket{Workspace: "a", Group: "engines"})
 	assert.NilError(t, err)
-	defer release()
+	defer release(true)
 	l := &q.pools["engines"].limit
 	assert.Equal(t, l.value(), 20.0)
 	for range 1000 {
-		l.sample(100*time.Millisecond, 20)
+		l.sample(100*time.Millisecond, 20, true)
 	}
 	assert.Equal(t, l.value(), 20.0)
 	for range 60 {
-		l.sample(time.Second, 20)
+		l.sample(time.Second, 20, true)
 	}
 	low := l.value()
 	assert.Assert(t, low < 12, "the limit is %g", low)
 	for range 1000 {
-		l.sample(100*time.Millisecond, 20)
+		l.sample(100*time.Millisecond, 20, true)
 	}
 	assert.Equal(t, l.value(), 20.0)
 }
 
+// TestLimitSurvivesFastFailures guards against a limit that falls after an outage,
+// because the failures were faster than the answers that follow.
+func TestLimitSurvivesFastFailures(t *testing.T) {
+	var l limit
+	l.setBound(20)
+	for range 100 {
+		l.sample(100*time.Millisecond, 20, true)
+	}
+	for range 1000 {
+		l.sample(time.Millisecond, 20, false)
+	}
+	for range 100 {
+		l.sample(100*time.Millisecond, 20, true)
+		assert.Equal(t, l.value(), 20.0)
+	}
+	for range 60 {
+		l.sample(time.Second, 20, false)
+	}
+	assert.Assert(t, l.value() < 12, "the limit is %g after time-outs", l.value())
+}
+
 // TestFlowMemoryIsBounded guards against the state of workspaces that sent a request once.
 func TestFlowMemoryIsBounded(t *testing.T) {
 	q := newQueue(4, 10)
 	for _, name := range workspaceNames() {
 		release, err := q.Enter(t.Context(), &Ticket{Workspace: name, Group: "engines"})
 		assert.NilError(t, err)
-		release()
+		release(true)
 	}
 	for range 10_000 { // the busy workspace moves the virtual time past all others
 		release, err := q.Enter(t.Context(), &Ticket{Workspace: "busy", Group: "engines"})
 		assert.NilError(t, err)
-		release()
+		release(true)
 	}
 	for i := range 10_000 {
 		release, err := q.Enter(t.Context(), &Ticket{Workspace: api.WorkspaceName(fmt.Sprintf("other-%d", i)), Group: "engines"})
 		assert.NilError(t, err)
-		release()
+		release(true)
 	}
 	assert.Assert(t, len(q.pools["engines"].flows) <= 2*5100, "%d flows", len(q.pools["engines"].flows))
 }
@@ -313,7 +334,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		release()
+		release(true)
 		i++
 	}
 }
@@ -348,5 +369,5 @@
 	stop()
 	cancel()
 	waiting.Wait()
-	running()
+	running(true)
 }
--- a/internal/service/request/request.go
+++ b/internal/service/request/request.go
@@ -122,7 +122,7 @@
 		s.Book.Add(key, nil, err)
 		return nil, err
 	}
-	defer release()
+	defer func() { release(err) }()
 	events := run.events
 	result, err := s.Executor.Run(ctx, run.Request, s.observer(&run.Request, stream, &events))
 	key.Version = run.Version.Name
--- a/internal/service/request/service.go
+++ b/internal/service/request/service.go
@@ -92,7 +92,12 @@
 	if err != nil {
 		return order.Outcome{}, err
 	}
-	defer release()
+	defer func() { release(err) }()
+	outcome, err := s.sendCall(ctx, caller, prepared, key, body)
+	return outcome, err
+}
+
+func (s *Service) sendCall(ctx context.Context, caller Caller, prepared *preparedCall, key string, body []byte) (order.Outcome, error) {
 	if prepared.call.Repeatable {
 		return s.sendRepeatable(ctx, prepared, body)
 	}
--- a/internal/service/request/start.go
+++ b/internal/service/request/start.go
@@ -11,7 +11,7 @@
 )
 
 // startPipeline admits a run and returns it as checked against the configuration under which it starts.
-func (s *Service) startPipeline(ctx context.Context, caller Caller, run *preparedRun, body api.RunRequest) (*preparedRun, func(), error) {
+func (s *Service) startPipeline(ctx context.Context, caller Caller, run *preparedRun, body api.RunRequest) (*preparedRun, func(error), error) {
 	if err := s.take(ctx, run.workspace); err != nil {
 		return run, nil, err
 	}
@@ -39,11 +39,12 @@
 	return s.Quota.Take(ctx, workspace.Name, workspace.RequestsPerSecond, workspace.Burst)
 }
 
-// start waits until a ticket may start and returns the function that ends it. Prepare
+// start waits until a ticket may start and returns the function that ends it with
+// the error of the request. Prepare
 // checks the request against the configuration in force and makes its ticket; it is
 // called again where the configuration changed while the ticket waited, so that the
 // request starts under the newest. Every error is certain: nothing was started.
-func (s *Service) start(ctx context.Context, prepare func() (*admission.Ticket, error)) (func(), error) {
+func (s *Service) start(ctx context.Context, prepare func() (*admission.Ticket, error)) (func(error), error) {
 	for {
 		ticket, err := prepare()
 		if err != nil {
@@ -55,15 +56,15 @@
 		}
 		if s.Snapshot().Revision != ticket.Revision {
 			if ticket, err = prepare(); err != nil {
-				leave()
+				leave(false)
 				return nil, err
 			}
 		}
 		release, held, err := s.pass(ticket)
 		if err == nil && held == nil {
-			return func() { release(); leave() }, nil
+			return func(err error) { release(); leave(err == nil) }, nil
 		}
-		leave()
+		leave(false)
 		if err != nil {
 			return nil, err
 		}
@@ -74,9 +75,9 @@
 }
 
 // enter waits in the queue.
-func (s *Service) enter(ctx context.Context, ticket *admission.Ticket) (func(), error) {
+func (s *Service) enter(ctx context.Context, ticket *admission.Ticket) (func(answered bool), error) {
 	if s.Queue == nil {
-		return func() {}, nil
+		return func(bool) {}, nil
 	}
 	return s.Queue.Enter(ctx, ticket)
 }
--- a/standin/experiment/experiment.go
+++ b/standin/experiment/experiment.go
@@ -305,17 +305,19 @@
 		Workspace: workspace, Pipeline: "answer", Snapshot: p.snapshot,
 		Version: p.snapshot.Version("answer", "one"), Item: work.Item{Input: input},
 	}
+	release := func(bool) {}
 	if p.queue != nil {
 		predicted := p.executor.Predict(&request)
-		release, err := p.queue.Enter(ctx, &admission.Ticket{
+		var err error
+		release, err = p.queue.Enter(ctx, &admission.Ticket{
 			Workspace: workspace, Group: predicted.Group, Time: predicted.Time, Share: predicted.Share,
 		})
 		if err != nil {
 			return ended{small: small, refused: true}
 		}
-		defer release()
 	}
 	result, err := p.executor.Run(ctx, request, pipeline.Observer{})
+	release(err == nil)
 	whole := result.Text == engine.Text(input, maxTokens)
 	return ended{small: small, attained: err == nil && whole, wrong: err == nil && !whole, stages: result.Stages}
 }
