Name the cause of a failed service call

A call whose context ended before the send was reported as no_upstream, and one whose only upstream broke as well, because the last error was that no other upstream is left. Both now name their cause; the run state is unchanged.

--- a/internal/service/request/service.go
+++ b/internal/service/request/service.go
@@ -128,6 +128,7 @@
 // sendRepeatable sends a call that may be repeated, on other upstreams within the retry budget.
 func (s *Service) sendRepeatable(ctx context.Context, prepared *preparedCall, body []byte) (order.Outcome, error) {
 	var tried []*upstream.Instance
+	var last error
 	sent := false
 	s.Executor.Budget.First(prepared.snapshot.Limits.RetryShare)
 	for {
@@ -140,6 +141,9 @@
 		sent = sent || !notSent(err)
 		var failed *upstream.SendError
 		again := errors.As(err, &failed) && ctx.Err() == nil && len(tried) < maxCallAttempts
+		if failed != nil || last == nil {
+			last = err // tells more than that no other upstream is left
+		}
 		if again && s.Executor.Budget.Take(retry.Reason(failed.Reason)) {
 			continue
 		}
@@ -147,7 +151,7 @@
 		if sent {
 			run = api.RunUnknown
 		}
-		return order.Outcome{}, fault.WithRun(callFault(ctx, err, false), run)
+		return order.Outcome{}, fault.WithRun(callFault(ctx, last, false), run)
 	}
 }
 
@@ -232,15 +236,22 @@
 func callFault(ctx context.Context, err error, isOrder bool) *errorx.Error {
 	switch {
 	case notSent(err):
-		return fault.WithRun(fault.Wrap(api.KindNoUpstream, err, "the upstream can't be reached"), api.RunNo)
+		return fault.WithRun(plainFault(ctx, api.KindNoUpstream, err), api.RunNo)
 	case isOrder:
 		return fault.Wrap(api.KindOrderOutcomeUnknown, err, "the order was sent and no answer arrived")
+	}
+	return plainFault(ctx, api.KindStageFailed, err)
+}
+
+// plainFault is the fault of the caller's context where that has ended, or else one of the given kind.
+func plainFault(ctx context.Context, kind api.Kind, err error) *errorx.Error {
+	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return fault.Wrap(api.KindDeadlineExceeded, err, "the deadline passed")
 	case ctx.Err() != nil:
 		return fault.Wrap(api.KindCallerGone, err, "the caller left")
 	}
-	return fault.Wrap(api.KindStageFailed, err, "the service failed")
+	return fault.Wrap(kind, err, "the service gave no answer")
 }
 
 // jsonBody returns body where it is JSON and as a JSON string otherwise.
