--- a/cmd/console.go
+++ b/cmd/console.go
@@ -8,6 +8,7 @@
 	"redwingloft/internal/data/document"
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/service/account"
 	"redwingloft/internal/service/configuration"
 	"redwingloft/internal/service/upstream"
 	"redwingloft/internal/web/console"
@@ -48,9 +49,42 @@
 			})
 		}
 	}
+	addAccount(&status, h.requests.Book.Summary())
 	return status
 }
 
+// addAccount adds attainment and cost by pipeline over all versions and workspaces.
+func addAccount(status *console.Status, summary account.Summary) {
+	for _, line := range summary.Versions {
+		if line.Pipeline == "" {
+			continue // a plain service
+		}
+		pipelines := &status.Pipelines
+		if n := len(*pipelines); n == 0 || (*pipelines)[n-1].Pipeline != line.Pipeline {
+			*pipelines = append(*pipelines, console.PipelineStatus{Pipeline: line.Pipeline})
+		}
+		last := &(*pipelines)[len(*pipelines)-1]
+		last.Requests += line.Requests
+		last.Attained += line.Attained
+		for _, stage := range line.Stages {
+			addStage(status, line.Pipeline, stage)
+		}
+	}
+}
+
+func addStage(status *console.Status, pipeline api.PipelineName, stage account.Stage) {
+	at := slices.IndexFunc(status.Stages, func(known console.StageStatus) bool {
+		return known.Pipeline == pipeline && known.Stage == stage.Stage
+	})
+	if at < 0 {
+		at = len(status.Stages)
+		status.Stages = append(status.Stages, console.StageStatus{Pipeline: pipeline, Stage: stage.Stage})
+	}
+	status.Stages[at].Attempts += stage.Attempts
+	status.Stages[at].Cost += stage.Cost
+	status.Stages[at].LostCost += stage.LostCost
+}
+
 func upstreamState(instance *upstream.Instance) string {
 	if instance.Available() {
 		return "healthy"
