Read the host list in the Prometheus HTTP SD format

The platform publishes live and leaving hosts as a list; the settings select this plug-in as http_sd. The body is bounded, redirects and time-outs follow net/http, and one wrong entry makes the whole list an error: a half-written list would otherwise look like one without leaving upstreams. An entry without a state counts as live, because the format itself has no such label.

--- /dev/null
+++ b/internal/plugin/httpsd/httpsd.go
@@ -0,0 +1,120 @@
+// Package httpsd reads the platform's host list in the JSON format of Prometheus
+// HTTP service discovery.
+package httpsd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"redwingloft/internal/kernel"
+	"redwingloft/pkg/api"
+)
+
+// Name is the name of the plug-in in the settings.
+const Name = "http_sd"
+
+const (
+	// maxList bounds the body. 1,500 upstreams with their labels need about 200 KB.
+	maxList = 4 << 20
+	// maxStatusText bounds the part of an error answer that the error quotes.
+	maxStatusText = 200
+)
+
+// The labels of a target group.
+const (
+	labelState      = "state"
+	labelGroup      = "group"
+	labelDataCentre = "data_centre"
+)
+
+func init() {
+	kernel.HostLists.Register(Name, open)
+}
+
+// list reads the list from one URL.
+type list struct {
+	url    string
+	client *http.Client
+}
+
+func open(address string, timeout time.Duration) (kernel.HostList, error) {
+	parsed, err := url.Parse(address)
+	if err != nil {
+		return kernel.HostList{}, fmt.Errorf("the URL of the host list is not valid: %w", err)
+	}
+	if parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
+		return kernel.HostList{}, fmt.Errorf("%q is not an http or https URL", address)
+	}
+	l := &list{url: address, client: &http.Client{Timeout: timeout}}
+	return kernel.HostList{Fetch: l.fetch}, nil
+}
+
+// target is one entry of the format: addresses that share labels.
+type target struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+func (l *list) fetch(ctx context.Context) ([]kernel.Listed, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, l.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Accept", "application/json")
+	response, err := l.client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("the host list can't be fetched: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, maxStatusText))
+		return nil, fmt.Errorf("the host list answered %s: %q", response.Status, text)
+	}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxList+1))
+	if err != nil {
+		return nil, fmt.Errorf("the host list broke off: %w", err)
+	}
+	if len(data) > maxList {
+		return nil, fmt.Errorf("the host list has more than %d bytes", maxList)
+	}
+	return parse(data)
+}
+
+// parse reads the whole list; one wrong entry makes it an error, so that a half
+// written list changes nothing.
+func parse(data []byte) ([]kernel.Listed, error) {
+	var targets []target
+	if err := json.Unmarshal(data, &targets); err != nil {
+		return nil, fmt.Errorf("the host list is not valid: %w", err)
+	}
+	// A body of "null" decodes without an error and is no list.
+	if targets == nil {
+		return nil, fmt.Errorf("the host list is not a JSON array")
+	}
+	listed := make([]kernel.Listed, 0, len(targets))
+	for i, entry := range targets {
+		state := kernel.ListedState(entry.Labels[labelState])
+		if state == "" {
+			state = kernel.ListedLive
+		}
+		if state != kernel.ListedLive && state != kernel.ListedLeaving {
+			return nil, fmt.Errorf("entry %d of the host list has the unknown state %q", i, state)
+		}
+		for _, address := range entry.Targets {
+			if _, err := netip.ParseAddrPort(address); err != nil {
+				return nil, fmt.Errorf("entry %d of the host list: %q is not an IP address with a port", i, address)
+			}
+			listed = append(listed, kernel.Listed{
+				Group: api.GroupName(entry.Labels[labelGroup]), Address: api.Address(address),
+				DataCentre: api.DataCentre(entry.Labels[labelDataCentre]), State: state,
+			})
+		}
+	}
+	return listed, nil
+}
