--- /dev/null
+++ b/internal/service/route/prefix.go
@@ -0,0 +1,161 @@
+package route
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"redwingloft/internal/service/upstream"
+	"redwingloft/pkg/api"
+)
+
+const (
+	// blockBytes is the length of the prompt blocks that are hashed.
+	blockBytes = 256
+	// bytesPerToken estimates the tokens of a prompt.
+	bytesPerToken = 4
+	blockTokens   = blockBytes / bytesPerToken
+	// maxBlocks bounds a chain; longer prompts are compared by their first 64 KB.
+	maxBlocks = 256
+	// DefaultPrefixes is the number of blocks that a host remembers, in 1 MB.
+	DefaultPrefixes = 1 << 16
+)
+
+// Chain identifies the blocks of a prompt. Each hash covers all blocks up to its own.
+type Chain struct {
+	Hashes []uint64
+	// Tokens estimates the length of the whole prompt.
+	Tokens int
+}
+
+// Prefix returns the chain of a prompt for a model of a group, given as parts in
+// order. A last incomplete block counts in Tokens only.
+func Prefix(group api.GroupName, model api.ModelName, parts ...string) Chain {
+	length := 0
+	for _, part := range parts {
+		length += len(part)
+	}
+	chain := Chain{Tokens: length / bytesPerToken, Hashes: make([]uint64, 0, min(length/blockBytes, maxBlocks))}
+	digest := xxhash.New()
+	_, _ = digest.WriteString(string(group) + "\x00" + string(model) + "\x00")
+	filled := 0
+	for _, part := range parts {
+		for part != "" && len(chain.Hashes) < maxBlocks {
+			n := min(blockBytes-filled, len(part))
+			_, _ = digest.WriteString(part[:n])
+			part, filled = part[n:], filled+n
+			if filled == blockBytes {
+				chain.Hashes = append(chain.Hashes, link(digest))
+				filled = 0
+			}
+		}
+	}
+	return chain
+}
+
+// link ends a block and starts the next one with the hash so far.
+func link(digest *xxhash.Digest) uint64 {
+	sum := digest.Sum64()
+	digest.Reset()
+	_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, sum))
+	return sum
+}
+
+// Prefixes maps prompt blocks to the instance that worked on them last. It is a
+// table of fixed size in which a new block replaces the one in its place. A nil
+// table is empty.
+type Prefixes struct {
+	slots []prefixSlot
+	shift int
+}
+
+// prefixSlot is written without a lock. A reader checks the hash before and
+// after it reads the owner. Two writers at once may leave a wrong owner, which
+// costs a cache miss and is corrected by the next answer.
+type prefixSlot struct {
+	hash  atomic.Uint64
+	owner atomic.Pointer[upstream.Instance]
+}
+
+// NewPrefixes returns a table of at least size blocks; 0 means DefaultPrefixes.
+func NewPrefixes(size int) *Prefixes {
+	if size <= 0 {
+		size = DefaultPrefixes
+	}
+	width := bits.Len(uint(size - 1))
+	return &Prefixes{slots: make([]prefixSlot, 1<<width), shift: 64 - width}
+}
+
+func (p *Prefixes) slot(hash uint64) *prefixSlot { return &p.slots[hash>>p.shift] }
+
+func (p *Prefixes) find(hash uint64) *upstream.Instance {
+	slot := p.slot(hash)
+	if slot.hash.Load() != hash {
+		return nil
+	}
+	owner := slot.owner.Load()
+	if slot.hash.Load() != hash {
+		return nil
+	}
+	return owner
+}
+
+func (p *Prefixes) put(hash uint64, owner *upstream.Instance) {
+	slot := p.slot(hash)
+	if slot.hash.Load() == hash && slot.owner.Load() == owner {
+		return
+	}
+	slot.hash.Store(0)
+	slot.owner.Store(owner)
+	slot.hash.Store(hash)
+}
+
+// Owner returns the instance with the longest known prefix of a chain and the
+// number of its blocks. It searches by halves, because a block is entered
+// together with all blocks before it; a replaced block in between shortens the
+// result and does no harm.
+func (p *Prefixes) Owner(chain Chain) (*upstream.Instance, int) {
+	if p == nil {
+		return nil, 0
+	}
+	var owner *upstream.Instance
+	low, high := 0, len(chain.Hashes)
+	for low < high {
+		middle := (low + high + 1) / 2
+		if found := p.find(chain.Hashes[middle-1]); found != nil {
+			owner, low = found, middle
+		} else {
+			high = middle - 1
+		}
+	}
+	return owner, low
+}
+
+// Routed remembers that an instance works on a prompt. It returns the number of
+// prompt tokens that the instance was known to have before, for Answered.
+func (p *Prefixes) Routed(instance *upstream.Instance, chain Chain) int {
+	owner, blocks := p.Owner(chain)
+	if p != nil {
+		for _, hash := range chain.Hashes {
+			p.put(hash, instance)
+		}
+	}
+	if owner != instance {
+		return 0
+	}
+	return blocks * blockTokens
+}
+
+// Answered corrects the table by the answer to a prompt: an instance whose cache
+// held less than expected is trusted less. promptTokens and cachedTokens are as
+// the engine reports them; a report without promptTokens is ignored.
+func (p *Prefixes) Answered(instance *upstream.Instance, chain Chain, expected, promptTokens, cachedTokens int) {
+	if p == nil || promptTokens <= 0 || chain.Tokens <= 0 {
+		return
+	}
+	// The engine counts other tokens than the estimate, so the shares are compared.
+	scaled := expected * promptTokens / chain.Tokens
+	instance.ObserveCache(scaled, cachedTokens)
+}
--- /dev/null
+++ b/internal/service/route/prefix_test.go
@@ -0,0 +1,47 @@
+package route
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/pkg/api"
+)
+
+// TestPrefixOfParts guards against chains that depend on how the prompt is cut
+// into messages, or that are equal for other models.
+func TestPrefixOfParts(t *testing.T) {
+	text := strings.Repeat("polish the lens ", 200)
+	whole := Prefix("llm", "m", text)
+	assert.Equal(t, len(whole.Hashes), len(text)/blockBytes)
+	assert.DeepEqual(t, whole, Prefix("llm", "m", text[:100], text[100:], ""))
+	assert.Assert(t, whole.Hashes[0] != Prefix("llm", "other", text).Hashes[0])
+	assert.Assert(t, whole.Hashes[0] != Prefix("other", "m", text).Hashes[0])
+	assert.Equal(t, len(Prefix("llm", "m", strings.Repeat("x", 1<<20)).Hashes), maxBlocks)
+}
+
+// TestOwnerOfSharedPrefix guards against a search that misses a prefix that only
+// the first part of a prompt shares.
+func TestOwnerOfSharedPrefix(t *testing.T) {
+	list := newTable(2).Group("llm")
+	prefixes := NewPrefixes(1024)
+	system := strings.Repeat("s", 5*blockBytes)
+	assert.Equal(t, prefixes.Routed(list[0], Prefix("llm", "m", system, strings.Repeat("a", 9*blockBytes))), 0)
+	other := Prefix("llm", "m", system, strings.Repeat("b", 9*blockBytes))
+	owner, blocks := prefixes.Owner(other)
+	assert.Equal(t, owner, list[0])
+	assert.Equal(t, blocks, 5)
+	assert.Equal(t, prefixes.Routed(list[0], other), 5*blockTokens)
+	assert.Equal(t, prefixes.Routed(list[1], other), 0)
+}
+
+// TestPrefixesAreBounded guards against a table that grows with the traffic.
+func TestPrefixesAreBounded(t *testing.T) {
+	list := newTable(1).Group("llm")
+	prefixes := NewPrefixes(100)
+	for i := range 1000 {
+		prefixes.Routed(list[0], Prefix("llm", api.ModelName(strings.Repeat("m", i+1)), string(make([]byte, blockBytes))))
+	}
+	assert.Equal(t, len(prefixes.slots), 128)
+}
--- /dev/null
+++ b/internal/service/route/route_test.go
@@ -0,0 +1,186 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/service/upstream"
+	"redwingloft/pkg/api"
+)
+
+// newTable returns a table with one group "llm" of n instances in two data centres.
+func newTable(n int) *upstream.Table {
+	group := &document.Group{Name: "llm"}
+	for i := range n {
+		group.Upstreams = append(group.Upstreams, document.Upstream{
+			ID: api.UpstreamID(fmt.Sprintf("llm-%d", i)), Address: api.Address(fmt.Sprintf("127.0.0.1:%d", i+1)),
+			DataCentre: api.DataCentre([]string{"a", "b"}[i%2]), Slots: 8,
+		})
+	}
+	table := &upstream.Table{Host: "self"}
+	table.Apply(&document.Snapshot{Groups: map[api.GroupName]*document.Group{"llm": group}})
+	return table
+}
+
+// markLeaving takes an instance out by the event of another host.
+func markLeaving(table *upstream.Table, instance *upstream.Instance) {
+	table.Merge([]upstream.Event{{Upstream: instance.ID, Address: instance.Address, State: upstream.StateLeaving, Host: "other"}})
+}
+
+// scripted returns a random source that gives the numbers in order, again and again.
+func scripted(numbers ...int) func(int) int {
+	next := 0
+	return func(n int) int {
+		number := numbers[next%len(numbers)]
+		next++
+		return number % n
+	}
+}
+
+// TestPickNeverTakesTriedOrLeaving guards against new work for an upstream that
+// leaves or that the stage has tried, for any mix of both.
+func TestPickNeverTakesTriedOrLeaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "instances")
+		table := newTable(n)
+		all, old := table.All("llm"), table.Group("llm")
+		var avoid []*upstream.Instance
+		left := n
+		for _, instance := range all {
+			switch rapid.IntRange(0, 2).Draw(t, "fate") {
+			case 1:
+				markLeaving(table, instance)
+				left--
+			case 2:
+				avoid = append(avoid, instance)
+				left--
+			}
+		}
+		chain := Prefix("llm", "m", string(make([]byte, 1024)))
+		router := &Router{Prefixes: NewPrefixes(64)}
+		router.Prefixes.Routed(all[rapid.IntRange(0, n-1).Draw(t, "owner")], chain)
+		// A request may hold the list from before the change.
+		for _, list := range [][]*upstream.Instance{old, table.Group("llm")} {
+			picked := router.Pick(list, Query{Avoid: avoid, Prefix: chain, Weights: document.Weights{Cost: 1}})
+			assert.Equal(t, picked != nil, left > 0)
+			if picked != nil {
+				assert.Assert(t, picked.Available() && !avoided(picked, avoid))
+			}
+		}
+	})
+}
+
+// TestPickReplays guards against a choice that depends on anything besides its
+// recorded inputs.
+func TestPickReplays(t *testing.T) {
+	instances := newTable(10).Group("llm")
+	now := time.Unix(1_700_000_000, 0)
+	for i, instance := range instances {
+		instance.Report(float64(i)/10, now)
+	}
+	run := func() []api.UpstreamID {
+		source := rand.New(rand.NewPCG(1, 2))
+		router := &Router{Random: source.IntN, Clock: func() time.Time { return now.Add(time.Second) }}
+		var ids []api.UpstreamID
+		for range 100 {
+			ids = append(ids, router.Pick(instances, Query{DataCentre: "a"}).ID)
+		}
+		return ids
+	}
+	assert.DeepEqual(t, run(), run())
+}
+
+// TestPickOrder guards against a part of the score that has the wrong sign or is missing.
+func TestPickOrder(t *testing.T) {
+	both := document.Weights{Attainment: 0.5, Cost: 0.5}
+	chain := Prefix("llm", "m", string(make([]byte, 16<<10)))
+	for _, c := range []struct {
+		name    string
+		prepare func(table *upstream.Table, list []*upstream.Instance, prefixes *Prefixes)
+		query   Query
+		want    int
+	}{
+		{"less loaded", func(_ *upstream.Table, list []*upstream.Instance, _ *Prefixes) { list[0].Begin() }, Query{}, 1},
+		{"reported load", func(_ *upstream.Table, list []*upstream.Instance, _ *Prefixes) { list[0].Report(0.5, time.Now()) }, Query{}, 1},
+		{"same data centre", func(*upstream.Table, []*upstream.Instance, *Prefixes) {}, Query{DataCentre: "b"}, 1},
+		{
+			"prefix owner that was not drawn",
+			func(_ *upstream.Table, list []*upstream.Instance, p *Prefixes) { p.Routed(list[3], chain) },
+			Query{Prefix: chain, Weights: both},
+			3,
+		},
+		{"overloaded prefix owner", func(_ *upstream.Table, list []*upstream.Instance, p *Prefixes) {
+			p.Routed(list[3], chain)
+			for range 32 {
+				list[3].Begin()
+			}
+		}, Query{Prefix: chain, Weights: both}, 0},
+		{"prefix owner without cache hits", func(_ *upstream.Table, list []*upstream.Instance, p *Prefixes) {
+			p.Routed(list[3], chain)
+			list[3].Begin()
+			for range 50 {
+				p.Answered(list[3], chain, chain.Tokens, 4096, 0)
+			}
+		}, Query{Prefix: chain, Weights: both}, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable(4)
+			list := table.Group("llm")
+			router := &Router{Random: scripted(0, 1), Prefixes: NewPrefixes(1024)}
+			c.prepare(table, list, router.Prefixes)
+			assert.Equal(t, router.Pick(list, c.query), list[c.want])
+		})
+	}
+}
+
+// TestOldReportsFade guards against herding to the upstream that reported a low
+// load long ago: its rival's report must lose weight with age.
+func TestOldReportsFade(t *testing.T) {
+	list := newTable(2).Group("llm")
+	start := time.Now()
+	list[0].Report(1, start)
+	list[1].Begin()
+	router := &Router{Random: scripted(0, 1), Clock: func() time.Time { return start }}
+	assert.Equal(t, router.Pick(list, Query{}), list[1])
+	router.Clock = func() time.Time { return start.Add(time.Minute) }
+	assert.Equal(t, router.Pick(list, Query{}), list[0])
+}
+
+// BenchmarkPick measures a choice among 1,500 instances with a prompt of 64
+// blocks whose owner is known, where a tenth of the instances leaves.
+func BenchmarkPick(b *testing.B) {
+	table := newTable(1500)
+	old := table.Group("llm")
+	for i, instance := range table.All("llm") {
+		instance.Report(float64(i%10)/10, time.Now())
+		if i%10 == 0 {
+			markLeaving(table, instance)
+		}
+	}
+	chain := Prefix("llm", "m", string(make([]byte, 64*blockBytes)))
+	router := &Router{Prefixes: NewPrefixes(0)}
+	router.Prefixes.Routed(table.Group("llm")[7], chain)
+	query := Query{Prefix: chain, Weights: document.Weights{Attainment: 0.6, Cost: 0.4}, DataCentre: "a", Avoid: old[:2]}
+	b.ReportAllocs()
+	for b.Loop() {
+		if router.Pick(table.Group("llm"), query) == nil {
+			b.Fatal("no instance")
+		}
+	}
+}
+
+// TestPickAllocatesNothing guards against a choice that costs memory for each request.
+func TestPickAllocatesNothing(t *testing.T) {
+	list := newTable(1500).Group("llm")
+	chain := Prefix("llm", "m", string(make([]byte, 64*blockBytes)))
+	router := &Router{Prefixes: NewPrefixes(0)}
+	router.Prefixes.Routed(list[7], chain)
+	query := Query{Prefix: chain, Weights: document.Weights{Attainment: 1, Cost: 1}, DataCentre: "a", Avoid: list[:2]}
+	assert.Equal(t, testing.AllocsPerRun(1000, func() { router.Pick(list, query) }), 0.0)
+}
--- /dev/null
+++ b/internal/service/upstream/poller_test.go
@@ -0,0 +1,78 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/kernel"
+	"redwingloft/pkg/api"
+)
+
+// TestPollerFollowsTheList guards against a list that is missing, late or
+// incomplete and ends a leaving mark by that.
+func TestPollerFollowsTheList(t *testing.T) {
+	c := newClock()
+	table := newTable("self", c, 2)
+	instance := table.All("llm")[0]
+	var listed []kernel.Listed
+	var failure error
+	poller := &Poller{Table: table, List: kernel.HostList{Fetch: func(context.Context) ([]kernel.Listed, error) {
+		return listed, failure
+	}}}
+	entry := func(state kernel.ListedState) []kernel.Listed {
+		return []kernel.Listed{{Address: "127.0.0.1:1", State: state}, {Address: "127.0.0.1:77", State: state}}
+	}
+	for _, step := range []struct {
+		name    string
+		listed  []kernel.Listed
+		failure error
+		act     func()
+		want    State
+	}{
+		{"live", entry(kernel.ListedLive), nil, nil, StateHealthy},
+		{"live list after the upstream's own notice", entry(kernel.ListedLive), nil, func() { table.leave(instance, CauseNotice, c.time) }, StateLeaving},
+		{"leaving", entry(kernel.ListedLeaving), nil, nil, StateLeaving},
+		{"failed read", nil, errors.New("no list"), nil, StateLeaving},
+		{"entry is missing", []kernel.Listed{}, nil, nil, StateLeaving},
+		{"live again", entry(kernel.ListedLive), nil, nil, StateHealthy},
+		{"leaving again", entry(kernel.ListedLeaving), nil, nil, StateLeaving},
+		{"new start seen while the list lags", entry(kernel.ListedLeaving), nil, func() { table.started(instance, CauseProbe) }, StateHealthy},
+	} {
+		if step.act != nil {
+			step.act()
+		}
+		listed, failure = step.listed, step.failure
+		assert.Equal(t, poller.Poll(context.Background()), step.failure, step.name)
+		assert.Equal(t, table.State(instance), step.want, step.name)
+	}
+	assert.Equal(t, table.State(table.All("llm")[1]), StateHealthy)
+}
+
+// TestPollerIgnoresOvertakenReads guards against a slow read of an old list that
+// looks like a new start.
+func TestPollerIgnoresOvertakenReads(t *testing.T) {
+	c := newClock()
+	table := newTable("self", c, 2)
+	reading, release := make(chan struct{}), make(chan struct{})
+	slow := true
+	poller := &Poller{Table: table, List: kernel.HostList{Fetch: func(context.Context) ([]kernel.Listed, error) {
+		state := kernel.ListedLeaving
+		if slow {
+			slow, state = false, kernel.ListedLive
+			close(reading)
+			<-release
+		}
+		return []kernel.Listed{{Address: "127.0.0.1:1", State: state}}, nil
+	}}}
+	ended := make(chan error)
+	go func() { ended <- poller.Poll(context.Background()) }()
+	<-reading
+	assert.NilError(t, poller.Poll(context.Background()))
+	close(release)
+	assert.NilError(t, <-ended)
+	assert.Equal(t, table.State(table.All("llm")[0]), StateLeaving)
+	assert.DeepEqual(t, ids(table.Group("llm")), []api.UpstreamID{"llm-1"})
+}
