Make the engine codecs strict about incomplete replies

A stream that was cut between its last token and its end resumed with a bound of 0 tokens, which engines read as no bound: the text grew beyond its length. It now asks for one token and drops it. Errors of engines were recognised in one of three common forms only, an aborted text passed for a whole one, and a reranking with too few, repeated or no documents and a search without a list passed for results. A stream that ends cleanly after its finish reason counts as whole, because some engines send no [DONE].

Codec.Prompt gives the messages whose prefix an engine may have cached, for routing. Ruled out: counting tokens from usage.completion_tokens, because resumed streams count what was passed on.

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -87,6 +87,9 @@
 	// Read reads the body of a 2xx reply. It calls emit for each streamed token in
 	// order and stops with the error of emit. A reply that ends early is an error.
 	Read func(body io.Reader, in work.Input, emit func(work.Token) error) (work.Output, error)
+	// Prompt returns the parts of the prompt that the upstream may have cached, in
+	// order; nil where the protocol has no prompt cache.
+	Prompt func(in work.Input) []string
 }
 
 // Codecs are the plug-ins of the upstream protocols, by group kind.
--- a/internal/plugin/openai/chat.go
+++ b/internal/plugin/openai/chat.go
@@ -39,7 +39,7 @@
 	AddPrompt *bool `json:"add_generation_prompt,omitempty"`
 }
 
-// Messages returns the chat messages of a generate stage; routing hashes the same text.
+// chatMessages returns the chat messages of a generate stage; routing hashes the same text.
 func chatMessages(in work.Input) []message {
 	var messages []message
 	if in.Stage.Prompt != "" {
@@ -58,11 +58,28 @@
 	return append(messages, message{"user", in.Item.Input})
 }
 
+// chatPrompt returns the messages in the order in which an engine caches them.
+func chatPrompt(in work.Input) []string {
+	var parts []string
+	for _, m := range chatMessages(in) {
+		parts = append(parts, m.Role, m.Content)
+	}
+	return parts
+}
+
+// tokensLeft returns the tokens that the answer may still have; bounded is false
+// where the stage sets no bound.
+func tokensLeft(in work.Input) (left int, bounded bool) {
+	return max(0, in.MaxTokens-in.PartialTokens), in.MaxTokens > 0
+}
+
 func chatRequest(ctx context.Context, base string, in work.Input) (*http.Request, error) {
 	body := completionRequest{Model: string(in.Stage.Model), Messages: chatMessages(in), Stream: true}
 	body.Options.IncludeUsage = true
-	if in.MaxTokens > 0 {
-		body.MaxTokens = in.MaxTokens - in.PartialTokens
+	if left, bounded := tokensLeft(in); bounded {
+		// Engines read 0 as no bound, so a text that is whole asks for one more
+		// token, which readChat drops.
+		body.MaxTokens = max(1, left)
 	}
 	if in.Partial != "" {
 		no := false
@@ -85,22 +102,46 @@
 		FinishReason string `json:"finish_reason"`
 	} `json:"choices"`
 	Usage *usage `json:"usage"`
-	Error *struct {
-		Message string `json:"message"`
-	} `json:"error"`
+	// Error is an object with a message, or a string.
+	Error json.RawMessage `json:"error"`
+	// Object is "error" where an engine puts Message beside it.
+	Object  string `json:"object"`
+	Message string `json:"message"`
+}
+
+// failure returns the error that the chunk reports, or nil.
+func (c *chunk) failure() error {
+	message := c.Message
+	switch {
+	case len(c.Error) > 0 && !bytes.Equal(c.Error, []byte("null")):
+		var object struct {
+			Message string `json:"message"`
+		}
+		if json.Unmarshal(c.Error, &object) == nil && object.Message != "" {
+			message = object.Message
+		} else {
+			message = string(c.Error)
+		}
+	case c.Object != "error":
+		return nil
+	}
+	return fmt.Errorf("the engine failed: %s", message)
 }
 
-// readChat reads the event stream of a completion. Each chunk with content counts as one token.
-func readChat(body io.Reader, _ work.Input, emit func(work.Token) error) (work.Output, error) {
+// readChat reads the event stream of a completion. Each chunk with content counts
+// as one token. A stream is whole with its [DONE] event, or where it ends cleanly
+// after its finish reason, because some engines send no [DONE].
+func readChat(body io.Reader, in work.Input, emit func(work.Token) error) (work.Output, error) {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), maxLine)
-	reader := chatReader{emit: emit}
+	left, bounded := tokensLeft(in)
+	reader := chatReader{emit: emit, full: bounded && left == 0}
 	for scanner.Scan() {
 		data, isData := bytes.CutPrefix(scanner.Bytes(), []byte("data:"))
-		if !isData {
+		data = bytes.TrimSpace(data)
+		if !isData || len(data) == 0 {
 			continue
 		}
-		data = bytes.TrimSpace(data)
 		if bytes.Equal(data, []byte("[DONE]")) {
 			return reader.finish()
 		}
@@ -111,11 +152,13 @@
 	if err := scanner.Err(); err != nil {
 		return reader.output(), err
 	}
-	return reader.output(), ErrStreamEnded
+	return reader.finish()
 }
 
 type chatReader struct {
-	emit     func(work.Token) error
+	emit func(work.Token) error
+	// full is true where the text is whole already and further content is dropped.
+	full     bool
 	text     strings.Builder
 	out      work.Output
 	finished bool
@@ -126,18 +169,22 @@
 	if err := json.Unmarshal(data, &piece); err != nil {
 		return fmt.Errorf("a chunk of the stream is not valid: %w", err)
 	}
-	if piece.Error != nil {
-		return fmt.Errorf("the engine failed: %s", piece.Error.Message)
+	if err := piece.failure(); err != nil {
+		return err
 	}
 	if piece.Usage != nil {
 		r.out.PromptTokens = piece.Usage.PromptTokens
 		r.out.CachedTokens = piece.Usage.Details.CachedTokens
 	}
 	for _, choice := range piece.Choices {
-		if choice.FinishReason != "" {
+		switch choice.FinishReason {
+		case "":
+		case "abort", "error":
+			return fmt.Errorf("the engine ended the text with the reason %q", choice.FinishReason)
+		default:
 			r.finished = true
 		}
-		if choice.Delta.Content == "" {
+		if choice.Delta.Content == "" || r.full {
 			continue
 		}
 		r.text.WriteString(choice.Delta.Content)
--- a/internal/plugin/openai/openai.go
+++ b/internal/plugin/openai/openai.go
@@ -24,7 +24,7 @@
 	kernel.Codecs.Register(string(document.GroupEmbedding), kernel.Codec{Request: embeddingRequest, Read: readEmbedding})
 	kernel.Codecs.Register(string(document.GroupSearch), kernel.Codec{Request: searchRequest, Read: readSearch})
 	kernel.Codecs.Register(string(document.GroupRerank), kernel.Codec{Request: rerankRequest, Read: readRerank})
-	kernel.Codecs.Register(string(document.GroupChat), kernel.Codec{Request: chatRequest, Read: readChat})
+	kernel.Codecs.Register(string(document.GroupChat), kernel.Codec{Request: chatRequest, Read: readChat, Prompt: chatPrompt})
 }
 
 func post(ctx context.Context, target string, body any) (*http.Request, error) {
@@ -48,7 +48,10 @@
 	if len(data) > maxReply {
 		return fmt.Errorf("the reply has more than %d bytes", maxReply)
 	}
-	return json.Unmarshal(data, into)
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("the reply is not valid: %w", err)
+	}
+	return nil
 }
 
 type usage struct {
@@ -104,6 +107,9 @@
 	if err := decode(body, &reply); err != nil {
 		return work.Output{}, err
 	}
+	if reply.Data == nil {
+		return work.Output{}, errors.New("the reply holds no list of passages")
+	}
 	passages := make([]work.Passage, 0, len(reply.Data))
 	for _, found := range reply.Data {
 		passage := work.Passage{ID: found.FileID, Score: found.Score}
@@ -138,14 +144,30 @@
 	if err := decode(body, &reply); err != nil {
 		return work.Output{}, err
 	}
+	if want := rerankSize(in); len(reply.Results) < want {
+		return work.Output{}, fmt.Errorf("the reply ranks %d documents; %d were asked for", len(reply.Results), want)
+	}
 	passages := make([]work.Passage, 0, len(reply.Results))
+	ranked := make([]bool, len(in.Item.Passages))
 	for _, result := range reply.Results {
 		if result.Index < 0 || result.Index >= len(in.Item.Passages) {
 			return work.Output{}, fmt.Errorf("the reply ranks document %d of %d", result.Index, len(in.Item.Passages))
 		}
+		if ranked[result.Index] {
+			return work.Output{}, fmt.Errorf("the reply ranks document %d twice", result.Index)
+		}
+		ranked[result.Index] = true
 		passage := in.Item.Passages[result.Index]
 		passage.Score = result.Score
 		passages = append(passages, passage)
 	}
 	return work.Output{Passages: passages}, nil
 }
+
+// rerankSize returns the number of documents that a rerank must return.
+func rerankSize(in work.Input) int {
+	if in.Stage.TopK > 0 {
+		return min(in.Stage.TopK, len(in.Item.Passages))
+	}
+	return len(in.Item.Passages)
+}
