Wire the upstream monitor and the host list into serve

The host's timer drives stall detection, probes and the host list; the router gets a prefix table. Until the member service names the two probers, each host probes every suspect upstream itself.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -33,6 +33,7 @@
 
 	// The plug-ins register themselves.
 	_ "redwingloft/internal/plugin/etcd"
+	_ "redwingloft/internal/plugin/httpsd"
 	_ "redwingloft/internal/plugin/memory"
 	_ "redwingloft/internal/plugin/openai"
 )
@@ -40,6 +41,9 @@
 // refreshPeriod is the time between two reads of the store's manifest and members.
 const refreshPeriod = time.Second
 
+// hostListTimeout bounds one read of the host list.
+const hostListTimeout = 2 * time.Second
+
 // host assembles the parts of one entry host.
 type host struct {
 	settings      *settings.Settings
@@ -50,6 +54,7 @@
 	members       *member.Service
 	requests      *request.Service
 	snapshots     *document.Holder
+	upstreams     *upstream.Monitor
 	// recorder is nil where no trace is recorded.
 	recorder *trace.Recorder
 }
@@ -74,7 +79,10 @@
 			Host: s.Host.ID, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise, DataCentre: s.Host.DataCentre,
 		},
 	}
-	table := &upstream.Table{}
+	table := &upstream.Table{Host: s.Host.ID, Metrics: h.metrics, Log: logger}
+	if h.upstreams, err = newMonitor(h, table); err != nil {
+		return nil, err
+	}
 	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply}
 	h.requests = newRequests(h, kv, keys, table)
 	if s.Trace.Record != "" {
@@ -86,8 +94,26 @@
 	return h, nil
 }
 
+func newMonitor(h *host, table *upstream.Table) (*upstream.Monitor, error) {
+	monitor := &upstream.Monitor{Table: table, Sender: upstream.NewSender()}
+	if h.settings.HostList.Kind == "none" {
+		return monitor, nil
+	}
+	factory, err := kernel.HostLists.Get(h.settings.HostList.Kind)
+	if err != nil {
+		return nil, fmt.Errorf("[host_list] kind: %w", err)
+	}
+	list, err := factory(h.settings.HostList.URL, hostListTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("[host_list] url: %w", err)
+	}
+	monitor.Poller, monitor.PollPeriod = &upstream.Poller{List: list, Table: table}, h.settings.HostList.Period
+	monitor.PollFailed = func(err error) { h.log.Warn().Err(err).Msg("host_list_failed") }
+	return monitor, nil
+}
+
 func newRequests(h *host, kv store.Store, keys store.Keys, table *upstream.Table) *request.Service {
-	router, sender := &route.Router{}, upstream.NewSender()
+	router, sender := &route.Router{Prefixes: route.NewPrefixes(0)}, h.upstreams.Sender
 	requests := &request.Service{
 		Snapshot: h.snapshots.Load, Key: sealKey(h.settings.Peer.Secret),
 		Executor: &pipeline.Executor{Table: table, Router: router, Sender: sender},
@@ -143,6 +169,7 @@
 		return err
 	}
 	h.refresh(ctx)
+	h.upstreams.Start(ctx, h.timer)
 	h.timer.Every(refreshPeriod, func(time.Time) { h.refresh(ctx) })
 	return nil
 }
