--- a/internal/service/upstream/health.go
+++ b/internal/service/upstream/health.go
@@ -328,7 +328,7 @@
 	case StateEjected:
 		return !now.Before(h.until)
 	case StateLeaving:
-		return now.Sub(h.probed) >= leavingProbePeriod
+		return !h.gone || now.Sub(h.probed) >= goneProbePeriod
 	}
 	return false
 }
--- a/internal/service/upstream/health_test.go
+++ b/internal/service/upstream/health_test.go
@@ -193,9 +193,13 @@
 	assert.Assert(t, !instance.Available())
 	instance = table.All("llm")[0]
 	assert.Equal(t, table.State(instance), StateLeaving)
+	assert.Equal(t, len(table.sweep()), 1)
+	assert.Equal(t, len(table.sweep()), 1)
 	table.probed(instance, probeBad)
 	assert.Equal(t, table.State(instance), StateLeaving)
-	c.advance(time.Second)
+	assert.Equal(t, len(table.sweep()), 0)
+	c.advance(goneProbePeriod)
+	assert.Equal(t, len(table.sweep()), 1)
 	table.probed(instance, probeGood)
 	assert.Equal(t, table.State(instance), StateHealthy)
 	// A late answer of the earlier process carries its notice.
--- a/internal/service/upstream/probe.go
+++ b/internal/service/upstream/probe.go
@@ -10,8 +10,10 @@
 const (
 	// probeTimeout bounds a probe with its new connection.
 	probeTimeout = 500 * time.Millisecond
-	// leavingProbePeriod is the time between two probes of a leaving upstream.
-	leavingProbePeriod = time.Second
+	// goneProbePeriod is the time between two probes of a leaving upstream that is
+	// gone. Before that it is probed at each sweep: a restart between two probes
+	// would not be seen, and only the host list could end the leaving mark.
+	goneProbePeriod = time.Second
 	// maxProbes bounds the probes of a host at once.
 	maxProbes = 32
 	// probePath is the health check of engines and services.
@@ -68,8 +70,20 @@
 	wait.Wait()
 }
 
+// name returns the name of the result's counter.
+func (r probeResult) name() string {
+	switch {
+	case r.draining:
+		return "draining"
+	case r.healthy:
+		return "healthy"
+	}
+	return "failed"
+}
+
 // probed takes over the result of a probe.
 func (t *Table) probed(instance *Instance, result probeResult) {
+	t.Metrics.Counter("probe." + result.name()).Inc(1)
 	t.lock()
 	defer t.unlock()
 	h := &instance.health
--- /dev/null
+++ b/test/e2e/upstream_test.go
@@ -0,0 +1,175 @@
+package e2e
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/pkg/api"
+	"redwingloft/pkg/client"
+	"redwingloft/standin/engine"
+	"redwingloft/standin/fleet"
+	"redwingloft/standin/injection"
+	"redwingloft/standin/site"
+)
+
+// eventBound is the time after which a test that waits for an event fails.
+const eventBound = 60 * time.Second
+
+// counter returns a counter of a host.
+func counter(t *testing.T, host *site.Host, name string) int {
+	t.Helper()
+	response, err := http.Get("http://" + host.Admin + "/metrics")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if text, found := strings.CutPrefix(lines.Text(), "redwingloft_"+name+" "); found {
+			value, err := strconv.Atoi(text)
+			assert.NilError(t, err)
+			return value
+		}
+	}
+	assert.NilError(t, lines.Err())
+	return 0
+}
+
+// waitCounter waits until a counter of a host has at least the given value.
+func waitCounter(t *testing.T, host *site.Host, name string, least int) {
+	t.Helper()
+	for end := time.Now().Add(eventBound); counter(t, host, name) < least; {
+		if time.Now().After(end) {
+			t.Fatalf("counter %s of %s stays below %d", name, host.ID, least)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// engines returns the addresses of the engines of a site.
+func engines(s *site.Site) []string {
+	var addresses []string
+	for _, group := range s.Options.Document.Groups {
+		if group.Kind != document.GroupChat {
+			continue
+		}
+		for _, upstream := range group.Upstreams {
+			addresses = append(addresses, string(upstream.Address))
+		}
+	}
+	return addresses
+}
+
+// requests returns the number of requests that an engine received.
+func requests(t *testing.T, address string) int64 {
+	t.Helper()
+	response, err := http.Get("http://" + address + "/stats")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var stats engine.Stats
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&stats))
+	return stats.Requests
+}
+
+// plan runs one pipeline on a host and checks its answer.
+func plan(t *testing.T, host *site.Host, number int) {
+	t.Helper()
+	input := fmt.Sprintf("plan visit %d", number)
+	status, body := send(t, host, api.PathPipelines+"visit-plan/run", "port-of-spain", "", api.RunRequest{Input: input})
+	assert.Equal(t, status, http.StatusOK, string(body))
+	var answer api.RunAnswer
+	assert.NilError(t, json.Unmarshal(body, &answer))
+	assert.Equal(t, answer.Text, engine.Text(input, 32))
+}
+
+// TestSilentConnectionsMidStream guards against streams that hang or have a gap
+// when the open connections to every engine go silent while new ones work.
+func TestSilentConnectionsMidStream(t *testing.T) {
+	s := startSite(t, "greenhand", site.Options{Hosts: 1, StandinFlags: []string{"--step-time", "30ms"}})
+	caller := &client.Client{
+		Hosts: []api.Address{api.Address(s.Hosts[0].Caller)}, Workspace: "port-of-spain", Token: token("port-of-spain"),
+	}
+	defer caller.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), eventBound)
+	defer cancel()
+	const streams = 4
+	// Every stream has passed on a token when the connections go silent.
+	var started, ended sync.WaitGroup
+	started.Add(streams)
+	answers, failures := make([]*client.Answer, streams), make([]error, streams)
+	for i := range streams {
+		ended.Go(func() {
+			var first sync.Once
+			request := api.RunRequest{Input: fmt.Sprintf("plan visit %d", i)}
+			answers[i], failures[i] = caller.Stream(ctx, "visit-plan", request, func(api.TokenEvent) error {
+				first.Do(started.Done)
+				return nil
+			})
+		})
+	}
+	started.Wait()
+	for _, address := range engines(s) {
+		assert.NilError(t, fleet.Inject(s.Control, address, injection.Fault{Mode: injection.ModeSilence}))
+	}
+	ended.Wait()
+	for i := range streams {
+		assert.NilError(t, failures[i])
+		assert.Equal(t, answers[i].Text, engine.Text(fmt.Sprintf("plan visit %d", i), 32))
+	}
+	assert.Assert(t, counter(t, s.Hosts[0], "attempt_failed_silent") >= 1)
+	assert.Equal(t, counter(t, s.Hosts[0], "upstream_suspect_silent"), 0)
+}
+
+// TestListedLeavingGetsNoWork guards against new work for an engine that the host
+// list shows as leaving.
+func TestListedLeavingGetsNoWork(t *testing.T) {
+	s := startSite(t, "greenhand", site.Options{StandinFlags: []string{"--host-list-lag", "0s"}})
+	leaving := engines(s)[0]
+	assert.NilError(t, fleet.MarkLeaving(s.Control, leaving))
+	for _, host := range s.Hosts {
+		waitCounter(t, host, "upstream_leaving_host_list", 1)
+	}
+	before := requests(t, leaving)
+	for i := range 60 {
+		plan(t, s.Hosts[i%len(s.Hosts)], i)
+	}
+	assert.Equal(t, requests(t, leaving), before)
+}
+
+// TestDrainNoticeEndsWork guards against new work for an engine after its drain
+// notice, against requests that fail because of it, and against an engine that
+// is not used again after its new start.
+func TestDrainNoticeEndsWork(t *testing.T) {
+	s := startSite(t, "greenhand", site.Options{Hosts: 1})
+	host, draining := s.Hosts[0], engines(s)[0]
+	assert.NilError(t, fleet.Inject(s.Control, draining, injection.Fault{Mode: injection.ModeDraining}))
+	number := 0
+	for end := time.Now().Add(eventBound); counter(t, host, "upstream_leaving_notice") == 0; number++ {
+		assert.Assert(t, time.Now().Before(end), "the engine gets no request")
+		plan(t, host, number)
+	}
+	for range 60 {
+		number++
+		plan(t, host, number)
+	}
+	// The one request that met the notice went on elsewhere.
+	assert.Equal(t, counter(t, host, "attempt_failed_draining"), 1)
+	// The notice on a health check, and then a clean answer, is a new start.
+	waitCounter(t, host, "probe_draining", 1)
+	assert.NilError(t, fleet.Clear(s.Control, draining))
+	waitCounter(t, host, "upstream_healthy_probe", 1)
+	before := requests(t, draining)
+	for end := time.Now().Add(eventBound); requests(t, draining) == before; number++ {
+		assert.Assert(t, time.Now().Before(end), "the engine gets no request")
+		plan(t, host, number)
+	}
+}
