--- a/test/e2e/upstream_test.go
+++ b/test/e2e/upstream_test.go
@@ -23,9 +23,6 @@
 	"redwingloft/standin/site"
 )
 
-// eventBound is the time after which a test that waits for an event fails.
-const eventBound = 60 * time.Second
-
 // counter returns a counter of a host.
 func counter(t *testing.T, host *site.Host, name string) int {
 	t.Helper()
@@ -47,7 +44,7 @@
 // waitCounter waits until a counter of a host has at least the given value.
 func waitCounter(t *testing.T, host *site.Host, name string, least int) {
 	t.Helper()
-	for end := time.Now().Add(eventBound); counter(t, host, name) < least; {
+	for end := time.Now().Add(bound); counter(t, host, name) < least; {
 		if time.Now().After(end) {
 			t.Fatalf("counter %s of %s stays below %d", name, host.ID, least)
 		}
@@ -95,11 +92,9 @@
 // when the open connections to every engine go silent while new ones work.
 func TestSilentConnectionsMidStream(t *testing.T) {
 	s := startSite(t, "greenhand", site.Options{Hosts: 1, StandinFlags: []string{"--step-time", "30ms"}})
-	caller := &client.Client{
-		Hosts: []api.Address{api.Address(s.Hosts[0].Caller)}, Workspace: "port-of-spain", Token: token("port-of-spain"),
-	}
+	caller := callerOf(s, "port-of-spain")
 	defer caller.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), eventBound)
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
 	const streams = 4
 	// Every stream has passed on a token when the connections go silent.
@@ -153,7 +148,7 @@
 	host, draining := s.Hosts[0], engines(s)[0]
 	assert.NilError(t, fleet.Inject(s.Control, draining, injection.Fault{Mode: injection.ModeDraining}))
 	number := 0
-	for end := time.Now().Add(eventBound); counter(t, host, "upstream_leaving_notice") == 0; number++ {
+	for end := time.Now().Add(bound); counter(t, host, "upstream_leaving_notice") == 0; number++ {
 		assert.Assert(t, time.Now().Before(end), "the engine gets no request")
 		plan(t, host, number)
 	}
@@ -168,7 +163,7 @@
 	assert.NilError(t, fleet.Clear(s.Control, draining))
 	waitCounter(t, host, "upstream_healthy_probe", 1)
 	before := requests(t, draining)
-	for end := time.Now().Add(eventBound); requests(t, draining) == before; number++ {
+	for end := time.Now().Add(bound); requests(t, draining) == before; number++ {
 		assert.Assert(t, time.Now().Before(end), "the engine gets no request")
 		plan(t, host, number)
 	}
