Ask who probes without the table's lock, and bound event ages

The member service answers the question under a lock of its own and may call Events under it: the two orders could have blocked each other. An age near the largest integer overflowed into a time in the future, by which a stale leaving mark won over a new start.

--- a/internal/service/upstream/event.go
+++ b/internal/service/upstream/event.go
@@ -16,6 +16,8 @@
 	// sameMark is the difference in time below which two marks of the same state
 	// are the same news on two ways. Each hop makes news younger by its transit time.
 	sameMark = 500 * time.Millisecond
+	// maxAge bounds the age of an event, which else could overflow a time.
+	maxAge = 24 * time.Hour
 	// maxEvents bounds the events of one exchange, about 4 KB.
 	maxEvents = 32
 	// maxPending bounds the events of upstreams that are not configured yet.
@@ -172,6 +174,7 @@
 	now := t.now()
 	for _, waiting := range t.pending {
 		event := waiting.event
+		event.AgeMs = min(event.AgeMs, maxAge.Milliseconds())
 		event.AgeMs += now.Sub(waiting.received).Milliseconds()
 		if !t.mergeOne(event, now) {
 			left = append(left, waiting)
@@ -186,7 +189,8 @@
 	if instance == nil || instance.Address != event.Address {
 		return false
 	}
-	m := mark{state: event.State, host: event.Host, at: now.Add(-time.Duration(max(0, event.AgeMs)) * time.Millisecond)}
+	age := time.Duration(min(max(0, event.AgeMs), maxAge.Milliseconds())) * time.Millisecond
+	m := mark{state: event.State, host: event.Host, at: now.Add(-age)}
 	switch event.State {
 	case StateLeaving, StateStarted:
 		t.mergeNotice(instance, m)
--- a/internal/service/upstream/event_test.go
+++ b/internal/service/upstream/event_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"testing"
 	"time"
 
@@ -109,6 +110,8 @@
 	b.Merge(events(a))
 	assert.Equal(t, b.State(b.All("llm")[0]), StateHealthy)
 	b.Merge(left)
+	left[0].AgeMs = math.MaxInt64 // a wrong age must not become a time in the future
+	b.Merge(left)
 	assert.Equal(t, b.State(b.All("llm")[0]), StateHealthy)
 	other := news("c", StateLeaving)
 	other[0].Address = "127.0.0.1:99"
--- a/internal/service/upstream/health.go
+++ b/internal/service/upstream/health.go
@@ -107,7 +107,7 @@
 	// Log gets one line for each state change; nil logs nothing.
 	Log *log.Logger
 	// Prober reports whether this host is one of the probers of an upstream; nil
-	// means yes. It is called under the lock of the table and must not block.
+	// means yes. It is called without the lock of the table.
 	Prober func(api.UpstreamID) bool
 
 	view atomic.Pointer[view]
@@ -301,21 +301,26 @@
 // sweep ends suspicions and ejections whose time has passed and returns the
 // instances that this host should probe now.
 func (t *Table) sweep() []*Instance {
+	var own, others, due []*Instance
+	for _, instance := range t.load().byID {
+		switch {
+		case !instance.troubled.Load():
+		case t.isProber(instance):
+			own = append(own, instance)
+		default:
+			others = append(others, instance)
+		}
+	}
 	t.lock()
 	defer t.unlock()
 	now := t.now()
-	var due []*Instance
-	for _, instance := range t.load().byID {
-		if !instance.troubled.Load() {
-			continue
-		}
-		if t.isProber(instance) {
-			if instance.health.probeDue(now) {
-				instance.health.probed = now
-				due = append(due, instance)
-			}
-			continue
+	for _, instance := range own {
+		if instance.health.probeDue(now) {
+			instance.health.probed = now
+			due = append(due, instance)
 		}
+	}
+	for _, instance := range others {
 		t.expire(instance, now)
 	}
 	return due
