Route by prompt prefix and data centre

The executor gives the router the chain of the stage's prompt, the weights of the document and the data centre of the host, and returns what the engine reports as cached.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -116,8 +116,8 @@
 	router, sender := &route.Router{Prefixes: route.NewPrefixes(0)}, h.upstreams.Sender
 	requests := &request.Service{
 		Snapshot: h.snapshots.Load, Key: sealKey(h.settings.Peer.Secret),
-		Executor: &pipeline.Executor{Table: table, Router: router, Sender: sender},
-		Table:    table, Router: router, Sender: sender,
+		Executor: &pipeline.Executor{Table: table, Router: router, Sender: sender, DataCentre: h.settings.Host.DataCentre},
+		Table:    table, Router: router, Sender: sender, DataCentre: h.settings.Host.DataCentre,
 	}
 	requests.Orders = &order.Desk{Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder}
 	return requests
--- /dev/null
+++ b/internal/service/pipeline/affinity.go
@@ -0,0 +1,42 @@
+package pipeline
+
+import (
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/data/work"
+	"redwingloft/internal/kernel"
+	"redwingloft/internal/service/route"
+	"redwingloft/internal/service/upstream"
+)
+
+// affinity connects one stage of a request with the prompt prefixes that the
+// upstreams have cached.
+type affinity struct {
+	executor *Executor
+	chain    route.Chain
+}
+
+// newAffinity returns an affinity without a chain where the codec has no prompt
+// cache or the router knows no prefixes.
+func (x *Executor) newAffinity(codec kernel.Codec, input work.Input) affinity {
+	if codec.Prompt == nil || x.Router.Prefixes == nil {
+		return affinity{executor: x}
+	}
+	return affinity{executor: x, chain: route.Prefix(input.Stage.Group, input.Stage.Model, codec.Prompt(input)...)}
+}
+
+// query returns the query of an attempt.
+func (a affinity) query(snapshot *document.Snapshot, avoid []*upstream.Instance) route.Query {
+	return route.Query{
+		Avoid: avoid, Weights: snapshot.Document.Weights, Prefix: a.chain, DataCentre: a.executor.DataCentre,
+	}
+}
+
+// routed notes the choice of an upstream. The returned function takes the
+// output of a whole answer.
+func (a affinity) routed(instance *upstream.Instance) (answered func(work.Output)) {
+	prefixes := a.executor.Router.Prefixes
+	expected := prefixes.Routed(instance, a.chain)
+	return func(output work.Output) {
+		prefixes.Answered(instance, a.chain, expected, output.PromptTokens, output.CachedTokens)
+	}
+}
--- a/internal/service/pipeline/executor.go
+++ b/internal/service/pipeline/executor.go
@@ -61,6 +61,8 @@
 	Table  *upstream.Table
 	Router *route.Router
 	Sender *upstream.Sender
+	// DataCentre is that of this host.
+	DataCentre api.DataCentre
 }
 
 // Run runs the stages of a request in order. The deadline is that of ctx.
@@ -140,15 +142,18 @@
 		return work.Output{}, fault.Wrap(api.KindInternal, err, "stage %s", r.stage.Name)
 	}
 	var last error
+	prompt := r.executor.newAffinity(codec, r.input)
 	for range maxAttempts {
-		instance := r.executor.Router.Pick(r.executor.Table.Group(group.Name), route.Query{Avoid: r.tried})
+		instance := r.executor.Router.Pick(r.executor.Table.Group(group.Name), prompt.query(r.request.Snapshot, r.tried))
 		if instance == nil {
 			break
 		}
 		r.tried = append(r.tried, instance)
 		r.cost.Attempts++
+		answered := prompt.routed(instance)
 		output, err := r.attempt(ctx, instance, codec)
 		if err == nil {
+			answered(output)
 			output.Text = r.input.Partial + output.Text
 			return output, nil
 		}
--- a/internal/service/request/request.go
+++ b/internal/service/request/request.go
@@ -53,6 +53,8 @@
 	Table    *upstream.Table
 	Router   *route.Router
 	Sender   *upstream.Sender
+	// DataCentre is that of this host.
+	DataCentre api.DataCentre
 }
 
 // Stream receives the events of a streamed answer. Nil fields are skipped.
@@ -244,7 +246,7 @@
 }
 
 func (s *Service) send(ctx context.Context, group api.GroupName, call *document.Call, body []byte, key string, fencing store.Version) (order.Outcome, error) {
-	instance := s.Router.Pick(s.Table.Group(group), route.Query{})
+	instance := s.Router.Pick(s.Table.Group(group), route.Query{DataCentre: s.DataCentre})
 	if instance == nil {
 		return order.Outcome{}, fault.New(api.KindNoUpstream, "no upstream of group %s is available", group)
 	}
