--- a/cmd/host.go
+++ b/cmd/host.go
@@ -151,6 +151,9 @@
 		callers.Record = h.recorder.Record
 	}
 	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, callers.Routes())
+	if h.settings.Operator.Listen != "" {
+		addServer(group, h.settings.Operator.Listen, h.settings.Operator.TLS, h.newConsole().Routes())
+	}
 	if h.settings.Admin.Listen != "" {
 		handler := &admin.Handler{Metrics: h.metrics, Ready: h.ready}
 		addServer(group, h.settings.Admin.Listen, settings.TLS{}, handler.Routes())
