Let a restarted host take back its own leaving marks

Events with its own id were dropped, so a host that restarted under the same id gave work to an upstream that it had itself marked as leaving before.

--- a/internal/service/upstream/event.go
+++ b/internal/service/upstream/event.go
@@ -151,15 +151,13 @@
 	return events, next
 }
 
-// Merge takes over news from another host. Its own events that come back are ignored.
+// Merge takes over news from another host. Marks of this host that come back are
+// news only after a restart under the same id.
 func (t *Table) Merge(events []Event) {
 	t.lock()
 	defer t.unlock()
 	now := t.now()
 	for _, event := range events {
-		if event.Host == t.Host {
-			continue
-		}
 		if !t.mergeOne(event, now) {
 			t.pending = append(t.pending, pendingEvent{event, now})
 		}
@@ -219,7 +217,7 @@
 func (t *Table) mergeHint(instance *Instance, m mark, now time.Time) {
 	h := &instance.health
 	known := h.hints[m.host]
-	if now.Sub(m.at) > hintLife || !m.replaces(known) {
+	if m.host == t.Host || now.Sub(m.at) > hintLife || !m.replaces(known) {
 		return
 	}
 	if m.state == StateHealthy && known.state != StateEjected {
--- a/internal/service/upstream/event_test.go
+++ b/internal/service/upstream/event_test.go
@@ -87,10 +87,12 @@
 	tables[0].Merge(events(tables[2]))
 	sent, _ = tables[0].Events(since)
 	assert.Equal(t, len(sent), 0)
-	joining := &Table{Host: "d", Clock: c.now}
-	joining.Merge(events(tables[2]))
-	joining.Apply(snapshotOf(addresses(4)...))
-	assert.Equal(t, len(joining.Group("llm")), 3)
+	for _, host := range []api.HostID{"d", "a"} { // a new host, and the first one after a restart
+		joining := &Table{Host: host, Clock: c.now}
+		joining.Merge(events(tables[2]))
+		joining.Apply(snapshotOf(addresses(4)...))
+		assert.Equal(t, len(joining.Group("llm")), 3)
+	}
 }
 
 // TestStartedEndsLeaving guards against a stale leaving mark that wins over the
