--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -56,6 +56,17 @@
 	return Stats{Requests: s.requests.Load(), Tokens: s.tokens.Load(), Canceled: s.canceled.Load()}
 }
 
+// ReadStats asks the engine at an address for its counts.
+func ReadStats(address string) (Stats, error) {
+	var stats Stats
+	response, err := http.Get("http://" + address + "/stats")
+	if err != nil {
+		return stats, err
+	}
+	defer response.Body.Close()
+	return stats, json.NewDecoder(response.Body).Decode(&stats)
+}
+
 // Routes returns the mux of the server.
 func (s *Server) Routes() http.Handler {
 	if s.once.CompareAndSwap(false, true) {
