--- a/internal/service/route/prefix.go
+++ b/internal/service/route/prefix.go
@@ -137,10 +137,11 @@
 // prompt tokens that the instance was known to have before, for Answered.
 func (p *Prefixes) Routed(instance *upstream.Instance, chain Chain) int {
 	owner, blocks := p.Owner(chain)
-	if p != nil {
-		for _, hash := range chain.Hashes {
-			p.put(hash, instance)
-		}
+	if p == nil {
+		return 0
+	}
+	for _, hash := range chain.Hashes {
+		p.put(hash, instance)
 	}
 	if owner != instance {
 		return 0
@@ -148,11 +149,18 @@
 	return blocks * blockTokens
 }
 
-// Answered corrects the table by the answer to a prompt: an instance whose cache
-// held less than expected is trusted less. promptTokens and cachedTokens are as
-// the engine reports them; a report without promptTokens is ignored.
+// Answered corrects the table by the answer to a prompt. The instance has the
+// prompt now, also where a hedge was routed later; and an instance whose cache held
+// less than expected is trusted less. promptTokens and cachedTokens are as the
+// engine reports them; 0 prompt tokens mean no report.
 func (p *Prefixes) Answered(instance *upstream.Instance, chain Chain, expected, promptTokens, cachedTokens int) {
-	if p == nil || promptTokens <= 0 || chain.Tokens <= 0 {
+	if p == nil {
+		return
+	}
+	for _, hash := range chain.Hashes {
+		p.put(hash, instance)
+	}
+	if promptTokens <= 0 || chain.Tokens <= 0 {
 		return
 	}
 	// The engine counts other tokens than the estimate, so the shares are compared.
