Charge attempts for the time that they occupied the upstream

The cost of an attempt ran from its start, so a slow dial or a wait for a connection was charged as work of the upstream. The fake sender of the executor tests fills Usage as Sender.Do does; its checks are unchanged.

--- a/internal/service/pipeline/attempt.go
+++ b/internal/service/pipeline/attempt.go
@@ -34,6 +34,8 @@
 	output work.Output
 	err    error
 	end    time.Time
+	// occupied is the time for which the attempt occupied the upstream.
+	occupied time.Duration
 }
 
 // emitted returns the channel of tokens; nil, which blocks, for a nil attempt.
@@ -56,6 +58,7 @@
 func (a *attempt) run(ctx context.Context, send func(context.Context, upstream.Attempt) error, codec kernel.Codec, input work.Input) {
 	defer a.cancel()
 	var output work.Output
+	var usage upstream.Usage
 	emit := func(token work.Token) error {
 		select {
 		case a.tokens <- token:
@@ -66,6 +69,7 @@
 	}
 	err := send(ctx, upstream.Attempt{
 		Instance: a.instance,
+		Usage:    &usage,
 		Build: func(ctx context.Context, base string) (*http.Request, error) {
 			request, err := codec.Request(ctx, base, input)
 			if err != nil {
@@ -80,7 +84,7 @@
 			return err
 		},
 	})
-	a.done <- attemptResult{output: output, err: err, end: time.Now()}
+	a.done <- attemptResult{output: output, err: err, end: time.Now(), occupied: usage.Occupied}
 }
 
 // setDeadline passes the time left on to the upstream.
--- a/internal/service/pipeline/cost.go
+++ b/internal/service/pipeline/cost.go
@@ -20,12 +20,13 @@
 }
 
 // charge accounts for an attempt with a result. One that was not sent has used nothing.
+// The dial and the wait for a connection are not part of the occupied time.
 func (r *stageRun) charge(from *attempt, result attemptResult, lost bool) {
 	if result.err != nil && upstream.IsErrNotSent(result.err) {
 		return
 	}
 	r.charges = append(r.charges, charge{
-		seconds: result.end.Sub(from.start).Seconds(), reported: result.output.PromptTokens > 0,
+		seconds: result.occupied.Seconds(), reported: result.output.PromptTokens > 0,
 		prompt: result.output.PromptTokens - result.output.CachedTokens,
 		tokens: max(result.output.Tokens, from.passed), lost: lost,
 	})
--- a/internal/service/pipeline/executor_test.go
+++ b/internal/service/pipeline/executor_test.go
@@ -157,7 +157,10 @@
 	s.attempts[attempt.Instance.Group]++
 	number := s.attempts[attempt.Instance.Group]
 	s.mu.Unlock()
-	return s.answer(ctx, attempt.Instance.Group, number, attempt)
+	start := time.Now()
+	err := s.answer(ctx, attempt.Instance.Group, number, attempt)
+	attempt.Usage.Occupied = time.Since(start)
+	return err
 }
 
 // reply gives the good answer of a stage with n tokens.
--- a/internal/service/request/service.go
+++ b/internal/service/request/service.go
@@ -180,10 +180,11 @@
 	if tried != nil {
 		*tried = append(*tried, instance)
 	}
-	start := time.Now()
+	var usage upstream.Usage
 	var outcome order.Outcome
 	err := s.Sender.Do(ctx, upstream.Attempt{
 		Instance:  instance,
+		Usage:     &usage,
 		Exclusive: call.idempotency != "",
 		AnyStatus: true,
 		Build: func(ctx context.Context, base string) (*http.Request, error) {
@@ -195,7 +196,7 @@
 			return err
 		},
 	})
-	s.spend(call, time.Since(start), err)
+	s.spend(call, usage.Occupied, err)
 	return outcome, err
 }
 
