--- a/cmd/console.go
+++ b/cmd/console.go
@@ -10,7 +10,6 @@
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/service/account"
 	"redwingloft/internal/service/configuration"
-	"redwingloft/internal/service/upstream"
 	"redwingloft/internal/web/console"
 	"redwingloft/pkg/api"
 )
@@ -42,10 +41,11 @@
 		}
 		status.Hosts = append(status.Hosts, host)
 	}
+	table := h.upstreams.Table
 	for _, group := range snapshot.Document.Groups {
-		for _, instance := range h.table.Group(group.Name) {
+		for _, instance := range table.All(group.Name) {
 			status.Upstreams = append(status.Upstreams, console.UpstreamStatus{
-				Upstream: instance.ID, Group: group.Name, State: upstreamState(instance), InFlight: instance.InFlight(),
+				Upstream: instance.ID, Group: group.Name, State: string(table.State(instance)), InFlight: instance.InFlight(),
 			})
 		}
 	}
@@ -85,13 +85,6 @@
 	status.Stages[at].LostCost += stage.LostCost
 }
 
-func upstreamState(instance *upstream.Instance) string {
-	if instance.Available() {
-		return "healthy"
-	}
-	return "ejected"
-}
-
 // revisions reads earlier revisions from the key-value service.
 type revisions struct{ *configuration.Service }
 
--- a/internal/service/pipeline/executor.go
+++ b/internal/service/pipeline/executor.go
@@ -63,6 +63,8 @@
 	Budget *retry.Budget
 	// NoHedge turns hedges off.
 	NoHedge bool
+	// DataCentre is that of this host.
+	DataCentre api.DataCentre
 
 	latency latencies
 }
@@ -161,7 +163,7 @@
 	if err != nil {
 		return work.Output{}, r.withRun(fault.Wrap(api.KindInternal, err, "stage %s", r.stage.Name))
 	}
-	r.codec = codec
+	r.codec, r.prompt = codec, r.executor.newAffinity(codec, r.input)
 	start := time.Now()
 	ctx, cancel := r.stageContext(ctx)
 	defer cancel()
--- a/internal/service/pipeline/stage.go
+++ b/internal/service/pipeline/stage.go
@@ -9,7 +9,6 @@
 	"redwingloft/internal/data/work"
 	"redwingloft/internal/kernel"
 	"redwingloft/internal/service/retry"
-	"redwingloft/internal/service/route"
 	"redwingloft/internal/service/upstream"
 	"redwingloft/pkg/api"
 )
@@ -37,6 +36,7 @@
 	stage    *document.Stage
 	group    *document.Group
 	codec    kernel.Codec
+	prompt   affinity
 	measured *stageLatency
 	// input is the input of the next attempt.
 	input work.Input
@@ -123,7 +123,7 @@
 }
 
 func (r *stageRun) pick(avoid []*upstream.Instance) *upstream.Instance {
-	return r.executor.Router.Pick(r.executor.Table.Group(r.group.Name), route.Query{Avoid: avoid})
+	return r.executor.Router.Pick(r.executor.Table.Group(r.group.Name), r.prompt.query(r.request.Snapshot, avoid))
 }
 
 func (r *stageRun) launch(ctx context.Context, instance *upstream.Instance) *attempt {
@@ -132,7 +132,7 @@
 	r.cost.Attempts++
 	ctx, cancel := context.WithCancel(ctx)
 	launched := &attempt{
-		instance: instance, cancel: cancel, start: time.Now(),
+		instance: instance, cancel: cancel, start: time.Now(), answered: r.prompt.routed(instance),
 		tokens: make(chan work.Token), done: make(chan attemptResult, 1),
 	}
 	go launched.run(ctx, r.executor.Send, r.codec, r.input)
@@ -231,6 +231,7 @@
 		r.prefer(from)
 		r.current = nil
 		r.state.answered = true
+		from.answered(result.output)
 		r.charge(from, result, false)
 		return result.output, true, nil
 	}
--- a/internal/service/request/service.go
+++ b/internal/service/request/service.go
@@ -169,7 +169,7 @@
 // send sends a call once, avoiding the instances that were tried, and accounts for
 // its cost. It returns a *upstream.SendError or a no_upstream error.
 func (s *Service) send(ctx context.Context, call serviceSend, tried *[]*upstream.Instance) (order.Outcome, error) {
-	query := route.Query{}
+	query := route.Query{DataCentre: s.DataCentre}
 	if tried != nil {
 		query.Avoid = *tried
 	}
@@ -180,10 +180,11 @@
 	if tried != nil {
 		*tried = append(*tried, instance)
 	}
-	start := time.Now()
+	var usage upstream.Usage
 	var outcome order.Outcome
 	err := s.Sender.Do(ctx, upstream.Attempt{
 		Instance:  instance,
+		Usage:     &usage,
 		Exclusive: call.idempotency != "",
 		AnyStatus: true,
 		Build: func(ctx context.Context, base string) (*http.Request, error) {
@@ -195,7 +196,7 @@
 			return err
 		},
 	})
-	s.spend(call, time.Since(start), err)
+	s.spend(call, usage.Occupied, err)
 	return outcome, err
 }
 
