Keep the ports of loopback sites out of the ephemeral range

TestOrderRepeatedOnAnotherHost failed on an unchanged tree with 'nothing listens at 127.0.0.1:40083 after 20s': a port was chosen by binding port 0 and closing the listener, so the same port could be handed out twice, or be taken by an outgoing connection before its listener started. A site now hands out each port once, from 12000 to 32000, which is below the kernel's range for outgoing connections (32768 to 60999 here).

--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -63,6 +64,7 @@
 	Control         string
 	KeyValueControl string
 	HostList        string
+	ports           ports
 }
 
 // PeerSecret is the peer secret of every site.
@@ -81,10 +83,10 @@
 }
 
 func (s *Site) start() error {
-	if err := relocate(s.Options.Document); err != nil {
+	if err := relocate(s.Options.Document, &s.ports); err != nil {
 		return err
 	}
-	addresses, err := FreeAddresses(4)
+	addresses, err := s.ports.free(4)
 	if err != nil {
 		return err
 	}
@@ -123,12 +125,12 @@
 }
 
 // relocate gives every upstream of a document a free port.
-func relocate(doc *document.Document) error {
+func relocate(doc *document.Document, ports *ports) error {
 	count := 0
 	for _, group := range doc.Groups {
 		count += len(group.Upstreams)
 	}
-	free, err := FreeAddresses(count)
+	free, err := ports.free(count)
 	if err != nil {
 		return err
 	}
@@ -145,7 +147,7 @@
 
 // AddHost starts one more entry host. It does not wait until the host is ready.
 func (s *Site) AddHost(id string) (*Host, error) {
-	free, err := FreeAddresses(4)
+	free, err := s.ports.free(4)
 	if err != nil {
 		return nil, err
 	}
@@ -309,26 +311,48 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// FreeAddresses returns n loopback addresses that no listener uses now.
-func FreeAddresses(n int) ([]string, error) {
+// The ports of sites lie below the range from which the kernel takes the ports of
+// outgoing connections. A port from within that range can be taken by such a
+// connection between its choice and the start of its listener.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+// ports hands out addresses, each once. The zero value starts at a random port, so
+// that sites that run side by side rarely try the same ports.
+type ports struct {
+	// next is the next port to try; 0 before the first.
+	next int
+}
+
+// free returns n loopback addresses that no listener uses now.
+func (p *ports) free(n int) ([]string, error) {
+	if p.next == 0 {
+		p.next = firstPort + rand.IntN(lastPort-firstPort)
+	}
 	var addresses []string
-	var listeners []net.Listener
-	defer func() {
-		for _, listener := range listeners {
-			_ = listener.Close()
+	for range lastPort - firstPort {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", p.next)
+		if p.next++; p.next == lastPort {
+			p.next = firstPort
 		}
-	}()
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		listeners = append(listeners, listener)
-		addresses = append(addresses, listener.Addr().String())
+		_ = listener.Close()
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, errors.New("no free port is left")
 }
 
+// FreeAddresses returns n loopback addresses that no listener uses now.
+func FreeAddresses(n int) ([]string, error) { return (&ports{}).free(n) }
+
 // WaitDial waits until a listener accepts connections at address.
 func WaitDial(address string, timeout time.Duration) error {
 	end := time.Now().Add(timeout)
