Classify the errors of the key-value service and bound its replies

The client took every status below 500 as not applied. The gateway answers 408 and 499 for a cancelled write, which may still be applied, so only a list of refusals counts as not applied. A lost lease and a compacted watch have types of their own, because callers react to them: a new lease, a new read. An endpoint that gives no reply is left for later calls; only a failed dial moves the same request on, as anything else could apply it twice.

Decoders check revisions, keys and the number of responses. A range compare (no key under a prefix newer than a revision) notices an added member document, which a compare of known keys can't. The stand-in applies the service's limits: 128 operations, no key twice, 1.5 MiB. Faults can be limited to a path, such as transactions only.

--- a/internal/data/store/keys.go
+++ b/internal/data/store/keys.go
@@ -16,7 +16,10 @@
 func (k Keys) Manifest() string { return k.Prefix + "config/manifest" }
 
 // Part is the key of a configuration part with the given hex SHA-256 digest.
-func (k Keys) Part(digest string) string { return k.Prefix + "config/parts/" + digest }
+func (k Keys) Part(digest string) string { return k.PartsPrefix() + digest }
+
+// PartsPrefix is the prefix of all configuration parts.
+func (k Keys) PartsPrefix() string { return k.Prefix + "config/parts/" }
 
 // History is the key of the manifest of an earlier revision.
 func (k Keys) History(revision api.Revision) string {
--- a/internal/data/store/store.go
+++ b/internal/data/store/store.go
@@ -26,10 +26,21 @@
 	Created Version
 }
 
+// Limits of one transaction and one value. The service refuses larger ones.
+const (
+	// MaxOperations bounds the compares, the writes and the reads of a transaction, each on their own.
+	MaxOperations = 128
+	// MaxValue bounds a value, in bytes.
+	MaxValue = 1 << 20
+)
+
 // Compare is true when the key has the given version. Version 0 asks that the key does not exist.
 type Compare struct {
 	Key     string
 	Version Version
+	// Prefix makes the compare true when no key that starts with Key is newer than
+	// Version, so that an added key is noticed as well as a changed one.
+	Prefix bool
 }
 
 // Put writes a key.
@@ -94,6 +105,19 @@
 // ErrUnknownOutcome is the type of errors after which a write may have been applied.
 var ErrUnknownOutcome = errorx.NewType(namespace, "unknown_outcome")
 
+// ErrLeaseNotFound is the type of errors of a write with a lease that has ended. Nothing was applied.
+var ErrLeaseNotFound = ErrUnavailable.NewSubtype("lease_not_found")
+
+// ErrCompacted is the type of errors of a watch from a revision whose events the
+// service no longer has. The caller reads the keys anew and watches from there.
+var ErrCompacted = ErrUnavailable.NewSubtype("compacted")
+
+// IsErrLeaseNotFound reports whether a write failed because its lease has ended.
+func IsErrLeaseNotFound(err error) bool { return errorx.IsOfType(err, ErrLeaseNotFound) }
+
+// IsErrCompacted reports whether a watch started from a revision that is no longer kept.
+func IsErrCompacted(err error) bool { return errorx.IsOfType(err, ErrCompacted) }
+
 // IsErrUnavailable reports whether nothing was applied.
 func IsErrUnavailable(err error) bool { return errorx.IsOfType(err, ErrUnavailable) }
 
--- a/internal/plugin/etcd/etcd.go
+++ b/internal/plugin/etcd/etcd.go
@@ -14,13 +14,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/kernel"
 )
 
 const (
 	defaultTimeout = 2 * time.Second
-	// maxReply bounds a reply: values have up to a megabyte and travel in base64.
+	// maxReply bounds a reply and a message of a watch: values have up to a megabyte
+	// and travel in base64.
 	maxReply = 64 << 20
 )
 
@@ -51,12 +54,16 @@
 		timeout = defaultTimeout
 	}
 	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: timeout}).DialContext,
-		MaxIdleConnsPerHost:   8,
-		IdleConnTimeout:       30 * time.Second,
-		ResponseHeaderTimeout: 0,
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	client := &http.Client{
+		Transport: transport,
+		// A redirected write could be applied at an endpoint that was not configured.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
-	return &Client{endpoints: options.Endpoints, timeout: timeout, http: &http.Client{Transport: transport}}, nil
+	return &Client{endpoints: options.Endpoints, timeout: timeout, http: client}, nil
 }
 
 // Calls returns the number of calls made so far, a watch counted as one.
@@ -64,15 +71,15 @@
 
 // Get returns the entry of key, or nil where it does not exist.
 func (c *Client) Get(ctx context.Context, key string) (*store.Entry, error) {
-	var reply rangeReply
-	if err := c.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &reply); err != nil {
+	body, err := c.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)})
+	if err != nil {
 		return nil, readError(err)
 	}
-	if len(reply.Kvs) == 0 {
-		return nil, nil
+	entries, err := decodeRange(body)
+	if err != nil || len(entries) == 0 {
+		return nil, readError(err)
 	}
-	entry := reply.Kvs[0].entry()
-	return &entry, nil
+	return &entries[0], nil
 }
 
 // List returns the entries under prefix in key order.
@@ -82,69 +89,49 @@
 		start = []byte(from)
 	}
 	request := rangeRequest{Key: start, RangeEnd: prefixEnd(prefix), Limit: int64(limit)}
-	var reply rangeReply
-	if err := c.call(ctx, "/v3/kv/range", request, &reply); err != nil {
+	body, err := c.call(ctx, "/v3/kv/range", request)
+	if err != nil {
 		return nil, readError(err)
 	}
-	entries := make([]store.Entry, 0, len(reply.Kvs))
-	for _, kv := range reply.Kvs {
-		entries = append(entries, kv.entry())
-	}
-	return entries, nil
+	entries, err := decodeRange(body)
+	return entries, readError(err)
 }
 
 // Txn applies txn where all its compares hold.
 func (c *Client) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
-	var reply txnReply
-	if err := c.call(ctx, "/v3/kv/txn", newTxnRequest(txn), &reply); err != nil {
+	body, err := c.call(ctx, "/v3/kv/txn", newTxnRequest(txn))
+	if err != nil {
 		return store.TxnResult{}, err
 	}
-	result := store.TxnResult{Applied: reply.Succeeded, Version: store.Version(reply.Header.Revision)}
-	if reply.Succeeded {
-		return result, nil
-	}
-	for _, response := range reply.Responses {
-		if response.Range == nil {
-			continue
-		}
-		for _, kv := range response.Range.Kvs {
-			result.Entries = append(result.Entries, kv.entry())
-		}
-	}
-	return result, nil
+	return decodeTxn(body, len(txn.ReadElse))
 }
 
 // Grant makes a lease. The gateway counts its time in whole seconds.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
 	seconds := int64((ttl + time.Second - 1) / time.Second)
-	var reply leaseReply
-	if err := c.call(ctx, "/v3/lease/grant", leaseRequest{TTL: seconds}, &reply); err != nil {
+	body, err := c.call(ctx, "/v3/lease/grant", leaseRequest{TTL: seconds})
+	if err != nil {
 		return 0, err
 	}
-	return store.LeaseID(reply.ID), nil
+	return decodeGrant(body)
 }
 
-// KeepAlive extends a lease. A lease that has ended gives ErrUnavailable.
+// KeepAlive extends a lease. A lease that has ended gives ErrLeaseNotFound.
 func (c *Client) KeepAlive(ctx context.Context, lease store.LeaseID) error {
-	var reply struct {
-		Result leaseReply `json:"result"`
-	}
-	if err := c.call(ctx, "/v3/lease/keepalive", leaseRequest{ID: int64(lease)}, &reply); err != nil {
+	body, err := c.call(ctx, "/v3/lease/keepalive", leaseRequest{ID: int64(lease)})
+	if err != nil {
 		return err
 	}
-	if reply.Result.TTL <= 0 {
-		return store.ErrUnavailable.New("lease %d has ended", lease)
-	}
-	return nil
+	return decodeKeepAlive(body, lease)
 }
 
 // Revoke ends a lease and deletes its keys.
 func (c *Client) Revoke(ctx context.Context, lease store.LeaseID) error {
-	var reply struct{}
-	return c.call(ctx, "/v3/lease/revoke", leaseRequest{ID: int64(lease)}, &reply)
+	_, err := c.call(ctx, "/v3/lease/revoke", leaseRequest{ID: int64(lease)})
+	return err
 }
 
-// Watch calls f with the changes under prefix from version from on.
+// Watch calls f with the changes under prefix from version from on; 0 means from now on.
 func (c *Client) Watch(ctx context.Context, prefix string, from store.Version, f func([]store.Event)) error {
 	request := watchRequest{}
 	request.Create.Key = []byte(prefix)
@@ -152,44 +139,35 @@
 	request.Create.StartRevision = int64(from)
 	response, err := c.open(ctx, "/v3/watch", request)
 	if err != nil {
-		return err
+		return readError(err)
 	}
 	defer response.Body.Close()
-	decoder := json.NewDecoder(response.Body)
-	for {
-		var message watchReply
-		if err := decoder.Decode(&message); err != nil {
-			return store.ErrUnavailable.Wrap(err, "the watch broke")
-		}
-		if message.Result.Canceled {
-			return store.ErrUnavailable.New("the watch was cancelled: %s", message.Result.CancelReason)
-		}
-		if events := message.events(); len(events) > 0 {
-			f(events)
-		}
-	}
+	return readWatch(response.Body, f)
 }
 
-// call sends one request and decodes its reply. Only a failed dial is certain not to have been applied.
-func (c *Client) call(ctx context.Context, path string, request, reply any) error {
+// call sends one request and returns the body of its reply.
+func (c *Client) call(ctx context.Context, path string, request any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	response, err := c.open(ctx, path, request)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply))
-	if err != nil {
-		return store.ErrUnknownOutcome.Wrap(err, "the reply of %s broke off", path)
-	}
-	if err := json.Unmarshal(body, reply); err != nil {
-		return store.ErrUnknownOutcome.Wrap(err, "the reply of %s is not valid", path)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxReply+1))
+	switch {
+	case err != nil:
+		c.skip(response.Request.URL.Scheme + "://" + response.Request.URL.Host)
+		return nil, store.ErrUnknownOutcome.Wrap(err, "the reply of %s broke off", path)
+	case len(body) > maxReply:
+		return nil, store.ErrUnknownOutcome.New("the reply of %s has more than %d bytes", path, maxReply)
 	}
-	return nil
+	return body, nil
 }
 
-// open sends one request to the current endpoint, or to the next where the dial fails.
+// open sends one request to the current endpoint. A failed dial, after which
+// nothing was applied, moves on to the next endpoint with the same request; after
+// an unknown outcome only later calls use the next one.
 func (c *Client) open(ctx context.Context, path string, request any) (*http.Response, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -205,14 +183,25 @@
 			return response, nil
 		}
 		last = err
-		if !store.IsErrUnavailable(err) || ctx.Err() != nil {
+		if isErrRefused(err) || store.IsErrLeaseNotFound(err) {
 			return nil, err
 		}
 		c.current.CompareAndSwap(index, index+1)
+		if !store.IsErrUnavailable(err) || ctx.Err() != nil {
+			return nil, err
+		}
 	}
 	return nil, last
 }
 
+// skip makes later calls use the endpoint after the given one where that is the current one.
+func (c *Client) skip(endpoint string) {
+	index := c.current.Load()
+	if c.endpoints[int(index)%len(c.endpoints)] == endpoint {
+		c.current.CompareAndSwap(index, index+1)
+	}
+}
+
 func (c *Client) post(ctx context.Context, url string, body []byte) (*http.Response, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
@@ -233,13 +222,37 @@
 	return response, nil
 }
 
-// statusError maps a refusal: client errors were not applied, server errors may have been.
+// errRefused is the type of errors of a request that the service answered with a
+// refusal; another endpoint would answer the same.
+var errRefused = store.ErrUnavailable.NewSubtype("refused")
+
+// isErrRefused reports whether the service refused the request itself.
+func isErrRefused(err error) bool { return errorx.IsOfType(err, errRefused) }
+
+// refusals are the statuses after which it is certain that nothing was applied:
+// the gateway or the service refused the request before the write. The gateway
+// also maps a cancelled or timed-out call to 408 and 499, and a write that was
+// proposed may then still be applied, so they are not listed.
+var refusals = map[int]bool{
+	http.StatusBadRequest: true, http.StatusUnauthorized: true, http.StatusForbidden: true,
+	http.StatusNotFound: true, http.StatusMethodNotAllowed: true, http.StatusPreconditionFailed: true,
+	http.StatusRequestEntityTooLarge: true, http.StatusUnsupportedMediaType: true,
+	http.StatusTooManyRequests: true,
+}
+
+// leaseNotFound is the message of a refused write whose lease has ended.
+const leaseNotFound = "requested lease not found"
+
+// statusError maps an answer other than 200.
 func statusError(status int, text []byte) error {
 	message := fmt.Sprintf("the key-value service answered %d: %s", status, bytes.TrimSpace(text))
-	if status < http.StatusInternalServerError {
-		return store.ErrUnavailable.New("%s", message)
+	switch {
+	case !refusals[status]:
+		return store.ErrUnknownOutcome.New("%s", message)
+	case bytes.Contains(text, []byte(leaseNotFound)):
+		return store.ErrLeaseNotFound.New("%s", message)
 	}
-	return store.ErrUnknownOutcome.New("%s", message)
+	return errRefused.New("%s", message)
 }
 
 func sendError(err error) error {
--- a/internal/plugin/etcd/wire.go
+++ b/internal/plugin/etcd/wire.go
@@ -1,6 +1,8 @@
 package etcd
 
 import (
+	"encoding/json"
+
 	"redwingloft/internal/data/store"
 )
 
@@ -24,15 +26,6 @@
 	ModRevision    int64  `json:"mod_revision,string"`
 }
 
-func (kv keyValue) entry() store.Entry {
-	return store.Entry{
-		Key:     string(kv.Key),
-		Value:   kv.Value,
-		Version: store.Version(kv.ModRevision),
-		Created: store.Version(kv.CreateRevision),
-	}
-}
-
 type rangeReply struct {
 	Header header     `json:"header"`
 	Kvs    []keyValue `json:"kvs"`
@@ -50,6 +43,7 @@
 
 type compare struct {
 	Key         []byte `json:"key"`
+	RangeEnd    []byte `json:"range_end,omitempty"`
 	Target      string `json:"target"`
 	Result      string `json:"result"`
 	ModRevision int64  `json:"mod_revision,string"`
@@ -78,9 +72,7 @@
 func newTxnRequest(txn store.Txn) txnRequest {
 	request := txnRequest{}
 	for _, condition := range txn.If {
-		request.Compare = append(request.Compare, compare{
-			Key: []byte(condition.Key), Target: "MOD", Result: "EQUAL", ModRevision: int64(condition.Version),
-		})
+		request.Compare = append(request.Compare, newCompare(condition))
 	}
 	for _, put := range txn.Puts {
 		request.Success = append(request.Success, operation{Put: &putRequest{
@@ -96,6 +88,17 @@
 	return request
 }
 
+// newCompare translates a compare. Over a range it holds for all keys of the range, and for none.
+func newCompare(condition store.Compare) compare {
+	if condition.Prefix {
+		return compare{
+			Key: []byte(condition.Key), RangeEnd: prefixEnd(condition.Key),
+			Target: "MOD", Result: "LESS", ModRevision: int64(condition.Version) + 1,
+		}
+	}
+	return compare{Key: []byte(condition.Key), Target: "MOD", Result: "EQUAL", ModRevision: int64(condition.Version)}
+}
+
 type leaseRequest struct {
 	ID  int64 `json:"ID,omitempty,string"`
 	TTL int64 `json:"TTL,omitempty,string"`
@@ -116,20 +119,14 @@
 
 type watchReply struct {
 	Result struct {
-		Header       header `json:"header"`
-		Canceled     bool   `json:"canceled"`
-		CancelReason string `json:"cancel_reason"`
-		Events       []struct {
+		Header          header `json:"header"`
+		Canceled        bool   `json:"canceled"`
+		CancelReason    string `json:"cancel_reason"`
+		CompactRevision int64  `json:"compact_revision,string"`
+		Events          []struct {
 			Type string   `json:"type"`
 			KV   keyValue `json:"kv"`
 		} `json:"events"`
 	} `json:"result"`
-}
-
-func (r watchReply) events() []store.Event {
-	events := make([]store.Event, 0, len(r.Result.Events))
-	for _, event := range r.Result.Events {
-		events = append(events, store.Event{Entry: event.KV.entry(), Deleted: event.Type == "DELETE"})
-	}
-	return events
+	Error json.RawMessage `json:"error"`
 }
--- a/internal/plugin/memory/memory.go
+++ b/internal/plugin/memory/memory.go
@@ -30,7 +30,9 @@
 	lastLease store.LeaseID
 	// history holds the events of all versions, for watches that start in the past.
 	history []versioned
-	changed chan struct{}
+	// compacted is the highest version whose events are no longer kept.
+	compacted store.Version
+	changed   chan struct{}
 }
 
 type entry struct {
@@ -113,13 +115,13 @@
 	defer s.mu.Unlock()
 	s.expire()
 	for _, compare := range txn.If {
-		if s.entries[compare.Key].Version != compare.Version {
+		if !s.holds(compare) {
 			return s.readElse(txn.ReadElse), nil
 		}
 	}
 	for _, put := range txn.Puts {
 		if put.Lease != 0 && s.leases[put.Lease] == nil {
-			return store.TxnResult{}, store.ErrUnavailable.New("lease %d does not exist", put.Lease)
+			return store.TxnResult{}, store.ErrLeaseNotFound.New("lease %d does not exist", put.Lease)
 		}
 	}
 	if len(txn.Puts)+len(txn.Deletes) > 0 {
@@ -135,6 +137,31 @@
 	return store.TxnResult{Applied: true, Version: s.version}, nil
 }
 
+// holds reports whether a compare is true. The caller holds mu.
+func (s *Store) holds(compare store.Compare) bool {
+	if !compare.Prefix {
+		return s.entries[compare.Key].Version == compare.Version
+	}
+	for key, found := range s.entries {
+		if strings.HasPrefix(key, compare.Key) && found.Version > compare.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// Compact drops the events up to and including version up to, as the service does from time to time.
+func (s *Store) Compact(upTo store.Version) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := 0
+	for kept < len(s.history) && s.history[kept].version <= upTo {
+		kept++
+	}
+	s.history = append([]versioned(nil), s.history[kept:]...)
+	s.compacted = max(s.compacted, upTo)
+}
+
 func (s *Store) readElse(keys []string) store.TxnResult {
 	result := store.TxnResult{Version: s.version}
 	for _, key := range keys {
@@ -168,6 +195,7 @@
 func (s *Store) record(event store.Event) {
 	s.history = append(s.history, versioned{s.version, event})
 	if len(s.history) > historyLimit {
+		s.compacted = s.history[historyLimit/2-1].version
 		s.history = append([]versioned(nil), s.history[historyLimit/2:]...)
 	}
 }
@@ -214,7 +242,7 @@
 	s.expire()
 	held := s.leases[id]
 	if held == nil {
-		return store.ErrUnavailable.New("lease %d does not exist", id)
+		return store.ErrLeaseNotFound.New("lease %d does not exist", id)
 	}
 	held.end = s.now().Add(held.ttl)
 	return nil
@@ -230,9 +258,12 @@
 	return nil
 }
 
-// Watch calls f with the changes under prefix from version from on.
+// Watch calls f with the changes under prefix from version from on; 0 means from now on.
 func (s *Store) Watch(ctx context.Context, prefix string, from store.Version, f func([]store.Event)) error {
 	next := from
+	if next == 0 {
+		next = s.Version() + 1
+	}
 	for {
 		events, changed, last, err := s.since(prefix, next)
 		if err != nil {
@@ -250,16 +281,26 @@
 	}
 }
 
+// Version returns the revision of the last write.
+func (s *Store) Version() store.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
+// since returns the events from version from on, a channel that is closed at the
+// next change, and the version up to which the events are complete.
 func (s *Store) since(prefix string, from store.Version) ([]store.Event, <-chan struct{}, store.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	if len(s.history) > 0 && from < s.history[0].version && s.history[0].version > 1 {
-		return nil, nil, 0, store.ErrUnavailable.New("version %d is compacted", from)
+	if from <= s.compacted {
+		return nil, nil, 0, store.ErrCompacted.New("version %d is compacted", from)
 	}
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].version >= from })
 	var events []store.Event
-	for _, past := range s.history {
-		if past.version >= from && strings.HasPrefix(past.event.Key, prefix) {
+	for _, past := range s.history[first:] {
+		if strings.HasPrefix(past.event.Key, prefix) {
 			events = append(events, past.event)
 		}
 	}
--- a/standin/injection/injection.go
+++ b/standin/injection/injection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -41,6 +42,9 @@
 	DelayMs int64 `json:"delay_ms,omitempty"`
 	// Bytes is the reply size after which ModeCut cuts.
 	Bytes int `json:"bytes,omitempty"`
+	// Path limits the fault to requests whose path starts with it; empty means all.
+	// It does not apply to ModeRefuse and ModeSilence, which act on connections.
+	Path string `json:"path,omitempty"`
 	// Count is the number of requests that fail; 0 means all until the fault is cleared.
 	Count int `json:"count,omitempty"`
 }
@@ -93,11 +97,11 @@
 }
 
 // take returns the fault of a mode where it is in force, and counts it.
-func (i *Injector) take(mode Mode) (Fault, bool) {
+func (i *Injector) take(mode Mode, path string) (Fault, bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	fault := i.faults[mode]
-	if fault == nil {
+	if fault == nil || !strings.HasPrefix(path, fault.Path) {
 		return Fault{}, false
 	}
 	if fault.Count > 0 {
@@ -121,31 +125,31 @@
 // Handler wraps next with the faults of requests.
 func (i *Injector) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if fault, on := i.take(ModeDelay); on {
+		if fault, on := i.take(ModeDelay, r.URL.Path); on {
 			time.Sleep(time.Duration(fault.DelayMs) * time.Millisecond)
 		}
-		if _, on := i.take(ModeFreeze); on {
+		if _, on := i.take(ModeFreeze, r.URL.Path); on {
 			select {
 			case <-i.wait():
 			case <-r.Context().Done():
 				return
 			}
 		}
-		if _, on := i.take(ModeUnavailable); on {
+		if _, on := i.take(ModeUnavailable, r.URL.Path); on {
 			http.Error(w, "injected fault", http.StatusServiceUnavailable)
 			return
 		}
-		if _, on := i.take(ModeDraining); on {
+		if _, on := i.take(ModeDraining, r.URL.Path); on {
 			w.Header().Set("Connection", "close")
 			w.Header().Set("Retry-After", "1")
 			http.Error(w, "draining", http.StatusServiceUnavailable)
 			return
 		}
-		if _, on := i.take(ModeDropReply); on {
+		if _, on := i.take(ModeDropReply, r.URL.Path); on {
 			next.ServeHTTP(&discard{header: http.Header{}}, r)
 			panic(http.ErrAbortHandler)
 		}
-		if fault, on := i.take(ModeCut); on {
+		if fault, on := i.take(ModeCut, r.URL.Path); on {
 			w = &cutter{ResponseWriter: w, left: fault.Bytes}
 		}
 		next.ServeHTTP(w, r)
@@ -194,7 +198,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if _, on := l.injector.take(ModeRefuse); on {
+		if _, on := l.injector.take(ModeRefuse, ""); on {
 			if tcp, ok := raw.(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0)
 			}
--- a/standin/keyvalue/keyvalue.go
+++ b/standin/keyvalue/keyvalue.go
@@ -66,13 +66,24 @@
 		}
 		answer, err := f(r.Context(), request)
 		if err != nil {
-			http.Error(w, err.Error(), http.StatusNotFound)
+			refuse(w, err)
 			return
 		}
 		reply(w, answer)
 	})
 }
 
+// refuse answers with the status and the message of the gateway.
+func refuse(w http.ResponseWriter, err error) {
+	status, message := http.StatusBadRequest, err.Error()
+	if store.IsErrLeaseNotFound(err) {
+		status, message = http.StatusNotFound, "etcdserver: requested lease not found"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(map[string]string{"error": message, "message": message})
+}
+
 func reply(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(body)
@@ -88,7 +99,7 @@
 		answer.Kvs = append(answer.Kvs, newKeyValue(*entry))
 		return answer, nil
 	}
-	entries, err := s.Store.List(ctx, "", string(request.Key), 0)
+	entries, err := s.Store.List(ctx, common(request.Key, request.RangeEnd), string(request.Key), 0)
 	if err != nil {
 		return nil, err
 	}
@@ -101,7 +112,19 @@
 	return answer, nil
 }
 
+// common returns the longest common prefix, under which all keys between a and b lie.
+func common(a, b []byte) string {
+	n := 0
+	for n < len(a) && n < len(b) && a[n] == b[n] {
+		n++
+	}
+	return string(a[:n])
+}
+
 func (s *Server) txn(ctx context.Context, request txnRequest) (any, error) {
+	if err := request.check(); err != nil {
+		return nil, err
+	}
 	result, err := s.Store.Txn(ctx, request.store())
 	if err != nil {
 		return nil, err
@@ -159,6 +182,9 @@
 	if err != nil && r.Context().Err() == nil {
 		canceled := newWatchReply(nil)
 		canceled.Result.Canceled, canceled.Result.CancelReason = true, err.Error()
+		if store.IsErrCompacted(err) {
+			canceled.Result.CompactRevision = int64(s.Store.Version())
+		}
 		_ = encoder.Encode(canceled)
 	}
 }
--- a/standin/keyvalue/wire.go
+++ b/standin/keyvalue/wire.go
@@ -1,6 +1,10 @@
 package keyvalue
 
-import "redwingloft/internal/data/store"
+import (
+	"errors"
+
+	"redwingloft/internal/data/store"
+)
 
 // The gateway encodes bytes in base64 and 64-bit integers as strings. These
 // types are separate from those of the client, so that a mistake in one of them shows.
@@ -45,6 +49,9 @@
 type txnRequest struct {
 	Compare []struct {
 		Key         []byte `json:"key"`
+		RangeEnd    []byte `json:"range_end"`
+		Target      string `json:"target"`
+		Result      string `json:"result"`
 		ModRevision int64  `json:"mod_revision,string"`
 	} `json:"compare"`
 	Success []operation `json:"success"`
@@ -54,7 +61,12 @@
 func (r txnRequest) store() store.Txn {
 	txn := store.Txn{}
 	for _, compare := range r.Compare {
-		txn.If = append(txn.If, store.Compare{Key: string(compare.Key), Version: store.Version(compare.ModRevision)})
+		condition := store.Compare{Key: string(compare.Key), Version: store.Version(compare.ModRevision)}
+		if len(compare.RangeEnd) > 0 {
+			condition.Prefix = true
+			condition.Version--
+		}
+		txn.If = append(txn.If, condition)
 	}
 	for _, operation := range r.Success {
 		if put := operation.Put; put != nil {
@@ -72,6 +84,41 @@
 	return txn
 }
 
+// limits of the service's defaults, which it applies to each transaction.
+const (
+	maxOperations = 128
+	maxRequest    = 3 << 19
+)
+
+// check refuses what the service refuses.
+func (r txnRequest) check() error {
+	if max(len(r.Compare), len(r.Success), len(r.Failure)) > maxOperations {
+		return errors.New("etcdserver: too many operations in txn request")
+	}
+	seen, size := map[string]bool{}, 0
+	for _, operation := range r.Success {
+		if operation.Put == nil {
+			continue
+		}
+		size += len(operation.Put.Key) + len(operation.Put.Value)
+		if seen[string(operation.Put.Key)] {
+			return errors.New("etcdserver: duplicate key given in txn request")
+		}
+		seen[string(operation.Put.Key)] = true
+	}
+	if size > maxRequest {
+		return errors.New("etcdserver: request is too large")
+	}
+	for _, compare := range r.Compare {
+		exact := compare.Result == "EQUAL" && len(compare.RangeEnd) == 0
+		older := compare.Result == "LESS" && len(compare.RangeEnd) > 0
+		if compare.Target != "MOD" || (!exact && !older) {
+			return errors.New("this stand-in compares only a key's revision, or a range with LESS")
+		}
+	}
+	return nil
+}
+
 type response struct {
 	Range *rangeReply `json:"response_range,omitempty"`
 }
@@ -119,9 +166,10 @@
 
 type watchReply struct {
 	Result struct {
-		Canceled     bool    `json:"canceled,omitempty"`
-		CancelReason string  `json:"cancel_reason,omitempty"`
-		Events       []event `json:"events,omitempty"`
+		Canceled        bool    `json:"canceled,omitempty"`
+		CancelReason    string  `json:"cancel_reason,omitempty"`
+		CompactRevision int64   `json:"compact_revision,omitempty,string"`
+		Events          []event `json:"events,omitempty"`
 	} `json:"result"`
 }
 
