Run orders at most once with merged claims and stored outcomes

Each order cost one transaction for its claim and one for its outcome, a lost reply left the claim unsettled, and records never expired. Writes of a shard are now merged: while one transaction is under way, the others wait for the next. A try without a reply is sent again with the same token. A claim whose result stays unclear is told 'not run', kept in a bounded list and deleted by its token when the store returns; the list also keeps outcomes that could not be written. Claims go to an aggregator through Desk.Forward, and directly where that is nil or fails. Records are attached to one lease an hour and host.

Ruled out: deletion by the aggregator of claims whose sender left. The sender may have settled the same claim directly and be sending the order.

'Not run' is about the call that gets it. A host can't know whether another call of the same key ran while the store is out, so the model takes it as the last word for a key where all calls of the key got it.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -35,8 +35,15 @@
 	_ "redwingloft/internal/plugin/openai"
 )
 
-// refreshPeriod is the time between two reads of the store's manifest and members.
-const refreshPeriod = time.Second
+const (
+	// refreshPeriod is the time between two reads of the store's members.
+	refreshPeriod = time.Second
+	// settlePeriod is the time between two tries to write order records that could not be written.
+	settlePeriod = time.Second
+	// claimInterval spaces the transactions of one order shard, so that the 16 shards
+	// of an aggregator make at most some 600 a second, for claims and outcomes each.
+	claimInterval = 25 * time.Millisecond
+)
 
 // host assembles the parts of one entry host.
 type host struct {
@@ -71,7 +78,7 @@
 		},
 	}
 	table := &upstream.Table{}
-	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply}
+	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply, Metrics: h.metrics}
 	h.requests = newRequests(h, kv, keys, table)
 	return h, nil
 }
@@ -83,7 +90,11 @@
 		Executor: &pipeline.Executor{Table: table, Router: router, Sender: sender},
 		Table:    table, Router: router, Sender: sender,
 	}
-	requests.Orders = &order.Desk{Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder}
+	requests.Orders = &order.Desk{
+		Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder, Metrics: h.metrics,
+		Retention: h.settings.Store.Retention, Interval: claimInterval,
+		LongestDeadline: func() time.Duration { return h.snapshots.Load().LongestCall() },
+	}
 	return requests
 }
 
@@ -105,8 +116,7 @@
 		if err := h.start(ctx); err != nil {
 			return err
 		}
-		<-ctx.Done()
-		return ctx.Err()
+		return h.configuration.Watch(ctx)
 	}, func(error) { cancel() })
 	callers := &caller.Handler{
 		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log,
@@ -131,6 +141,7 @@
 	}
 	h.refresh(ctx)
 	h.timer.Every(refreshPeriod, func(time.Time) { h.refresh(ctx) })
+	h.timer.Every(settlePeriod, func(time.Time) { h.requests.Orders.Settle(ctx) })
 	return nil
 }
 
@@ -158,9 +169,6 @@
 }
 
 func (h *host) refresh(ctx context.Context) {
-	if err := h.configuration.Refresh(ctx); err != nil {
-		h.log.Warn().Err(err).Msg("configuration_refresh_failed")
-	}
 	if err := h.members.Refresh(ctx); err != nil {
 		h.log.Warn().Err(err).Msg("members_refresh_failed")
 	}
--- a/internal/data/document/snapshot.go
+++ b/internal/data/document/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"redwingloft/pkg/api"
 )
@@ -122,6 +123,17 @@
 	return nil
 }
 
+// LongestCall returns the longest deadline of all calls of plain services.
+func (s *Snapshot) LongestCall() time.Duration {
+	longest := Milliseconds(0)
+	for _, service := range s.Services {
+		for _, call := range service.Calls {
+			longest = max(longest, call.Deadline)
+		}
+	}
+	return longest.Duration()
+}
+
 // Version returns the named version of a pipeline, or nil.
 func (s *Snapshot) Version(pipeline api.PipelineName, version api.VersionName) *Version {
 	p := s.Pipelines[pipeline]
--- a/internal/service/configuration/service.go
+++ b/internal/service/configuration/service.go
@@ -4,133 +4,160 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
 	"github.com/phuslu/log"
 
 	"redwingloft/internal/data/document"
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/helper/metric"
 	"redwingloft/pkg/api"
 )
 
-// Manifest describes one accepted configuration.
-type Manifest struct {
-	Revision api.Revision `json:"revision"`
-	// Commit is the random id of the commit, by which a lost reply is settled.
-	Commit string    `json:"commit"`
-	Author string    `json:"author"`
-	Time   time.Time `json:"time"`
-	// Comment is the operator's reason.
-	Comment string `json:"comment,omitempty"`
-	// Document is the whole document.
-	Document json.RawMessage `json:"document"`
-}
-
-// Service keeps the configuration of a host.
+// Service keeps the configuration of a host. Store, Holder and Log must be set.
 type Service struct {
 	Store  store.Store
 	Keys   store.Keys
 	Holder *document.Holder
 	Log    *log.Logger
-	// Applied is called with each snapshot that comes into force; nil is skipped.
+	// Applied is called with each snapshot that comes into force, in order; nil is skipped.
 	Applied func(*document.Snapshot)
+	// Follows reports whether this host watches the store; nil means that it does.
+	// Other hosts learn of changes from their peers.
+	Follows func() bool
+	// PollPeriod is the longest time between two reads of a host that watches; 0 means 30 s.
+	PollPeriod time.Duration
+	Metrics    *metric.Set
+
+	once sync.Once
+	kv   store.Store
+	// slot holds one token; its holder may change what is in force.
+	slot chan struct{}
+	// refused is the id of the last commit whose document was refused.
+	refused atomic.Pointer[string]
+	// state is what is in force; nil before the first document.
+	state atomic.Pointer[inForce]
 }
 
-// Commit puts doc in force where base is still the revision in the store.
-func (s *Service) Commit(ctx context.Context, doc *document.Document, base api.Revision, author, comment string) (api.Revision, error) {
-	if _, err := document.Compile(doc, base+1); err != nil {
-		return 0, invalid(err)
-	}
-	entry, current, err := s.read(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if current.Revision != base {
-		return 0, fault.New(api.KindConflict, "the change was made from revision %d; revision %d is in force", base, current.Revision)
-	}
-	encoded, err := json.Marshal(doc)
-	if err != nil {
-		return 0, fault.Wrap(api.KindInternal, err, "encode the document")
-	}
-	next := Manifest{Revision: base + 1, Commit: uuid.NewString(), Author: author, Time: time.Now().UTC(), Comment: comment, Document: encoded}
-	value, err := json.Marshal(next)
-	if err != nil {
-		return 0, fault.Wrap(api.KindInternal, err, "encode the manifest")
-	}
-	version := store.Version(0)
-	if entry != nil {
-		version = entry.Version
-	}
-	result, err := s.Store.Txn(ctx, store.Txn{
-		If: []store.Compare{{Key: s.Keys.Manifest(), Version: version}},
-		Puts: []store.Put{
-			{Key: s.Keys.Manifest(), Value: value},
-			{Key: s.Keys.History(next.Revision), Value: value},
-		},
+// inForce is a manifest with its parts. It is immutable.
+type inForce struct {
+	manifest *Manifest
+	// parts holds the parts of the manifest and no others, by hex SHA-256.
+	parts map[string][]byte
+}
+
+func (s *Service) init() {
+	s.once.Do(func() {
+		s.kv = store.WithCause(s.Store, store.CauseConfiguration, s.Metrics)
+		s.slot = make(chan struct{}, 1)
 	})
-	switch {
-	case store.IsErrUnknownOutcome(err):
-		return 0, fault.Wrap(api.KindStoreOutcomeUnknown, err, "the commit may have been applied")
-	case err != nil:
-		return 0, fault.Wrap(api.KindStoreUnavailable, err, "the commit was not applied")
-	case !result.Applied:
-		return 0, fault.New(api.KindConflict, "another change was committed first")
-	}
-	s.apply(next)
-	return next.Revision, nil
 }
 
-func invalid(err error) error {
-	if typed, ok := err.(*document.InvalidError); ok {
-		return fault.WithFaults(fault.Wrap(api.KindBadRequest, err, "%s", err.Error()), typed.Faults)
+func (s *Service) count(name string) { s.Metrics.Counter("configuration." + name).Inc(1) }
+
+// Current returns the manifest in force, or nil before the first. It must not be changed.
+func (s *Service) Current() *Manifest {
+	if state := s.state.Load(); state != nil {
+		return state.manifest
 	}
-	return fault.Wrap(api.KindBadRequest, err, "the document is not valid")
+	return nil
 }
 
-func (s *Service) read(ctx context.Context) (*store.Entry, Manifest, error) {
-	entry, err := s.Store.Get(ctx, s.Keys.Manifest())
-	if err != nil {
-		return nil, Manifest{}, fault.Wrap(api.KindStoreUnavailable, err, "the configuration can't be read")
-	}
-	if entry == nil {
-		return nil, Manifest{}, nil
-	}
-	var manifest Manifest
-	if err := json.Unmarshal(entry.Value, &manifest); err != nil {
-		return nil, Manifest{}, fault.Wrap(api.KindInternal, err, "the manifest is not valid")
-	}
-	return entry, manifest, nil
+// Part returns a part of the configuration in force by its hex SHA-256. It must not be changed.
+func (s *Service) Part(digest string) ([]byte, bool) {
+	state := s.state.Load()
+	if state == nil {
+		return nil, false
+	}
+	data, found := state.parts[digest]
+	return data, found
 }
 
-// Refresh reads the manifest from the store and puts it in force where it is newer.
-func (s *Service) Refresh(ctx context.Context) error {
-	_, manifest, err := s.read(ctx)
-	if err != nil || manifest.Revision == 0 {
-		return err
+// revision returns the revision in force, or 0.
+func (s *Service) revision() api.Revision {
+	if manifest := s.Current(); manifest != nil {
+		return manifest.Revision
 	}
-	return s.apply(manifest)
+	return 0
 }
 
-func (s *Service) apply(manifest Manifest) error {
-	if current := s.Holder.Load(); current != nil && current.Revision >= manifest.Revision {
-		return nil
-	}
-	doc, err := document.Parse(manifest.Document)
+// currentProperty carries the revision in force on an error of a conflict.
+var currentProperty = errorx.RegisterProperty("current_revision")
+
+func conflict(base, current api.Revision) error {
+	err := fault.New(api.KindConflict, "the change was made from revision %d; revision %d is in force", base, current)
+	return err.WithProperty(currentProperty, current)
+}
+
+// CurrentOf returns the revision in force that the error of a conflict carries.
+func CurrentOf(err error) (api.Revision, bool) {
+	typed := errorx.Cast(err)
+	if typed == nil {
+		return 0, false
+	}
+	value, found := typed.Property(currentProperty)
+	if !found {
+		return 0, false
+	}
+	revision, ok := value.(api.Revision)
+	return revision, ok
+}
+
+func unavailable(err error) error {
+	return fault.Wrap(api.KindStoreUnavailable, err, "the configuration can't be read")
+}
+
+// stored is the manifest in the store.
+type stored struct {
+	// manifest is nil where the store has none.
+	manifest *Manifest
+	// version is the revision of the manifest, or 0.
+	version store.Version
+	// read is the revision of the store at the time of the read.
+	read store.Version
+}
+
+func (s *Service) read(ctx context.Context) (stored, error) {
+	entries, version, err := store.Read(ctx, s.kv, s.Keys.Manifest())
 	if err != nil {
-		return fmt.Errorf("revision %d: %w", manifest.Revision, err)
+		return stored{}, unavailable(err)
+	}
+	if len(entries) == 0 {
+		return stored{read: version}, nil
 	}
-	snapshot, err := document.Compile(doc, manifest.Revision)
+	manifest, err := ParseManifest(entries[0].Value)
 	if err != nil {
-		return fmt.Errorf("revision %d: %w", manifest.Revision, err)
+		return stored{}, s.refuse(err)
 	}
-	if s.Holder.Store(snapshot) {
-		s.Log.Info().Uint64("revision", uint64(manifest.Revision)).Msg("configuration_in_force")
-		if s.Applied != nil {
-			s.Applied(snapshot)
+	return stored{manifest: manifest, version: entries[0].Version, read: version}, nil
+}
+
+// readMembers returns the ids of all registered hosts, and the revision of the newest member document.
+func (s *Service) readMembers(ctx context.Context) ([]api.HostID, store.Version, error) {
+	entries, err := s.kv.List(ctx, s.Keys.MembersPrefix(), "", 0)
+	if err != nil {
+		return nil, 0, unavailable(err)
+	}
+	var hosts []api.HostID
+	newest := store.Version(0)
+	for _, entry := range entries {
+		newest = max(newest, entry.Version)
+		// Of a member document only the ids matter here.
+		var doc struct {
+			Members []struct {
+				Host api.HostID `json:"host"`
+			} `json:"members"`
+		}
+		if err := json.Unmarshal(entry.Value, &doc); err != nil {
+			return nil, 0, fault.Wrap(api.KindInternal, err, "member document %s is not valid", entry.Key)
+		}
+		for _, member := range doc.Members {
+			hosts = append(hosts, member.Host)
 		}
 	}
-	return nil
+	return hosts, newest, nil
 }
--- /dev/null
+++ b/internal/service/order/lease.go
@@ -0,0 +1,69 @@
+package order
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"redwingloft/internal/data/store"
+)
+
+// leasePeriod is the time for which a host attaches records to one lease. A lease
+// lives for the retention and one period, so each record lives for the retention.
+const leasePeriod = time.Hour
+
+// lease is the lease of the records that this host writes. The zero value has none yet.
+type lease struct {
+	mu sync.Mutex
+	id store.LeaseID
+	// granted is the time before the request of the lease, by the monotonic clock.
+	granted time.Time
+	// pending is closed when the grant under way has ended; nil means that none is.
+	pending chan struct{}
+}
+
+// get returns a lease that lives for at least the retention, and grants one where needed.
+func (l *lease) get(ctx context.Context, d *Desk) (store.LeaseID, error) {
+	for {
+		l.mu.Lock()
+		if l.id != 0 && d.now().Sub(l.granted) < leasePeriod {
+			defer l.mu.Unlock()
+			return l.id, nil
+		}
+		wait := l.pending
+		if wait == nil {
+			l.pending = make(chan struct{})
+			l.mu.Unlock()
+			return l.grant(ctx, d)
+		}
+		l.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return 0, store.ErrUnavailable.Wrap(ctx.Err(), "no lease was granted in time")
+		}
+	}
+}
+
+func (l *lease) grant(ctx context.Context, d *Desk) (store.LeaseID, error) {
+	start := d.now()
+	id, err := d.claims.Grant(ctx, d.retention()+leasePeriod)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		l.id, l.granted = id, start
+		d.count("leases")
+	}
+	close(l.pending)
+	l.pending = nil
+	return id, err
+}
+
+// forget drops a lease that the service no longer knows.
+func (l *lease) forget(id store.LeaseID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.id == id {
+		l.id = 0
+	}
+}
--- a/internal/service/order/order.go
+++ b/internal/service/order/order.go
@@ -3,47 +3,29 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
+	"errors"
+	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/helper/metric"
 	"redwingloft/pkg/api"
 )
 
 const (
-	// shards is the number of key ranges over which order records are spread.
-	shards = 16
-	// outcomeTimeout bounds the write of an outcome after the call has run.
-	outcomeTimeout = 500 * time.Millisecond
-)
-
-// State is the state of an order record.
-type State string
-
-// The states of an order record.
-const (
-	StateClaimed State = "claimed"
-	StateDone    State = "done"
+	// writeTimeout bounds the wait for the write of an outcome or a release; what is
+	// not written by then is written later by Settle.
+	writeTimeout = 500 * time.Millisecond
+	// leaderGrace bounds the wait of a caller for its own order after its deadline:
+	// the order ends with the deadline, except for one last write.
+	leaderGrace = 4 * writeTimeout
+	// maxBody is the largest body of an outcome that is stored, in bytes.
+	maxBody = 64 << 10
+	// defaultLongest is the longest deadline that a document allows.
+	defaultLongest = 10 * time.Minute
 )
 
-// Record is the value of an order key.
-type Record struct {
-	// Token is the random id of the claim.
-	Token string     `json:"token"`
-	Host  api.HostID `json:"host"`
-	State State      `json:"state"`
-	// Digest is the hex SHA-256 of the request body.
-	Digest string `json:"digest"`
-	// Status and Body are set in StateDone.
-	Status int    `json:"status,omitempty"`
-	Body   []byte `json:"body,omitempty"`
-}
-
 // Order is one call that may not be repeated.
 type Order struct {
 	Workspace api.WorkspaceName
@@ -52,6 +34,8 @@
 	// Key is the idempotency key, a UUID version 7.
 	Key  string
 	Body []byte
+	// Fenced tells that the upstreams refuse old fencing numbers.
+	Fenced bool
 }
 
 // Outcome is the answer of the upstream to an order.
@@ -62,95 +46,326 @@
 	Replayed bool
 }
 
-// Desk runs orders.
+// Desk runs orders. Store, Host and Send must be set.
 type Desk struct {
 	Store store.Store
 	Keys  store.Keys
 	Host  api.HostID
-	// Send sends the order to an upstream once. Its error tells by fault.RunOf whether it was run.
+	// Send sends the order to an upstream once. Its error tells by fault.RunOf
+	// whether it was run: RunNo only where the upstream received nothing.
 	Send func(ctx context.Context, order Order, fencing store.Version) (Outcome, error)
+	// Forward passes claims of one shard to the aggregator host of the shard, which
+	// answers with one result for each. Nil or an error means that this host claims
+	// directly. Forward returns ErrNotForwarded where this host is the aggregator.
+	Forward func(ctx context.Context, shard int, claims []Claim) ([]ClaimResult, error)
+	// HolderAlive reports whether a host may still be running; nil means that every host may.
+	HolderAlive func(api.HostID) bool
+	// LongestDeadline returns the longest deadline of any call; nil means the bound of the document.
+	LongestDeadline func() time.Duration
+	// Retention is the time for which records are kept; 0 means a day.
+	Retention time.Duration
+	// Interval is the least time between the starts of two transactions of a shard; 0 means none.
+	Interval time.Duration
+	Metrics  *metric.Set
+	// Clock returns the time; nil means time.Now.
+	Clock func() time.Time
+
+	once     sync.Once
+	claims   store.Store
+	outcomes store.Store
+	lease    lease
+	// claimers and writers hold the group commits of claims and of all other writes, by shard.
+	claimers [shards]*committer
+	writers  [shards]*committer
+	// forwarders hold the claims that wait for the aggregator, by shard.
+	forwarders [shards]*forwarder
+	pending    pendingList
+
+	mu sync.Mutex
+	// flights holds the orders that run on this host, by record id.
+	flights map[string]*flight
+}
+
+// flight is one order that runs on this host. Its outcome is set when done is closed.
+type flight struct {
+	digest  string
+	done    chan struct{}
+	outcome Outcome
+	err     error
+}
+
+func (d *Desk) init() {
+	d.once.Do(func() {
+		d.claims = store.WithCause(d.Store, store.CauseOrderClaim, d.Metrics)
+		d.outcomes = store.WithCause(d.Store, store.CauseOrderOutcome, d.Metrics)
+		d.flights = map[string]*flight{}
+		for shard := range shards {
+			d.claimers[shard] = newCommitter(d, d.claims)
+			d.writers[shard] = newCommitter(d, d.outcomes)
+			d.forwarders[shard] = newForwarder(d, shard)
+		}
+	})
+}
+
+func (d *Desk) now() time.Time {
+	if d.Clock != nil {
+		return d.Clock()
+	}
+	return time.Now()
+}
+
+func (d *Desk) retention() time.Duration {
+	if d.Retention > 0 {
+		return d.Retention
+	}
+	return 24 * time.Hour
 }
 
-// Call claims the order, sends it and records its outcome. A repeat of a finished
-// order returns the recorded outcome.
+func (d *Desk) longestDeadline() time.Duration {
+	if d.LongestDeadline != nil {
+		return d.LongestDeadline()
+	}
+	return defaultLongest
+}
+
+func (d *Desk) count(name string) { d.Metrics.Counter("order." + name).Inc(1) }
+
+// Call runs the order where no host has run it, and returns its outcome. A repeat
+// of a finished order returns the recorded outcome. The run state of an error is
+// about this call: RunNo says that this call sent nothing and will send nothing.
 func (d *Desk) Call(ctx context.Context, order Order) (Outcome, error) {
-	if _, err := uuid.Parse(order.Key); err != nil {
-		return Outcome{}, fault.New(api.KindOrderKeyRequired, "the call may not be repeated and needs an Idempotency-Key that is a UUID version 7")
+	d.init()
+	outcome, err := d.call(ctx, order)
+	switch {
+	case err != nil:
+		d.count("outcome." + string(fault.KindOf(err)))
+	case outcome.Replayed:
+		d.count("outcome.replayed")
+	default:
+		d.count("outcome.answered")
 	}
-	key, record := d.claim(order)
-	version, err := d.put(ctx, key, record, 0)
-	if err != nil {
+	return outcome, err
+}
+
+func (d *Desk) call(ctx context.Context, order Order) (Outcome, error) {
+	if err := d.checkKey(order.Key); err != nil {
 		return Outcome{}, err
 	}
-	if version == 0 {
-		return d.replay(ctx, key, record)
+	id, shard := identify(order)
+	claim := d.newClaim(id, order)
+	d.mu.Lock()
+	running, joins := d.flights[id]
+	if !joins {
+		running = &flight{digest: claim.Digest, done: make(chan struct{})}
+		d.flights[id] = running
+	}
+	d.mu.Unlock()
+	if joins {
+		return d.join(ctx, running, claim)
 	}
-	outcome, err := d.Send(ctx, order, version)
+	go d.fly(ctx, running, shard, claim, order)
+	return d.lead(ctx, running)
+}
+
+// fly runs the order to its end, even where its caller leaves: an order that was
+// sent can't be taken back, and its outcome is recorded for the repeat.
+func (d *Desk) fly(ctx context.Context, running *flight, shard int, claim Claim, order Order) {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		deadline = time.Now().Add(d.longestDeadline())
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	running.outcome, running.err = d.run(ctx, shard, claim, order)
+	d.mu.Lock()
+	delete(d.flights, claim.ID)
+	d.mu.Unlock()
+	close(running.done)
+}
+
+// lead waits for the caller's own order. The order ends soon after its deadline
+// and then knows whether it was sent, so the wait goes on a little longer.
+func (d *Desk) lead(ctx context.Context, running *flight) (Outcome, error) {
+	select {
+	case <-running.done:
+		return running.outcome, running.err
+	case <-ctx.Done():
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return Outcome{}, fault.New(api.KindCallerGone, "the caller left while the order ran")
+	}
+	grace := time.NewTimer(leaderGrace)
+	defer grace.Stop()
+	select {
+	case <-running.done:
+		return running.outcome, running.err
+	case <-grace.C:
+		return Outcome{}, fault.New(api.KindOrderOutcomeUnknown, "the order did not end by its deadline")
+	}
+}
+
+// join waits for the same order of another caller.
+func (d *Desk) join(ctx context.Context, running *flight, claim Claim) (Outcome, error) {
+	if running.digest != claim.Digest {
+		return Outcome{}, keyReused()
+	}
+	select {
+	case <-running.done:
+		return running.outcome, running.err
+	case <-ctx.Done():
+		return Outcome{}, inProgress()
+	}
+}
+
+func keyReused() error {
+	return fault.New(api.KindOrderKeyReused, "the idempotency key was used with another body")
+}
+
+func inProgress() error {
+	return fault.New(api.KindOrderInProgress, "the order is claimed by an earlier call")
+}
+
+// run claims the order, sends it and records its outcome.
+func (d *Desk) run(ctx context.Context, shard int, claim Claim, order Order) (Outcome, error) {
+	result := d.claim(ctx, shard, claim)
+	held := holding{shard: shard, claim: claim, version: result.Version, late: result.Unsettled}
+	switch result.State {
+	case ClaimTaken:
+		version, outcome, err := d.contend(ctx, held, result, order)
+		if version == 0 {
+			return outcome, err
+		}
+		held.version = version
+	case ClaimUnavailable:
+		return Outcome{}, d.unclaimed(ctx, held)
+	}
+	if order.Fenced {
+		if err := d.markSending(ctx, &held); err != nil {
+			return Outcome{}, err
+		}
+	}
+	if expired(ctx) {
+		d.release(held)
+		return Outcome{}, tooLate()
+	}
+	outcome, err := d.Send(ctx, order, held.version)
 	if err != nil {
 		if fault.RunOf(err) == api.RunNo {
-			d.release(key, version)
+			d.release(held)
 		}
 		return Outcome{}, err
 	}
-	record.State, record.Status, record.Body = StateDone, outcome.Status, outcome.Body
-	finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), outcomeTimeout)
-	defer cancel()
-	_, _ = d.put(finish, key, record, version)
+	d.record(held, outcome)
 	return outcome, nil
 }
 
-func (d *Desk) claim(order Order) (string, Record) {
-	name := sha256.New()
-	for _, part := range []string{string(order.Workspace), string(order.Service), string(order.Call), order.Key} {
-		name.Write([]byte(part))
-		name.Write([]byte{0})
-	}
-	sum := name.Sum(nil)
-	body := sha256.Sum256(order.Body)
-	record := Record{Token: uuid.NewString(), Host: d.Host, State: StateClaimed, Digest: hex.EncodeToString(body[:])}
-	return d.Keys.Order(int(sum[0])%shards, hex.EncodeToString(sum)), record
+// expired reports whether the deadline of ctx has passed by the monotonic clock.
+// It does not rely on the timer of ctx, which may fire late in a process that was paused.
+func expired(ctx context.Context) bool {
+	deadline, bounded := ctx.Deadline()
+	return ctx.Err() != nil || (bounded && time.Until(deadline) <= 0)
 }
 
-// put writes record where the key has the given version. It returns 0 where it has another.
-func (d *Desk) put(ctx context.Context, key string, record Record, version store.Version) (store.Version, error) {
-	value, err := json.Marshal(record)
-	if err != nil {
-		return 0, fault.Wrap(api.KindInternal, err, "encode the order record")
-	}
-	result, err := d.Store.Txn(ctx, store.Txn{
-		If:   []store.Compare{{Key: key, Version: version}},
-		Puts: []store.Put{{Key: key, Value: value}},
-	})
-	if err != nil {
-		return 0, fault.Wrap(api.KindOrderStoreUnavailable, err, "the order can't be claimed")
+func tooLate() error {
+	err := fault.New(api.KindDeadlineExceeded, "the deadline passed before the order was sent")
+	return fault.WithRun(err, api.RunNo)
+}
+
+// unclaimed answers an order whose claim is not known to hold. It is not sent;
+// a claim that applies late is released by Settle.
+func (d *Desk) unclaimed(ctx context.Context, held holding) error {
+	if held.late {
+		d.pending.add(d, pendingItem{holding: held})
 	}
-	if !result.Applied {
-		return 0, nil
+	if expired(ctx) {
+		return tooLate()
 	}
-	return result.Version, nil
+	return fault.New(api.KindOrderStoreUnavailable, "the order can't be claimed")
 }
 
-func (d *Desk) replay(ctx context.Context, key string, own Record) (Outcome, error) {
-	entry, err := d.Store.Get(ctx, key)
-	if err != nil || entry == nil {
-		return Outcome{}, fault.New(api.KindOrderInProgress, "the order is claimed by an earlier call")
+// contend handles a claim whose record exists. It returns a version where the
+// record was taken over, and otherwise what the caller is told.
+func (d *Desk) contend(ctx context.Context, held holding, result ClaimResult, order Order) (store.Version, Outcome, error) {
+	record := result.Record
+	if record.Digest != held.claim.Digest {
+		return 0, Outcome{}, keyReused()
+	}
+	if record.State == StateDone {
+		outcome, err := record.replay()
+		return 0, outcome, err
+	}
+	if outcome := d.pending.outcome(record.Token); outcome != nil {
+		answer, err := outcome.replay()
+		return 0, answer, err
 	}
-	var record Record
-	if err := json.Unmarshal(entry.Value, &record); err != nil {
-		return Outcome{}, fault.Wrap(api.KindInternal, err, "the order record is not valid")
+	gone := order.Fenced && d.HolderAlive != nil && !d.HolderAlive(record.Host)
+	if record.State == StateClaimed && (gone || d.pending.unsent(record.Token)) {
+		if version := d.takeOver(ctx, held, result.Version); version != 0 {
+			return version, Outcome{}, nil
+		}
+	}
+	if d.now().Sub(time.UnixMilli(record.ClaimedMs)) < d.longestDeadline() {
+		return 0, Outcome{}, inProgress()
 	}
+	return 0, Outcome{}, fault.New(api.KindOrderOutcomeUnknown, "an earlier call claimed the order and recorded no outcome")
+}
+
+// takeOver replaces the record of a claim that can't be sent any more, or that
+// loses its right to be sent with this write. It returns 0 where it does not succeed.
+func (d *Desk) takeOver(ctx context.Context, held holding, version store.Version) store.Version {
+	result := d.writers[held.shard].do(ctx, held.write(d, version, held.claim.record()))
 	switch {
-	case record.Digest != own.Digest:
-		return Outcome{}, fault.New(api.KindOrderKeyReused, "the idempotency key was used with another body")
-	case record.State == StateDone:
-		return Outcome{Status: record.Status, Body: record.Body, Replayed: true}, nil
+	case result.state == writeApplied:
+		d.count("takeovers")
+		return result.version
+	case result.unsettled:
+		d.pending.add(d, pendingItem{holding: held})
 	}
-	return Outcome{}, fault.New(api.KindOrderInProgress, "the order is claimed by an earlier call")
+	return 0
+}
+
+// markSending records that the order is about to be sent, after which no other
+// host takes it over.
+func (d *Desk) markSending(ctx context.Context, held *holding) error {
+	record := held.claim.record()
+	record.State = StateSending
+	result := d.writers[held.shard].do(ctx, held.write(d, held.version, record))
+	switch result.state {
+	case writeApplied:
+		held.version = result.version
+		return nil
+	case writeConflict:
+		return inProgress()
+	}
+	held.late = true
+	return d.unclaimed(ctx, *held)
 }
 
 // release deletes the claim of an order that was not sent, so that a repeat may run it.
-func (d *Desk) release(key string, version store.Version) {
-	ctx, cancel := context.WithTimeout(context.Background(), outcomeTimeout)
+func (d *Desk) release(held holding) {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
-	_, _ = d.Store.Txn(ctx, store.Txn{If: []store.Compare{{Key: key, Version: version}}, Deletes: []string{key}})
+	result := d.writers[held.shard].do(ctx, held.write(d, held.version, nil))
+	if held.late || (result.state != writeApplied && result.state != writeConflict) {
+		d.pending.add(d, pendingItem{holding: held})
+	}
+}
+
+// record writes the outcome of an order that was run.
+func (d *Desk) record(held holding, outcome Outcome) {
+	record := held.claim.record()
+	record.State, record.Status, record.Body = StateDone, outcome.Status, outcome.Body
+	if len(record.Body) > maxBody {
+		record.Body, record.BodyOmitted = nil, true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	result := d.writers[held.shard].do(ctx, held.write(d, held.version, record))
+	switch result.state {
+	case writeApplied:
+	case writeConflict:
+		d.count("outcome_write.lost")
+	default:
+		d.pending.add(d, pendingItem{holding: held, outcome: record})
+	}
 }
--- /dev/null
+++ b/internal/service/order/record.go
@@ -0,0 +1,175 @@
+package order
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/google/uuid"
+
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/pkg/api"
+)
+
+const (
+	// shards is the number of key ranges over which order records are spread.
+	shards = 16
+	// ageMargin is the time by which a key expires before its record may. It covers
+	// maxAhead and the difference of the clocks of hosts and callers.
+	ageMargin = 10 * time.Minute
+	// maxAhead bounds how far the time of a key may lie in the future.
+	maxAhead = time.Minute
+)
+
+// State is the state of an order record.
+type State string
+
+// The states of an order record.
+const (
+	StateClaimed State = "claimed"
+	StateSending State = "sending"
+	StateDone    State = "done"
+)
+
+// Record is the value of an order key.
+type Record struct {
+	// Token is the random id of the claim.
+	Token string     `json:"token"`
+	Host  api.HostID `json:"host"`
+	State State      `json:"state"`
+	// Digest is the hex SHA-256 of the request body.
+	Digest string `json:"digest"`
+	// ClaimedMs is the time of the claim by the holder's clock, in Unix milliseconds.
+	ClaimedMs int64 `json:"claimed_ms"`
+	// Status and Body are set in StateDone.
+	Status int    `json:"status,omitempty"`
+	Body   []byte `json:"body,omitempty"`
+	// BodyOmitted tells that the body was too large to be stored.
+	BodyOmitted bool `json:"body_omitted,omitempty"`
+}
+
+// replay answers a repeat of a finished order.
+func (r *Record) replay() (Outcome, error) {
+	if r.BodyOmitted {
+		err := fault.New(api.KindOrderOutcomeUnknown, "the order was run with status %d; its answer was too large to be kept", r.Status)
+		return Outcome{}, fault.WithRun(err, api.RunYes)
+	}
+	return Outcome{Status: r.Status, Body: r.Body, Replayed: true}, nil
+}
+
+// Claim asks for the record of one order.
+type Claim struct {
+	// ID is the hex SHA-256 of workspace, service, call and idempotency key.
+	ID     string     `json:"id"`
+	Token  string     `json:"token"`
+	Host   api.HostID `json:"host"`
+	Digest string     `json:"digest"`
+	// ClaimedMs is the time of the claim by the host's clock, in Unix milliseconds.
+	ClaimedMs int64 `json:"claimed_ms"`
+}
+
+func (c Claim) record() *Record {
+	return &Record{Token: c.Token, Host: c.Host, State: StateClaimed, Digest: c.Digest, ClaimedMs: c.ClaimedMs}
+}
+
+// valid reports whether the id and the token have the form that this package gives them.
+func (c Claim) valid() bool {
+	raw, err := hex.DecodeString(c.ID)
+	return err == nil && len(raw) == sha256.Size && c.Token != ""
+}
+
+// ClaimState is the result of a claim.
+type ClaimState string
+
+// The results of a claim.
+const (
+	// ClaimHeld says that the record exists with the token of the claim.
+	ClaimHeld ClaimState = "held"
+	// ClaimTaken says that another claim has the record.
+	ClaimTaken ClaimState = "taken"
+	// ClaimUnavailable says that the claim is not known to hold.
+	ClaimUnavailable ClaimState = "unavailable"
+)
+
+// ClaimResult is the result of one claim.
+type ClaimResult struct {
+	State ClaimState `json:"state"`
+	// Version is the revision of the record in ClaimHeld and ClaimTaken.
+	Version store.Version `json:"version,omitempty"`
+	// Record is the record of the other claim in ClaimTaken.
+	Record *Record `json:"record,omitempty"`
+	// Unsettled tells that an earlier try to claim may still be applied.
+	Unsettled bool `json:"unsettled,omitempty"`
+}
+
+// valid reports whether a result from another host is complete.
+func (r ClaimResult) valid() bool {
+	switch r.State {
+	case ClaimHeld:
+		return r.Version > 0
+	case ClaimTaken:
+		return r.Version > 0 && r.Record != nil
+	}
+	return r.State == ClaimUnavailable
+}
+
+// identify returns the id of the record of an order and its shard.
+func identify(order Order) (string, int) {
+	name := sha256.New()
+	for _, part := range []string{string(order.Workspace), string(order.Service), string(order.Call), order.Key} {
+		name.Write([]byte(part))
+		name.Write([]byte{0})
+	}
+	sum := name.Sum(nil)
+	return hex.EncodeToString(sum), int(sum[0]) % shards
+}
+
+func (d *Desk) newClaim(id string, order Order) Claim {
+	body := sha256.Sum256(order.Body)
+	return Claim{
+		ID: id, Token: uuid.NewString(), Host: d.Host,
+		Digest: hex.EncodeToString(body[:]), ClaimedMs: d.now().UnixMilli(),
+	}
+}
+
+// checkKey refuses a key that is no UUID version 7, and one whose record may have expired.
+func (d *Desk) checkKey(key string) error {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 || id.Variant() != uuid.RFC4122 {
+		return fault.New(api.KindOrderKeyRequired, "the call may not be repeated and needs an Idempotency-Key that is a UUID version 7")
+	}
+	seconds, nanoseconds := id.Time().UnixTime()
+	age := d.now().Sub(time.Unix(seconds, nanoseconds))
+	switch {
+	case age > d.retention()-ageMargin:
+		return fault.New(api.KindOrderKeyExpired, "the idempotency key is older than records are kept")
+	case age < -maxAhead:
+		return fault.New(api.KindOrderKeyExpired, "the time of the idempotency key lies in the future")
+	}
+	return nil
+}
+
+// holding is a claim whose record this host holds or may come to hold.
+type holding struct {
+	shard int
+	claim Claim
+	// version is the revision of the record; 0 means that it is not known.
+	version store.Version
+	// late tells that an earlier try to write the claim may still be applied.
+	late bool
+}
+
+// write is the conditional write of the record of a claim; a nil record deletes it.
+func (h holding) write(d *Desk, version store.Version, record *Record) write {
+	return write{key: d.Keys.Order(h.shard, h.claim.ID), version: version, token: h.claim.Token, record: record}
+}
+
+func parseRecord(value []byte) (*Record, error) {
+	record := &Record{}
+	if err := json.Unmarshal(value, record); err != nil {
+		return nil, err
+	}
+	return record, nil
+}
--- a/internal/service/request/request.go
+++ b/internal/service/request/request.go
@@ -224,7 +224,10 @@
 	if call.Repeatable {
 		outcome, err = s.send(ctx, declared.Group, call, body, "", 0)
 	} else {
-		placed := order.Order{Workspace: caller.Workspace, Service: service, Call: name, Key: key, Body: body}
+		placed := order.Order{
+			Workspace: caller.Workspace, Service: service, Call: name, Key: key, Body: body,
+			Fenced: snapshot.Groups[declared.Group].Fencing == document.FencingChecked,
+		}
 		outcome, err = s.Orders.Call(ctx, placed)
 	}
 	if err != nil {
