--- a/test/e2e/e2e_test.go
+++ b/test/e2e/e2e_test.go
@@ -43,13 +43,22 @@
 	os.Exit(code)
 }
 
-// startSite starts an example deployment and stops it at the end of the test.
-func startSite(t *testing.T, deployment string, options site.Options) *site.Site {
+// loadDocument reads the document of an example deployment.
+func loadDocument(t *testing.T, deployment string) *document.Document {
 	t.Helper()
 	data, err := os.ReadFile(filepath.Join("..", "..", "deployments", deployment, "document.json"))
 	assert.NilError(t, err)
-	options.Document, err = document.Parse(data)
+	doc, err := document.Parse(data)
 	assert.NilError(t, err)
+	return doc
+}
+
+// startSite starts an example deployment, with its own document unless the options have one, and stops it at the end of the test.
+func startSite(t *testing.T, deployment string, options site.Options) *site.Site {
+	t.Helper()
+	if options.Document == nil {
+		options.Document = loadDocument(t, deployment)
+	}
 	options.Binaries, options.Folder = binaries, t.TempDir()
 	s, err := site.Start(options)
 	assert.NilError(t, err)
