--- /dev/null
+++ b/internal/service/configuration/bench_test.go
@@ -0,0 +1,66 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/plugin/memory"
+	"redwingloft/pkg/api"
+)
+
+// targetWorkspaces is the number of workspaces at the target size.
+const targetWorkspaces = 5100
+
+// BenchmarkCommit measures a commit that changes one workspace, at the target size.
+func BenchmarkCommit(b *testing.B) {
+	s := newService(memory.New())
+	doc := newDocument(targetWorkspaces)
+	_, err := s.Commit(context.Background(), doc, 0, "bench", "")
+	assert.NilError(b, err)
+	b.ResetTimer()
+	for i := range b.N {
+		doc.Workspaces[i%targetWorkspaces].Weight = float64(i%1000 + 1)
+		_, err := s.Commit(context.Background(), doc, api.Revision(i+1), "bench", "")
+		assert.NilError(b, err)
+	}
+}
+
+// BenchmarkOffer measures what one change of a workspace costs a host that takes
+// it from a peer: time, and the bytes of the manifest and of the parts. The
+// manifest names the 350 hosts of the target size.
+func BenchmarkOffer(b *testing.B) {
+	ctx := context.Background()
+	source, host := newService(memory.New()), newService(memory.New())
+	doc := newDocument(targetWorkspaces)
+	fetch := func(_ context.Context, digest string) ([]byte, error) {
+		data, _ := source.Part(digest)
+		return data, nil
+	}
+	members := make([]api.HostID, 350)
+	for i := range members {
+		members[i] = "host-01234567"
+	}
+	bytes := 0
+	for i := range b.N + 1 {
+		b.StopTimer()
+		doc.Workspaces[i%targetWorkspaces].Weight = float64(i%1000 + 1)
+		_, err := source.Commit(ctx, doc, api.Revision(i), "bench", "")
+		assert.NilError(b, err)
+		manifest := *source.Current()
+		manifest.Members = members
+		encoded, err := json.Marshal(manifest)
+		assert.NilError(b, err)
+		before := host.Metrics.Counter("configuration.bytes_from_peer").Count()
+		if i > 0 {
+			b.StartTimer()
+		}
+		assert.NilError(b, host.Offer(ctx, &manifest, fetch))
+		if i > 0 {
+			bytes += len(encoded) + int(host.Metrics.Counter("configuration.bytes_from_peer").Count()-before)
+		}
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "bytes/change")
+}
--- /dev/null
+++ b/internal/service/configuration/service_test.go
@@ -0,0 +1,322 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/plugin/memory"
+	"redwingloft/pkg/api"
+)
+
+// faulty is a store whose transactions go through hook where that is not nil.
+type faulty struct {
+	store.Store
+	mu   sync.Mutex
+	hook func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error)
+}
+
+func (f *faulty) set(hook func(store.Txn, func() (store.TxnResult, error)) (store.TxnResult, error)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hook = hook
+}
+
+func (f *faulty) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	f.mu.Lock()
+	hook := f.hook
+	f.mu.Unlock()
+	apply := func() (store.TxnResult, error) { return f.Store.Txn(ctx, txn) }
+	if hook == nil {
+		return apply()
+	}
+	return hook(txn, apply)
+}
+
+func newService(kv store.Store) *Service {
+	return &Service{Store: kv, Holder: &document.Holder{}, Log: logging.Discard(), Metrics: metric.New()}
+}
+
+// newDocument returns a valid document with the given number of workspaces.
+func newDocument(workspaces int) *document.Document {
+	doc := &document.Document{
+		Format: document.Format, Deployment: "test", Weights: document.Weights{Attainment: 1},
+		Groups: []document.Group{{Name: "g", Kind: document.GroupHTTP, Upstreams: []document.Upstream{
+			{ID: "u", Address: "127.0.0.1:1", DataCentre: "dc", Slots: 1},
+		}}},
+		Services: []document.Service{{Name: "s", Group: "g"}},
+	}
+	for i := range workspaces {
+		doc.Workspaces = append(doc.Workspaces, document.Workspace{
+			Name:             api.WorkspaceName(fmt.Sprintf("workspace-%04d", i)),
+			CredentialHashes: []string{digestOf([]byte{byte(i), byte(i >> 8)})},
+			Services:         []api.ServiceName{"s"},
+		})
+	}
+	return doc
+}
+
+func commit(t *testing.T, s *Service, doc *document.Document, base api.Revision) {
+	t.Helper()
+	revision, err := s.Commit(context.Background(), doc, base, "test", fmt.Sprint("change of ", base))
+	assert.NilError(t, err)
+	assert.Equal(t, revision, base+1)
+}
+
+// writesManifest reports whether a transaction is the one that commits.
+func writesManifest(txn store.Txn) bool {
+	return len(txn.Puts) > 0 && txn.Puts[0].Key == store.Keys{}.Manifest()
+}
+
+// TestTwoOperators guards against a change that is lost because another operator
+// committed from the same revision at the same time.
+func TestTwoOperators(t *testing.T) {
+	kv := memory.New()
+	const operators = 8
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	won, conflicts := 0, 0
+	for i := range operators {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			s := newService(kv)
+			_, err := s.Commit(context.Background(), newDocument(i+1), 0, "op", "")
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				won++
+				return
+			}
+			current, carried := CurrentOf(err)
+			if fault.Is(err, api.KindConflict) && carried && current == 1 {
+				conflicts++
+			}
+		}()
+	}
+	wait.Wait()
+	assert.Equal(t, won, 1)
+	assert.Equal(t, conflicts, operators-1)
+}
+
+// TestLostReply guards against a commit that is reported as failed, or made
+// twice, because its reply was lost.
+func TestLostReply(t *testing.T) {
+	kv := &faulty{Store: memory.New()}
+	s := newService(kv)
+	for i, applies := range []bool{true, false} {
+		var once sync.Once
+		kv.set(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
+			lost := false
+			if writesManifest(txn) {
+				once.Do(func() { lost = true })
+			}
+			if !lost {
+				return apply()
+			}
+			if applies {
+				_, _ = apply()
+			}
+			return store.TxnResult{}, store.ErrUnknownOutcome.New("no reply")
+		})
+		commit(t, s, newDocument(i+1), api.Revision(i))
+	}
+	past, err := s.History(context.Background(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(past), 2)
+
+	// The reply is lost, and another operator commits before the transaction is sent again.
+	other := newService(kv.Store)
+	var once sync.Once
+	kv.set(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
+		result, err := apply()
+		if writesManifest(txn) {
+			once.Do(func() {
+				assert.NilError(t, other.Refresh(context.Background()))
+				commit(t, other, newDocument(9), 3)
+				err = store.ErrUnknownOutcome.New("no reply")
+			})
+		}
+		return result, err
+	})
+	commit(t, s, newDocument(3), 2)
+	assert.NilError(t, s.Refresh(context.Background()))
+	assert.Equal(t, s.Current().Revision, api.Revision(4))
+}
+
+// TestStoreOutage guards against a commit without the store, and against hosts
+// that go back to the older manifest of a store that lost its last writes.
+func TestStoreOutage(t *testing.T) {
+	kv := &faulty{Store: memory.New()}
+	s := newService(kv)
+	commit(t, s, newDocument(1), 0)
+	kv.set(func(store.Txn, func() (store.TxnResult, error)) (store.TxnResult, error) {
+		return store.TxnResult{}, store.ErrUnavailable.New("refused")
+	})
+	_, err := s.Commit(context.Background(), newDocument(2), 1, "test", "")
+	assert.Assert(t, fault.Is(err, api.KindStoreUnavailable), "%v", err)
+	kv.set(nil)
+	commit(t, s, newDocument(2), 1)
+
+	old := memory.New()
+	commit(t, newService(old), newDocument(1), 0)
+	kv.Store = old
+	assert.NilError(t, s.Refresh(context.Background()))
+	assert.Equal(t, s.Holder.Load().Revision, api.Revision(2))
+	// The next change takes the revision after the one in force, with all its parts in the store.
+	commit(t, s, newDocument(3), 2)
+	fresh := newService(old)
+	assert.NilError(t, fresh.Refresh(context.Background()))
+	assert.Equal(t, len(fresh.Holder.Load().Workspaces), 3)
+}
+
+// TestMembersChangeDuringCommit guards against a manifest that misses a host
+// which registered, in a new data centre, before the commit took effect.
+func TestMembersChangeDuringCommit(t *testing.T) {
+	kv := &faulty{Store: memory.New()}
+	s := newService(kv)
+	var once sync.Once
+	kv.set(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
+		if writesManifest(txn) {
+			once.Do(func() {
+				_, err := kv.Store.Txn(context.Background(), store.Txn{Puts: []store.Put{{
+					Key: s.Keys.Members("new"), Value: []byte(`{"members":[{"host":"joined"}]}`),
+				}}})
+				assert.NilError(t, err)
+			})
+		}
+		return apply()
+	})
+	commit(t, s, newDocument(1), 0)
+	assert.DeepEqual(t, s.Current().Members, []api.HostID{"joined"})
+}
+
+// TestOffer guards against a host that takes a lower revision, a part with other
+// content, or a document that is not valid.
+func TestOffer(t *testing.T) {
+	ctx := context.Background()
+	source, kv := newService(memory.New()), memory.New()
+	commit(t, source, newDocument(200), 0)
+	first := source.Current()
+	host := newService(kv)
+	fetched := 0
+	fetch := func(_ context.Context, digest string) ([]byte, error) {
+		fetched++
+		data, found := source.Part(digest)
+		assert.Assert(t, found)
+		return data, nil
+	}
+	// One at a time, so that the count needs no lock.
+	serial := func(ctx context.Context, digest string) ([]byte, error) {
+		source.slot <- struct{}{}
+		defer func() { <-source.slot }()
+		return fetch(ctx, digest)
+	}
+	assert.NilError(t, host.Offer(ctx, first, serial))
+	assert.Equal(t, fetched, len(first.Parts))
+	changed := newDocument(200)
+	changed.Workspaces[7].Weight = 2
+	commit(t, source, changed, 1)
+	fetched = 0
+	assert.NilError(t, host.Offer(ctx, source.Current(), serial))
+	assert.Equal(t, fetched, 1)
+	assert.Equal(t, host.Holder.Load().Workspaces["workspace-0007"].Weight, 2.0)
+	_, kept := host.Part(first.Parts[bucketOf("workspace-0007")])
+	assert.Assert(t, !kept, "a part that is no longer in force is kept")
+	assert.NilError(t, host.Offer(ctx, first, serial))
+	assert.Equal(t, host.Current().Revision, api.Revision(2))
+
+	corrupt := func(context.Context, string) ([]byte, error) { return []byte("{}"), nil }
+	changed.Workspaces[8].Weight = 2
+	commit(t, source, changed, 2)
+	assert.Assert(t, host.Offer(ctx, source.Current(), corrupt) != nil)
+	assert.Equal(t, host.Current().Revision, api.Revision(2))
+	assert.NilError(t, host.Offer(ctx, source.Current(), serial))
+
+	invalid := newDocument(1)
+	invalid.Workspaces[0].Services = []api.ServiceName{"undeclared"}
+	names, parts, err := split(invalid)
+	assert.NilError(t, err)
+	bad := &Manifest{Revision: 9, Commit: "bad", Parts: names}
+	fromBad := func(_ context.Context, digest string) ([]byte, error) { return parts[digest], nil }
+	assert.Assert(t, host.Offer(ctx, bad, fromBad) != nil)
+	assert.Assert(t, host.Offer(ctx, &Manifest{Revision: 9, Commit: "x", Parts: map[PartName]string{"unknown": ""}}, nil) != nil)
+	assert.Equal(t, host.Holder.Load().Revision, api.Revision(3))
+	assert.Equal(t, host.Metrics.Counter("configuration.refused").Count(), int64(2))
+}
+
+// TestHistory guards against a history without bound, the loss of a part that the
+// history names, and the deletion of a part that a commit is about to name.
+func TestHistory(t *testing.T) {
+	ctx := context.Background()
+	kv := &faulty{Store: memory.New()}
+	s := newService(kv)
+	for base := range api.Revision(maxHistory + 3) {
+		doc := newDocument(1)
+		doc.Workspaces[0].Weight = float64(base + 1)
+		commit(t, s, doc, base)
+	}
+	past, err := s.History(ctx, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(past), maxHistory)
+	assert.Equal(t, past[0].Revision, api.Revision(maxHistory+3))
+	_, err = s.At(ctx, 3)
+	assert.Assert(t, fault.Is(err, api.KindNotFound))
+	// Three parts belong to revisions that left the history.
+	deleted, err := s.Collect(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, deleted, 3)
+	doc, err := s.At(ctx, 4)
+	assert.NilError(t, err)
+	assert.Equal(t, doc.Workspaces[0].Weight, 4.0)
+
+	// A collection between the upload of a part and its commit.
+	collected := 0
+	var once sync.Once
+	kv.set(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
+		if writesManifest(txn) {
+			once.Do(func() { collected, err = newService(kv.Store).Collect(ctx) })
+		}
+		return apply()
+	})
+	commit(t, s, newDocument(2), maxHistory+3)
+	assert.NilError(t, err)
+	assert.Equal(t, collected, 2) // both workspaces have new parts
+	fresh := newService(kv.Store)
+	assert.NilError(t, fresh.Refresh(ctx))
+	assert.Equal(t, fresh.Current().Revision, api.Revision(maxHistory+4))
+}
+
+// TestWatch guards against a host that misses a change because its watch broke,
+// was cut off, or started from a revision that is no longer kept.
+func TestWatch(t *testing.T) {
+	kv := memory.New()
+	operator, host := newService(kv), newService(kv)
+	ctx, cancel := context.WithCancel(context.Background())
+	applied := make(chan api.Revision, 100)
+	host.Applied = func(s *document.Snapshot) { applied <- s.Revision }
+	host.PollPeriod = 50 * time.Millisecond
+	ended := make(chan error, 1)
+	go func() { ended <- host.Watch(ctx) }()
+	for base := range api.Revision(10) {
+		commit(t, operator, newDocument(int(base)+1), base)
+		kv.Compact(kv.Version())
+		for revision := range applied {
+			if revision == base+1 {
+				break
+			}
+		}
+	}
+	cancel()
+	assert.ErrorIs(t, <-ended, context.Canceled)
+	assert.Equal(t, host.Metrics.Counter("configuration.watch_failed").Count(), int64(0))
+}
--- /dev/null
+++ b/internal/service/order/bench_test.go
@@ -0,0 +1,48 @@
+package order
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/plugin/memory"
+)
+
+// slow is a store that answers each transaction after the usual time of the service.
+type slow struct {
+	store.Store
+	txns atomic.Int64
+}
+
+func (s *slow) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
+	s.txns.Add(1)
+	time.Sleep(3 * time.Millisecond)
+	return s.Store.Txn(ctx, txn)
+}
+
+// BenchmarkOrders measures orders per second and transactions per order, claims
+// and outcomes together, by the number of orders under way.
+func BenchmarkOrders(b *testing.B) {
+	for _, interval := range []time.Duration{0, 25 * time.Millisecond} {
+		for _, callers := range []int{1, 16, 128, 1024} {
+			b.Run(fmt.Sprintf("interval=%s/callers=%d", interval, callers), func(b *testing.B) {
+				kv := &slow{Store: memory.New()}
+				u := newUpstream()
+				d := &Desk{Store: kv, Host: "bench", Send: u.send, Interval: interval}
+				b.SetParallelism(callers) // with -cpu 1, the number of goroutines
+				b.RunParallel(func(pb *testing.PB) {
+					for pb.Next() {
+						if _, err := d.Call(context.Background(), newOrder()); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+				b.ReportMetric(float64(kv.txns.Load())/float64(b.N), "txns/order")
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "orders/s")
+			})
+		}
+	}
+}
