Leave room for a paused host between the check of a key and its record

A key was accepted until 10 minutes before its record could expire, but an order may be sent up to its deadline, at most 10 minutes, after the check: with differing clocks a record could expire before the last send of its key. The margin is 20 minutes now, and a lease lives 30 minutes longer. Desk.Drain settles what is left when a host stops.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -76,7 +76,7 @@
 	h := &host{settings: s, log: logger, timer: &timer.Service{}, metrics: metric.New(), snapshots: &document.Holder{}}
 	keys := store.Keys{Prefix: s.Store.Prefix}
 	h.members = &member.Service{
-		Store: kv, Keys: keys, Validity: s.Caller.AddressValidity,
+		Store: store.WithCause(kv, store.CauseMember, h.metrics), Keys: keys, Validity: s.Caller.AddressValidity,
 		Self: member.Member{
 			Host: s.Host.ID, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise, DataCentre: s.Host.DataCentre,
 		},
@@ -126,7 +126,11 @@
 		if err := h.start(ctx); err != nil {
 			return err
 		}
-		return h.configuration.Watch(ctx)
+		err := h.configuration.Watch(ctx)
+		drain, stop := context.WithTimeout(context.WithoutCancel(ctx), h.settings.Host.Shutdown)
+		defer stop()
+		h.requests.Orders.Drain(drain)
+		return err
 	}, func(error) { cancel() })
 	callers := &caller.Handler{
 		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log, Timer: h.timer,
--- a/internal/service/order/lease.go
+++ b/internal/service/order/lease.go
@@ -8,9 +8,16 @@
 	"redwingloft/internal/data/store"
 )
 
-// leasePeriod is the time for which a host attaches records to one lease. A lease
-// lives for the retention and one period, so each record lives for the retention.
-const leasePeriod = time.Hour
+const (
+	// leasePeriod is the time for which a host attaches records to one lease. A lease
+	// lives for longer than the retention by one period, so each record lives for the
+	// retention.
+	leasePeriod = time.Hour
+	// leaseSlack covers the time between the choice of a lease and the write, as in a
+	// host that is paused in between; an order is sent only within its deadline of at
+	// most 10 minutes.
+	leaseSlack = 30 * time.Minute
+)
 
 // lease is the lease of the records that this host writes. The zero value has none yet.
 type lease struct {
@@ -47,7 +54,7 @@
 
 func (l *lease) grant(ctx context.Context, d *Desk) (store.LeaseID, error) {
 	start := d.now()
-	id, err := d.claims.Grant(ctx, d.retention()+leasePeriod)
+	id, err := d.claims.Grant(ctx, d.retention()+leasePeriod+leaseSlack)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil {
--- a/internal/service/order/order.go
+++ b/internal/service/order/order.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"redwingloft/internal/data/store"
@@ -80,6 +81,8 @@
 	// forwarders hold the claims that wait for the aggregator, by shard.
 	forwarders [shards]*forwarder
 	pending    pendingList
+	// settling is true while a pass over pending runs.
+	settling atomic.Bool
 
 	mu sync.Mutex
 	// flights holds the orders that run on this host, by record id.
--- a/internal/service/order/record.go
+++ b/internal/service/order/record.go
@@ -16,9 +16,11 @@
 const (
 	// shards is the number of key ranges over which order records are spread.
 	shards = 16
-	// ageMargin is the time by which a key expires before its record may. It covers
-	// maxAhead and the difference of the clocks of hosts and callers.
-	ageMargin = 10 * time.Minute
+	// ageMargin is the time by which a key expires before its record may. It covers the
+	// time from the check of a key to the send of its order, which is at most the
+	// longest deadline of a document (10 minutes), maxAhead, and the difference of the
+	// clocks of hosts and callers.
+	ageMargin = 20 * time.Minute
 	// maxAhead bounds how far the time of a key may lie in the future.
 	maxAhead = time.Minute
 )
--- a/internal/service/order/settle.go
+++ b/internal/service/order/settle.go
@@ -19,6 +19,8 @@
 	// firstLook and maxLook bound the wait between two looks at a record.
 	firstLook = time.Second
 	maxLook   = 16 * time.Second
+	// drainPoll is the time between two looks of Drain.
+	drainPoll = 20 * time.Millisecond
 )
 
 // pendingItem is a record that has to be written later.
@@ -113,19 +115,50 @@
 
 // Settle writes the records that could not be written when their orders ended:
 // it deletes claims that were not sent, the ones that were applied late
-// included, and records outcomes. It is called once a second, and never twice at
-// once. It reads up to store.MaxOperations records with one call and stops at
-// the first failure.
+// included, and records outcomes. It is called once a second. It reads up to
+// store.MaxOperations records with one call and stops at the first failure.
 func (d *Desk) Settle(ctx context.Context) {
 	d.init()
-	due := d.pending.due(d.now())
-	for len(due) > 0 && ctx.Err() == nil {
+	d.settleDue(ctx, d.now())
+}
+
+// Drain waits until no order runs on this host, or until ctx ends, and then looks
+// at all records that wait for a later write once more.
+func (d *Desk) Drain(ctx context.Context) {
+	d.init()
+	for d.running() && ctx.Err() == nil {
+		time.Sleep(drainPoll)
+	}
+	for d.Pending() > 0 && ctx.Err() == nil {
+		if d.settleDue(ctx, d.now().Add(maxLook)) {
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
+
+func (d *Desk) running() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.flights) > 0
+}
+
+// settleDue looks at the items that are due at a time. It reports false where it
+// did not look at all of them, because another pass runs or the store failed.
+func (d *Desk) settleDue(ctx context.Context, at time.Time) bool {
+	if !d.settling.CompareAndSwap(false, true) {
+		return false
+	}
+	defer d.settling.Store(false)
+	due := d.pending.due(at)
+	for len(due) > 0 {
 		n := min(len(due), store.MaxOperations)
 		if !d.settle(ctx, due[:n]) {
-			return
+			return false
 		}
 		due = due[n:]
 	}
+	return true
 }
 
 func (d *Desk) settle(ctx context.Context, items []*pendingItem) bool {
