--- a/internal/service/order/order_test.go
+++ b/internal/service/order/order_test.go
@@ -263,6 +263,27 @@
 	assert.Equal(t, len(u.runs), 0)
 }
 
+// pausedContext is the context of a process that was paused past its deadline: the
+// clock has passed it and its timer has not fired yet.
+type pausedContext struct{ context.Context }
+
+func (pausedContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Second), true }
+
+// TestPausedAfterClaim guards against an order that is sent after its deadline by
+// a host that was paused with the claim in hand, and against its claim staying.
+func TestPausedAfterClaim(t *testing.T) {
+	kv, u := memory.New(), newUpstream()
+	d, _ := newDesk(kv, "a", u)
+	d.init()
+	order := newOrder()
+	id, shard := identify(order)
+	_, err := d.run(pausedContext{context.Background()}, shard, d.newClaim(id, order), order)
+	wants(t, err, api.KindDeadlineExceeded, api.RunNo)
+	assert.Equal(t, len(u.runs), 0)
+	_, err = call(t, d, order)
+	assert.NilError(t, err)
+}
+
 // TestGroupCommit guards against one transaction or one lease for each order,
 // and against two claims of one key in one transaction.
 func TestGroupCommit(t *testing.T) {
