--- a/cmd/host.go
+++ b/cmd/host.go
@@ -57,6 +57,7 @@
 	members       *member.Service
 	requests      *request.Service
 	snapshots     *document.Holder
+	table         *upstream.Table
 	// recorder is nil where no trace is recorded.
 	recorder *trace.Recorder
 }
@@ -82,6 +83,7 @@
 		},
 	}
 	table := &upstream.Table{}
+	h.table = table
 	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply, Metrics: h.metrics}
 	h.requests = newRequests(h, kv, keys, table)
 	if s.Trace.Record != "" {
@@ -139,6 +141,9 @@
 		callers.Record = h.recorder.Record
 	}
 	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, callers.Routes())
+	if h.settings.Operator.Listen != "" {
+		addServer(group, h.settings.Operator.Listen, h.settings.Operator.TLS, h.newConsole().Routes())
+	}
 	if h.settings.Admin.Listen != "" {
 		handler := &admin.Handler{Metrics: h.metrics, Ready: h.ready}
 		addServer(group, h.settings.Admin.Listen, settings.TLS{}, handler.Routes())
