Send the outcomes of orders through the aggregator too

Claims were merged at the aggregator but outcomes only at each host, so their writes grew with the number of hosts. A Claim now carries any conditional write of a record; a late one can't apply, as it names the version it replaces.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -42,9 +42,10 @@
 	refreshPeriod = time.Second
 	// settlePeriod is the time between two tries to write order records that could not be written.
 	settlePeriod = time.Second
-	// claimInterval spaces the transactions of one order shard, so that the 16 shards
-	// of an aggregator make at most some 600 a second, for claims and outcomes each.
-	claimInterval = 25 * time.Millisecond
+	// claimInterval spaces the transactions of one order shard. The 16 shards, each at
+	// its aggregator, then make at most 320 a second for claims and as many for
+	// outcomes; the key-value service takes several hundred writes a second.
+	claimInterval = 50 * time.Millisecond
 )
 
 // host assembles the parts of one entry host.
--- a/internal/service/order/bench_test.go
+++ b/internal/service/order/bench_test.go
@@ -9,6 +9,7 @@
 
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/plugin/memory"
+	"redwingloft/pkg/api"
 )
 
 // slow is a store that answers each transaction after the usual time of the service.
@@ -46,3 +47,35 @@
 		}
 	}
 }
+
+// BenchmarkHosts measures transactions per order for 128 orders under way, spread
+// over a number of hosts that write directly or through one aggregator.
+func BenchmarkHosts(b *testing.B) {
+	for _, hosts := range []int{1, 8, 64} {
+		for _, forwards := range []bool{false, true} {
+			b.Run(fmt.Sprintf("hosts=%d/aggregator=%t", hosts, forwards), func(b *testing.B) {
+				kv := &slow{Store: memory.New()}
+				desks := make([]*Desk, hosts)
+				for i := range desks {
+					desks[i] = &Desk{Store: kv, Host: api.HostID(fmt.Sprint(i)), Send: newUpstream().send, Interval: 25 * time.Millisecond}
+					if forwards && i > 0 {
+						desks[i].Forward = desks[0].Claim
+					}
+				}
+				var next atomic.Int64
+				b.SetParallelism(128) // with -cpu 1, the number of goroutines
+				b.RunParallel(func(pb *testing.PB) {
+					d := desks[int(next.Add(1))%hosts]
+					for pb.Next() {
+						if _, err := d.Call(context.Background(), newOrder()); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+				b.ReportMetric(float64(kv.txns.Load())/float64(b.N), "txns/order")
+				b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "orders/s")
+				b.ReportMetric(float64(kv.txns.Load())/b.Elapsed().Seconds(), "txns/s")
+			})
+		}
+	}
+}
--- a/internal/service/order/claim.go
+++ b/internal/service/order/claim.go
@@ -10,49 +10,59 @@
 )
 
 const (
-	// forwardTimeout bounds the wait for an aggregator, after which claims are made directly.
+	// forwardTimeout bounds the wait for an aggregator, after which writes are made directly.
 	forwardTimeout = 300 * time.Millisecond
-	// forwardPause is the time for which claims of a shard go directly after its
+	// forwardPause is the time for which writes of a shard go directly after its
 	// aggregator failed, so that a frozen aggregator does not delay every batch.
 	forwardPause = time.Second
-	// maxClaims bounds the claims of one message between hosts.
-	maxClaims = 4 * store.MaxOperations
+	// maxClaims and maxClaimBytes bound the writes of one message between hosts, and
+	// the bodies of their records.
+	maxClaims     = 4 * store.MaxOperations
+	maxClaimBytes = 1 << 20
 )
 
 // ErrNotForwarded is returned by Forward where nothing was sent, such as on the
-// aggregator itself. The claims are then made directly.
+// aggregator itself. The writes are then made directly.
 var ErrNotForwarded = errors.New("the claims were not forwarded")
 
 // errClaims is returned for claims that another host may not send.
 var errClaims = errors.New("the claims are not valid")
 
-// claim claims the record of one order, through the aggregator where there is one.
-func (d *Desk) claim(ctx context.Context, shard int, claim Claim) ClaimResult {
+// write makes one write, through the aggregator where there is one.
+func (d *Desk) write(ctx context.Context, shard int, w write) writeResult {
 	if d.Forward == nil {
-		return d.claimDirectly(ctx, shard, claim)
+		return d.committer(shard, w).do(ctx, w)
 	}
-	return d.forwarders[shard].do(ctx, claim)
+	return d.forwarders[shard].do(ctx, w)
 }
 
-func (d *Desk) claimDirectly(ctx context.Context, shard int, claim Claim) ClaimResult {
-	held := holding{shard: shard, claim: claim}
-	return toClaimResult(d.claimers[shard].do(ctx, held.write(d, 0, claim.record())))
+// committer returns the group commit for a write.
+func (d *Desk) committer(shard int, w write) *committer {
+	if w.version == 0 {
+		return d.claimers[shard]
+	}
+	return d.writers[shard]
 }
 
-func toClaimResult(result writeResult) ClaimResult {
-	answer := ClaimResult{State: ClaimUnavailable, Version: result.version, Record: result.found, Unsettled: result.unsettled}
-	switch {
-	case result.state == writeApplied:
-		answer.State = ClaimHeld
-	case result.state == writeConflict && result.found != nil:
-		answer.State = ClaimTaken
-	}
-	return answer
+var claimStates = map[writeState]ClaimState{
+	writeUnclear: ClaimUnavailable, writeApplied: ClaimHeld, writeConflict: ClaimTaken,
+}
+
+var writeStates = map[ClaimState]writeState{
+	ClaimUnavailable: writeUnclear, ClaimHeld: writeApplied, ClaimTaken: writeConflict,
+}
+
+func (r writeResult) claimResult() ClaimResult {
+	return ClaimResult{State: claimStates[r.state], Version: r.version, Record: r.found, Unsettled: r.unsettled}
+}
+
+func (r ClaimResult) writeResult() writeResult {
+	return writeResult{state: writeStates[r.State], version: r.Version, found: r.Record, unsettled: r.Unsettled}
 }
 
-// Claim makes the claims of other hosts for one shard, merged with those of this
+// Claim makes the writes of another host for one shard, merged with those of this
 // host, and returns one result for each. The peer handler calls it with the
-// context of the message: claims that have not been sent when it ends are dropped.
+// context of the message: writes that have not been sent when it ends are dropped.
 func (d *Desk) Claim(ctx context.Context, shard int, claims []Claim) ([]ClaimResult, error) {
 	d.init()
 	if shard < 0 || shard >= shards || len(claims) > maxClaims {
@@ -65,15 +75,15 @@
 	}
 	jobs := make([]*job, 0, len(claims))
 	for _, claim := range claims {
-		held := holding{shard: shard, claim: claim}
-		jobs = append(jobs, d.claimers[shard].add(ctx, held.write(d, 0, claim.record())))
+		w := write{id: claim.ID, version: claim.Version, token: claim.Token, record: claim.Record}
+		jobs = append(jobs, d.committer(shard, w).add(ctx, w))
 	}
 	d.Metrics.Counter("order.claims_received").Inc(int64(len(claims)))
 	results := make([]ClaimResult, 0, len(claims))
 	for _, j := range jobs {
 		select {
 		case result := <-j.result:
-			results = append(results, toClaimResult(result))
+			results = append(results, result.claimResult())
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -81,15 +91,15 @@
 	return results, nil
 }
 
-// waiting is a claim that waits for the aggregator.
+// waiting is a write that waits for the aggregator.
 type waiting struct {
-	claim  Claim
+	write
 	ctx    context.Context
-	result chan ClaimResult
+	result chan writeResult
 }
 
-// forwarder merges the claims of one shard into messages to its aggregator: while
-// one message is under way, further claims wait for the next.
+// forwarder merges the writes of one shard into messages to its aggregator: while
+// one message is under way, further writes wait for the next.
 type forwarder struct {
 	desk  *Desk
 	shard int
@@ -97,40 +107,36 @@
 	mu      sync.Mutex
 	queue   []*waiting
 	running bool
-	// direct is the time until which claims are not forwarded.
+	// direct is the time until which writes are not forwarded.
 	direct time.Time
 }
 
 func newForwarder(d *Desk, shard int) *forwarder { return &forwarder{desk: d, shard: shard} }
 
-func (f *forwarder) do(ctx context.Context, claim Claim) ClaimResult {
-	w := &waiting{claim: claim, ctx: ctx, result: make(chan ClaimResult, 1)}
+func (f *forwarder) do(ctx context.Context, w write) writeResult {
+	item := &waiting{write: w, ctx: ctx, result: make(chan writeResult, 1)}
 	f.mu.Lock()
 	if time.Now().Before(f.direct) {
 		f.mu.Unlock()
-		return f.desk.claimDirectly(ctx, f.shard, claim)
+		return f.desk.committer(f.shard, w).do(ctx, w)
 	}
-	f.queue = append(f.queue, w)
+	f.queue = append(f.queue, item)
 	if !f.running {
 		f.running = true
 		go f.run()
 	}
 	f.mu.Unlock()
 	select {
-	case result := <-w.result:
+	case result := <-item.result:
 		return result
 	case <-ctx.Done():
-		return ClaimResult{State: ClaimUnavailable, Unsettled: true}
+		return writeResult{unsettled: true}
 	}
 }
 
 func (f *forwarder) run() {
 	for {
-		f.mu.Lock()
-		batch := f.queue[:min(len(f.queue), maxClaims)]
-		f.queue = f.queue[len(batch):]
-		f.running = len(batch) > 0
-		f.mu.Unlock()
+		batch := f.next()
 		if len(batch) == 0 {
 			return
 		}
@@ -138,20 +144,37 @@
 	}
 }
 
-// send forwards a batch. Where that fails, each claim is made directly with the
+// next takes the next message from the queue. It returns none where the queue is empty, and then run ends.
+func (f *forwarder) next() []*waiting {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, size := 0, 0
+	for n < len(f.queue) && n < maxClaims && (n == 0 || size < maxClaimBytes) {
+		if record := f.queue[n].record; record != nil {
+			size += len(record.Body)
+		}
+		n++
+	}
+	batch := f.queue[:n]
+	f.queue = f.queue[n:]
+	f.running = n > 0
+	return batch
+}
+
+// send forwards a batch. Where that fails, each write is made directly with the
 // same token: the aggregator may have applied it, and it can't apply twice.
 func (f *forwarder) send(batch []*waiting) {
 	ctx, cancel := context.WithTimeout(context.Background(), forwardTimeout)
 	defer cancel()
 	claims := make([]Claim, 0, len(batch))
 	for _, w := range batch {
-		claims = append(claims, w.claim)
+		claims = append(claims, Claim{ID: w.id, Token: w.token, Version: w.version, Record: w.record})
 	}
 	results, err := f.desk.Forward(ctx, f.shard, claims)
-	if err == nil && complete(results, len(batch)) {
+	if err == nil && complete(results, batch) {
 		f.desk.count("forwards")
 		for i, w := range batch {
-			w.result <- results[i]
+			w.result <- results[i].writeResult()
 		}
 		return
 	}
@@ -165,8 +188,8 @@
 	}
 	for _, w := range batch {
 		go func() {
-			result := f.desk.claimDirectly(w.ctx, f.shard, w.claim)
-			result.Unsettled = result.Unsettled || sent
+			result := f.desk.committer(f.shard, w.write).do(w.ctx, w.write)
+			result.unsettled = result.unsettled || sent
 			w.result <- result
 		}()
 	}
@@ -178,12 +201,12 @@
 	f.direct = time.Now().Add(forwardPause)
 }
 
-func complete(results []ClaimResult, n int) bool {
-	if len(results) != n {
+func complete(results []ClaimResult, batch []*waiting) bool {
+	if len(results) != len(batch) {
 		return false
 	}
-	for _, result := range results {
-		if !result.valid() {
+	for i, result := range results {
+		if !result.answers(batch[i].write) {
 			return false
 		}
 	}
--- a/internal/service/order/commit.go
+++ b/internal/service/order/commit.go
@@ -23,12 +23,13 @@
 
 // write is one conditional write of a record.
 type write struct {
-	key string
-	// version is the revision that the key must have; 0 means that it must not exist.
+	// id is the id of the record.
+	id string
+	// version is the revision that the record must have; 0 means that it must not exist.
 	version store.Version
 	// token is the token of the claim for which the write is made.
 	token string
-	// record is the new value; nil deletes the key.
+	// record is the new record; nil deletes it.
 	record *Record
 }
 
@@ -57,6 +58,7 @@
 // job is a write that waits for its result.
 type job struct {
 	write
+	key   string
 	ctx   context.Context
 	value []byte
 	// unsettled tells that a try without a reply may still be applied.
@@ -75,6 +77,7 @@
 type committer struct {
 	desk  *Desk
 	store store.Store
+	shard int
 
 	mu      sync.Mutex
 	queue   []*job
@@ -83,7 +86,9 @@
 	last time.Time
 }
 
-func newCommitter(d *Desk, s store.Store) *committer { return &committer{desk: d, store: s} }
+func newCommitter(d *Desk, s store.Store, shard int) *committer {
+	return &committer{desk: d, store: s, shard: shard}
+}
 
 // do makes one write and waits for its result until ctx ends.
 func (c *committer) do(ctx context.Context, w write) writeResult {
@@ -98,7 +103,7 @@
 
 // add queues a write.
 func (c *committer) add(ctx context.Context, w write) *job {
-	j := &job{write: w, ctx: ctx, result: make(chan writeResult, 1)}
+	j := &job{write: w, key: c.desk.Keys.Order(c.shard, w.id), ctx: ctx, result: make(chan writeResult, 1)}
 	if w.record != nil {
 		// A record holds only plain values, whose encoding does not fail.
 		j.value, _ = json.Marshal(w.record)
--- a/internal/service/order/order.go
+++ b/internal/service/order/order.go
@@ -55,8 +55,8 @@
 	// Send sends the order to an upstream once. Its error tells by fault.RunOf
 	// whether it was run: RunNo only where the upstream received nothing.
 	Send func(ctx context.Context, order Order, fencing store.Version) (Outcome, error)
-	// Forward passes claims of one shard to the aggregator host of the shard, which
-	// answers with one result for each. Nil or an error means that this host claims
+	// Forward passes writes of one shard to the aggregator host of the shard, which
+	// makes them with Claim and answers with one result for each. Nil or an error means that this host writes
 	// directly. Forward returns ErrNotForwarded where this host is the aggregator.
 	Forward func(ctx context.Context, shard int, claims []Claim) ([]ClaimResult, error)
 	// HolderAlive reports whether a host may still be running; nil means that every host may.
@@ -78,7 +78,7 @@
 	// claimers and writers hold the group commits of claims and of all other writes, by shard.
 	claimers [shards]*committer
 	writers  [shards]*committer
-	// forwarders hold the claims that wait for the aggregator, by shard.
+	// forwarders hold the writes that wait for the aggregator, by shard.
 	forwarders [shards]*forwarder
 	pending    pendingList
 	// settling is true while a pass over pending runs.
@@ -103,8 +103,8 @@
 		d.outcomes = store.WithCause(d.Store, store.CauseOrderOutcome, d.Metrics)
 		d.flights = map[string]*flight{}
 		for shard := range shards {
-			d.claimers[shard] = newCommitter(d, d.claims)
-			d.writers[shard] = newCommitter(d, d.outcomes)
+			d.claimers[shard] = newCommitter(d, d.claims, shard)
+			d.writers[shard] = newCommitter(d, d.outcomes, shard)
 			d.forwarders[shard] = newForwarder(d, shard)
 		}
 	})
@@ -154,34 +154,33 @@
 	if err := d.checkKey(order.Key); err != nil {
 		return Outcome{}, err
 	}
-	id, shard := identify(order)
-	claim := d.newClaim(id, order)
+	held := d.newHolding(order)
 	d.mu.Lock()
-	running, joins := d.flights[id]
+	running, joins := d.flights[held.id]
 	if !joins {
-		running = &flight{digest: claim.Digest, done: make(chan struct{})}
-		d.flights[id] = running
+		running = &flight{digest: held.own.Digest, done: make(chan struct{})}
+		d.flights[held.id] = running
 	}
 	d.mu.Unlock()
 	if joins {
-		return d.join(ctx, running, claim)
+		return d.join(ctx, running, held.own.Digest)
 	}
-	go d.fly(ctx, running, shard, claim, order)
+	go d.fly(ctx, running, held, order)
 	return d.lead(ctx, running)
 }
 
 // fly runs the order to its end, even where its caller leaves: an order that was
 // sent can't be taken back, and its outcome is recorded for the repeat.
-func (d *Desk) fly(ctx context.Context, running *flight, shard int, claim Claim, order Order) {
+func (d *Desk) fly(ctx context.Context, running *flight, held holding, order Order) {
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
 		deadline = time.Now().Add(d.longestDeadline())
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
-	running.outcome, running.err = d.run(ctx, shard, claim, order)
+	running.outcome, running.err = d.run(ctx, held, order)
 	d.mu.Lock()
-	delete(d.flights, claim.ID)
+	delete(d.flights, held.id)
 	d.mu.Unlock()
 	close(running.done)
 }
@@ -208,8 +207,8 @@
 }
 
 // join waits for the same order of another caller.
-func (d *Desk) join(ctx context.Context, running *flight, claim Claim) (Outcome, error) {
-	if running.digest != claim.Digest {
+func (d *Desk) join(ctx context.Context, running *flight, digest string) (Outcome, error) {
+	if running.digest != digest {
 		return Outcome{}, keyReused()
 	}
 	select {
@@ -229,17 +228,17 @@
 }
 
 // run claims the order, sends it and records its outcome.
-func (d *Desk) run(ctx context.Context, shard int, claim Claim, order Order) (Outcome, error) {
-	result := d.claim(ctx, shard, claim)
-	held := holding{shard: shard, claim: claim, version: result.Version, late: result.Unsettled}
-	switch result.State {
-	case ClaimTaken:
+func (d *Desk) run(ctx context.Context, held holding, order Order) (Outcome, error) {
+	result := d.write(ctx, held.shard, held.write(0, &held.own))
+	held.version, held.late = result.version, result.unsettled
+	switch result.state {
+	case writeConflict:
 		version, outcome, err := d.contend(ctx, held, result, order)
 		if version == 0 {
 			return outcome, err
 		}
 		held.version = version
-	case ClaimUnavailable:
+	case writeUnclear:
 		return Outcome{}, d.unclaimed(ctx, held)
 	}
 	if order.Fenced {
@@ -288,9 +287,9 @@
 
 // contend handles a claim whose record exists. It returns a version where the
 // record was taken over, and otherwise what the caller is told.
-func (d *Desk) contend(ctx context.Context, held holding, result ClaimResult, order Order) (store.Version, Outcome, error) {
-	record := result.Record
-	if record.Digest != held.claim.Digest {
+func (d *Desk) contend(ctx context.Context, held holding, result writeResult, order Order) (store.Version, Outcome, error) {
+	record := result.found
+	if record.Digest != held.own.Digest {
 		return 0, Outcome{}, keyReused()
 	}
 	if record.State == StateDone {
@@ -303,7 +302,7 @@
 	}
 	gone := order.Fenced && d.HolderAlive != nil && !d.HolderAlive(record.Host)
 	if record.State == StateClaimed && (gone || d.pending.unsent(record.Token)) {
-		if version := d.takeOver(ctx, held, result.Version); version != 0 {
+		if version := d.takeOver(ctx, held, result.version); version != 0 {
 			return version, Outcome{}, nil
 		}
 	}
@@ -316,7 +315,7 @@
 // takeOver replaces the record of a claim that can't be sent any more, or that
 // loses its right to be sent with this write. It returns 0 where it does not succeed.
 func (d *Desk) takeOver(ctx context.Context, held holding, version store.Version) store.Version {
-	result := d.writers[held.shard].do(ctx, held.write(d, version, held.claim.record()))
+	result := d.write(ctx, held.shard, held.write(version, &held.own))
 	switch {
 	case result.state == writeApplied:
 		d.count("takeovers")
@@ -330,9 +329,9 @@
 // markSending records that the order is about to be sent, after which no other
 // host takes it over.
 func (d *Desk) markSending(ctx context.Context, held *holding) error {
-	record := held.claim.record()
+	record := held.own
 	record.State = StateSending
-	result := d.writers[held.shard].do(ctx, held.write(d, held.version, record))
+	result := d.write(ctx, held.shard, held.write(held.version, &record))
 	switch result.state {
 	case writeApplied:
 		held.version = result.version
@@ -348,7 +347,7 @@
 func (d *Desk) release(held holding) {
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
-	result := d.writers[held.shard].do(ctx, held.write(d, held.version, nil))
+	result := d.write(ctx, held.shard, held.write(held.version, nil))
 	if held.late || (result.state != writeApplied && result.state != writeConflict) {
 		d.pending.add(d, pendingItem{holding: held})
 	}
@@ -356,19 +355,19 @@
 
 // record writes the outcome of an order that was run.
 func (d *Desk) record(held holding, outcome Outcome) {
-	record := held.claim.record()
+	record := held.own
 	record.State, record.Status, record.Body = StateDone, outcome.Status, outcome.Body
 	if len(record.Body) > maxBody {
 		record.Body, record.BodyOmitted = nil, true
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
-	result := d.writers[held.shard].do(ctx, held.write(d, held.version, record))
+	result := d.write(ctx, held.shard, held.write(held.version, &record))
 	switch result.state {
 	case writeApplied:
 	case writeConflict:
 		d.count("outcome_write.lost")
 	default:
-		d.pending.add(d, pendingItem{holding: held, outcome: record})
+		d.pending.add(d, pendingItem{holding: held, outcome: &record})
 	}
 }
--- a/internal/service/order/order_test.go
+++ b/internal/service/order/order_test.go
@@ -233,12 +233,11 @@
 	}{{false, StateClaimed, 0}, {true, StateSending, 0}, {true, StateClaimed, 1}} {
 		order := newOrder()
 		order.Fenced = c.fenced
-		id, shard := identify(order)
 		holder.init()
-		held := holding{shard: shard, claim: holder.newClaim(id, order)}
-		record := held.claim.record()
+		held := holder.newHolding(order)
+		record := held.own
 		record.State = c.state
-		result := holder.claimers[shard].do(context.Background(), held.write(holder, 0, record))
+		result := holder.write(context.Background(), held.shard, held.write(0, &record))
 		held.version = result.version
 		_, err := call(t, d, order)
 		assert.Equal(t, u.runs[order.Key], c.runs)
@@ -276,8 +275,7 @@
 	d, _ := newDesk(kv, "a", u)
 	d.init()
 	order := newOrder()
-	id, shard := identify(order)
-	_, err := d.run(pausedContext{context.Background()}, shard, d.newClaim(id, order), order)
+	_, err := d.run(pausedContext{context.Background()}, d.newHolding(order), order)
 	wants(t, err, api.KindDeadlineExceeded, api.RunNo)
 	assert.Equal(t, len(u.runs), 0)
 	_, err = call(t, d, order)
@@ -315,13 +313,15 @@
 
 	// Two hosts claim one key through one aggregator.
 	id, shard := identify(newOrder())
-	claims := []Claim{{ID: id, Token: "1"}, {ID: id, Token: "2"}}
+	claims := []Claim{{ID: id, Token: "1", Record: &Record{Token: "1"}}, {ID: id, Token: "2", Record: &Record{Token: "2"}}}
 	results, err := d.Claim(context.Background(), shard, claims)
 	assert.NilError(t, err)
 	assert.Equal(t, results[0].State, ClaimHeld)
 	assert.Equal(t, results[1].State, ClaimTaken)
-	_, err = d.Claim(context.Background(), shard, []Claim{{ID: "../config/manifest", Token: "1"}})
-	assert.ErrorIs(t, err, errClaims)
+	for _, refused := range []Claim{{ID: "../config/manifest", Token: "1", Record: &Record{Token: "1"}}, {ID: id, Token: "1"}} {
+		_, err = d.Claim(context.Background(), shard, []Claim{refused})
+		assert.ErrorIs(t, err, errClaims)
+	}
 }
 
 // TestLostLease guards against orders that fail for an hour after the service lost a lease.
--- a/internal/service/order/record.go
+++ b/internal/service/order/record.go
@@ -61,25 +61,29 @@
 	return Outcome{Status: r.Status, Body: r.Body, Replayed: true}, nil
 }
 
-// Claim asks for the record of one order.
+// Claim asks for one conditional write of an order record: the claim itself, a
+// later state of the record, or its deletion.
 type Claim struct {
 	// ID is the hex SHA-256 of workspace, service, call and idempotency key.
-	ID     string     `json:"id"`
-	Token  string     `json:"token"`
-	Host   api.HostID `json:"host"`
-	Digest string     `json:"digest"`
-	// ClaimedMs is the time of the claim by the host's clock, in Unix milliseconds.
-	ClaimedMs int64 `json:"claimed_ms"`
-}
-
-func (c Claim) record() *Record {
-	return &Record{Token: c.Token, Host: c.Host, State: StateClaimed, Digest: c.Digest, ClaimedMs: c.ClaimedMs}
+	ID string `json:"id"`
+	// Token is the random id of the claim for which the write is made.
+	Token string `json:"token"`
+	// Version is the revision that the record must have; 0 asks that it does not exist.
+	Version store.Version `json:"version,omitempty"`
+	// Record is the record to write; nil deletes it.
+	Record *Record `json:"record,omitempty"`
 }
 
-// valid reports whether the id and the token have the form that this package gives them.
+// valid reports whether another host may ask for this write.
 func (c Claim) valid() bool {
 	raw, err := hex.DecodeString(c.ID)
-	return err == nil && len(raw) == sha256.Size && c.Token != ""
+	if err != nil || len(raw) != sha256.Size || c.Token == "" || c.Version < 0 {
+		return false
+	}
+	if c.Record == nil {
+		return c.Version > 0
+	}
+	return c.Record.Token == c.Token && len(c.Record.Body) <= maxBody
 }
 
 // ClaimState is the result of a claim.
@@ -87,32 +91,32 @@
 
 // The results of a claim.
 const (
-	// ClaimHeld says that the record exists with the token of the claim.
+	// ClaimHeld says that the write was applied.
 	ClaimHeld ClaimState = "held"
-	// ClaimTaken says that another claim has the record.
+	// ClaimTaken says that the record has another revision and was not written.
 	ClaimTaken ClaimState = "taken"
-	// ClaimUnavailable says that the claim is not known to hold.
+	// ClaimUnavailable says that the write is not known to be applied.
 	ClaimUnavailable ClaimState = "unavailable"
 )
 
 // ClaimResult is the result of one claim.
 type ClaimResult struct {
 	State ClaimState `json:"state"`
-	// Version is the revision of the record in ClaimHeld and ClaimTaken.
+	// Version is the revision of the record in ClaimHeld and ClaimTaken; 0 where it does not exist.
 	Version store.Version `json:"version,omitempty"`
-	// Record is the record of the other claim in ClaimTaken.
+	// Record is the record that was found in ClaimTaken; nil where there is none.
 	Record *Record `json:"record,omitempty"`
-	// Unsettled tells that an earlier try to claim may still be applied.
+	// Unsettled tells that an earlier try of the write may still be applied.
 	Unsettled bool `json:"unsettled,omitempty"`
 }
 
-// valid reports whether a result from another host is complete.
-func (r ClaimResult) valid() bool {
+// answers reports whether a result from another host can be the result of a write.
+func (r ClaimResult) answers(w write) bool {
 	switch r.State {
 	case ClaimHeld:
-		return r.Version > 0
+		return r.Version > 0 || w.record == nil
 	case ClaimTaken:
-		return r.Version > 0 && r.Record != nil
+		return (r.Version > 0) == (r.Record != nil) && (r.Record != nil || w.version > 0)
 	}
 	return r.State == ClaimUnavailable
 }
@@ -128,14 +132,6 @@
 	return hex.EncodeToString(sum), int(sum[0]) % shards
 }
 
-func (d *Desk) newClaim(id string, order Order) Claim {
-	body := sha256.Sum256(order.Body)
-	return Claim{
-		ID: id, Token: uuid.NewString(), Host: d.Host,
-		Digest: hex.EncodeToString(body[:]), ClaimedMs: d.now().UnixMilli(),
-	}
-}
-
 // checkKey refuses a key that is no UUID version 7, and one whose record may have expired.
 func (d *Desk) checkKey(key string) error {
 	id, err := uuid.Parse(key)
@@ -156,16 +152,28 @@
 // holding is a claim whose record this host holds or may come to hold.
 type holding struct {
 	shard int
-	claim Claim
+	id    string
+	// own is the record of the claim, in StateClaimed.
+	own Record
 	// version is the revision of the record; 0 means that it is not known.
 	version store.Version
 	// late tells that an earlier try to write the claim may still be applied.
 	late bool
 }
 
-// write is the conditional write of the record of a claim; a nil record deletes it.
-func (h holding) write(d *Desk, version store.Version, record *Record) write {
-	return write{key: d.Keys.Order(h.shard, h.claim.ID), version: version, token: h.claim.Token, record: record}
+// newHolding returns a new claim of an order, which is not yet made.
+func (d *Desk) newHolding(order Order) holding {
+	id, shard := identify(order)
+	body := sha256.Sum256(order.Body)
+	return holding{shard: shard, id: id, own: Record{
+		Token: uuid.NewString(), Host: d.Host, State: StateClaimed,
+		Digest: hex.EncodeToString(body[:]), ClaimedMs: d.now().UnixMilli(),
+	}}
+}
+
+// write returns the conditional write of the claim's record; a nil record deletes it.
+func (h holding) write(version store.Version, record *Record) write {
+	return write{id: h.id, version: version, token: h.own.Token, record: record}
 }
 
 func parseRecord(value []byte) (*Record, error) {
--- a/internal/service/order/settle.go
+++ b/internal/service/order/settle.go
@@ -48,20 +48,20 @@
 func (l *pendingList) add(d *Desk, item pendingItem) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.byToken[item.claim.Token] != nil {
+	if l.byToken[item.own.Token] != nil {
 		return
 	}
 	if l.byToken == nil {
 		l.byToken = map[string]*pendingItem{}
 	}
 	if len(l.items) >= maxPending {
-		delete(l.byToken, l.items[0].claim.Token)
+		delete(l.byToken, l.items[0].own.Token)
 		l.items = l.items[1:]
 		d.count("settle.dropped")
 	}
 	item.wait = firstLook
 	l.items = append(l.items, &item)
-	l.byToken[item.claim.Token] = &item
+	l.byToken[item.own.Token] = &item
 }
 
 // unsent reports whether a token belongs to a claim of this host that was not sent and never will be.
@@ -100,7 +100,7 @@
 func (l *pendingList) remove(settled map[string]bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.items = slices.DeleteFunc(l.items, func(item *pendingItem) bool { return settled[item.claim.Token] })
+	l.items = slices.DeleteFunc(l.items, func(item *pendingItem) bool { return settled[item.own.Token] })
 	for token := range settled {
 		delete(l.byToken, token)
 	}
@@ -164,7 +164,7 @@
 func (d *Desk) settle(ctx context.Context, items []*pendingItem) bool {
 	keys := make([]string, 0, len(items))
 	for _, item := range items {
-		keys = append(keys, d.Keys.Order(item.shard, item.claim.ID))
+		keys = append(keys, d.Keys.Order(item.shard, item.id))
 	}
 	// A single key appears once in a transaction, even where two claims of it are pending.
 	slices.Sort(keys)
@@ -190,19 +190,19 @@
 		}
 		item.due = now.Add(item.wait)
 		item.wait = min(2*item.wait, maxLook)
-		own, version := item.owns(found[d.Keys.Order(item.shard, item.claim.ID)])
+		own, version := item.owns(found[d.Keys.Order(item.shard, item.id)])
 		switch {
 		case own:
-			jobs[item] = d.writers[item.shard].add(ctx, item.write(d, version, item.outcome))
+			jobs[item] = d.writers[item.shard].add(ctx, item.write(version, item.outcome))
 		case item.outcome != nil || !now.Before(item.end):
-			settled[item.claim.Token] = true
+			settled[item.own.Token] = true
 		}
 	}
 	for item, j := range jobs {
 		select {
 		case result := <-j.result:
 			if result.state == writeApplied && item.outcome != nil {
-				settled[item.claim.Token] = true
+				settled[item.own.Token] = true
 			}
 			d.countSettled(result)
 		case <-ctx.Done():
@@ -226,5 +226,5 @@
 	if err != nil {
 		return false, 0
 	}
-	return record.Token == i.claim.Token && record.State != StateDone, entry.Version
+	return record.Token == i.own.Token && record.State != StateDone, entry.Version
 }
