Keep the header of an answer apart from its signs of life

Host processes built with the race detector reported a data race under TestOrdersUnderMixedFaults: a sign of life sends the header map of the ResponseWriter while the handler sets Content-Type in it. Without the detector this can end the process with 'concurrent map iteration and map write'. The handler now writes to a map of its own, which is copied under the lock.

--- a/internal/web/caller/caller_test.go
+++ b/internal/web/caller/caller_test.go
@@ -114,6 +114,19 @@
 	assert.Equal(t, strings.TrimSpace(string(body)), `"done"`)
 }
 
+// TestSignsOfLifeDoNotReadTheAnswersHeader guards against a handler that sets a
+// header while a sign of life sends the headers, which ends the process with
+// "concurrent map iteration and map write".
+func TestSignsOfLifeDoNotReadTheAnswersHeader(t *testing.T) {
+	w, p := httptest.NewRecorder(), pulse{}
+	live, end := p.add(w)
+	defer end()
+	live.Header().Set("Retry-After", "1")
+	assert.Equal(t, len(w.Header()), 0)
+	live.WriteHeader(http.StatusServiceUnavailable)
+	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+}
+
 // TestSignsOfLifeDoNotSplitEvents guards against a comment line in the middle of an event.
 func TestSignsOfLifeDoNotSplitEvents(t *testing.T) {
 	var p pulse
--- a/internal/web/caller/pulse.go
+++ b/internal/web/caller/pulse.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,7 +35,7 @@
 
 // add starts signs of life on w. The returned function ends them.
 func (p *pulse) add(w http.ResponseWriter) (live *liveWriter, end func()) {
-	live = &liveWriter{ResponseWriter: w, control: http.NewResponseController(w)}
+	live = &liveWriter{ResponseWriter: w, control: http.NewResponseController(w), header: http.Header{}}
 	p.open.Store(live, nil)
 	return live, func() {
 		p.open.Delete(live)
@@ -58,6 +59,9 @@
 type liveWriter struct {
 	http.ResponseWriter
 	control *http.ResponseController
+	// header is that of the answer until it is sent. A sign of life reads the header of
+	// the ResponseWriter at any time, so the handler must not write to that one.
+	header http.Header
 	// beating is true while a sign of life is being sent, so that a caller that does
 	// not read holds one goroutine at most.
 	beating atomic.Bool
@@ -86,12 +90,16 @@
 // extend moves the write deadline; not all writers have one.
 func (w *liveWriter) extend() { _ = w.control.SetWriteDeadline(time.Now().Add(writeTimeout)) }
 
+// Header returns the header of the answer, which is sent by WriteHeader.
+func (w *liveWriter) Header() http.Header { return w.header }
+
 // WriteHeader sends the header of an answer with a body.
 func (w *liveWriter) WriteHeader(status int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.phase = phaseBody
 	w.extend()
+	maps.Copy(w.ResponseWriter.Header(), w.header)
 	w.ResponseWriter.WriteHeader(status)
 }
 
@@ -101,8 +109,9 @@
 	defer w.mu.Unlock()
 	w.phase = phaseStream
 	w.extend()
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Cache-Control", "no-store")
+	header := w.ResponseWriter.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
 	w.ResponseWriter.WriteHeader(http.StatusOK)
 }
 
