Keep commits of equal parts from making each other fail

TestTwoOperators failed in 2 of 30 runs and more: seven of eight commits gave 'the members or the parts changed 10 times'. Each commit put its parts again, which gave shared parts a new version and failed the compares of the others. Hosts that start at once with one document would have met this too.

Applied is called without the lock of Offer: a callback that exchanges with peers may learn of a newer revision and offer it, which would have waited for itself.

--- a/internal/service/configuration/commit.go
+++ b/internal/service/configuration/commit.go
@@ -113,58 +113,82 @@
 	return s.apply(ctx, c, txn, now.version)
 }
 
-// upload writes the parts that the manifest in the store does not name, and
-// returns their versions. No manifest names them yet, so they change nothing.
+// part is one part that a change needs in the store.
+type part struct {
+	key  string
+	data []byte
+}
+
+// upload makes sure that the parts which the manifest in the store does not name
+// are in the store, and returns their versions. No manifest has to name them yet,
+// so they change nothing.
 func (s *Service) upload(ctx context.Context, c *change, named map[PartName]string) ([]store.Compare, error) {
 	known := map[string]bool{}
 	for _, digest := range named {
 		known[digest] = true
 	}
 	var uploaded []store.Compare
-	txn, size := store.Txn{}, 0
+	var batch []part
+	size := 0
 	flush := func() error {
-		result, err := s.put(ctx, txn)
-		if err != nil {
-			return err
-		}
-		for _, put := range txn.Puts {
-			uploaded = append(uploaded, store.Compare{Key: put.Key, Version: result.Version})
-		}
-		txn, size = store.Txn{}, 0
-		return nil
+		versions, err := s.ensure(ctx, batch)
+		uploaded = append(uploaded, versions...)
+		batch, size = nil, 0
+		return err
 	}
 	for digest, data := range c.parts {
 		if known[digest] {
 			continue
 		}
-		if len(txn.Puts) == store.MaxOperations || (size > 0 && size+len(data) > maxUpload) {
+		if len(batch) == store.MaxOperations || (size > 0 && size+len(data) > maxUpload) {
 			if err := flush(); err != nil {
 				return nil, err
 			}
 		}
-		txn.Puts = append(txn.Puts, store.Put{Key: s.Keys.Part(digest), Value: data})
+		batch = append(batch, part{s.Keys.Part(digest), data})
 		size += len(data)
 	}
-	if len(txn.Puts) == 0 {
-		return uploaded, nil
-	}
 	return uploaded, flush()
 }
 
-// put sends a transaction of parts until it has a reply. To write a part again changes nothing.
-func (s *Service) put(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
-	for {
+// ensure puts the parts that the store does not have and returns the versions of
+// all. A part that is there keeps its version: commits with a part in common, as
+// of hosts that start with one document, would otherwise make each other fail.
+func (s *Service) ensure(ctx context.Context, missing []part) ([]store.Compare, error) {
+	var versions []store.Compare
+	for len(missing) > 0 {
+		txn := store.Txn{}
+		for _, p := range missing {
+			txn.If = append(txn.If, store.Compare{Key: p.key})
+			txn.Puts = append(txn.Puts, store.Put{Key: p.key, Value: p.data})
+			txn.ReadElse = append(txn.ReadElse, p.key)
+		}
 		result, err := s.kv.Txn(ctx, txn)
 		switch {
-		case err == nil:
-			return result, nil
-		case !store.IsErrUnknownOutcome(err):
-			return result, notApplied(err)
+		case store.IsErrUnknownOutcome(err) && pause(ctx, retryPause) == nil:
+			continue
+		case err != nil:
+			return nil, notApplied(err)
 		}
-		if pause(ctx, retryPause) != nil {
-			return result, notApplied(err)
+		found := map[string]store.Version{}
+		for _, entry := range result.Entries {
+			found[entry.Key] = entry.Version
+		}
+		var rest []part
+		for _, p := range missing {
+			version := found[p.key]
+			if result.Applied {
+				version = result.Version
+			}
+			if version == 0 {
+				rest = append(rest, p)
+				continue
+			}
+			versions = append(versions, store.Compare{Key: p.key, Version: version})
 		}
+		missing = rest
 	}
+	return versions, nil
 }
 
 func notApplied(err error) error {
--- a/internal/service/configuration/propagate.go
+++ b/internal/service/configuration/propagate.go
@@ -47,6 +47,13 @@
 	if err := manifest.check(); err != nil {
 		return s.refuse(err)
 	}
+	err := s.take(ctx, manifest, fetch)
+	s.announce()
+	return err
+}
+
+// take gathers and installs a configuration. One call at a time does so.
+func (s *Service) take(ctx context.Context, manifest *Manifest, fetch func(context.Context, string) ([]byte, error)) error {
 	ctx, cancel := context.WithTimeout(ctx, offerTimeout)
 	defer cancel()
 	select {
@@ -184,12 +191,25 @@
 	s.state.Store(&inForce{manifest: manifest, parts: parts})
 	s.count("in_force")
 	s.Log.Info().Uint64("revision", uint64(manifest.Revision)).Msg("configuration_in_force")
-	if s.Applied != nil {
-		s.Applied(snapshot)
-	}
 	return nil
 }
 
+// announce calls Applied for what is in force. Where another call of it runs, that
+// one goes on until it has announced the newest.
+func (s *Service) announce() {
+	for s.Applied != nil {
+		snapshot := s.Holder.Load()
+		if snapshot == nil || s.announced.Load() >= uint64(snapshot.Revision) || !s.announcing.CompareAndSwap(false, true) {
+			return
+		}
+		if s.announced.Load() < uint64(snapshot.Revision) {
+			s.announced.Store(uint64(snapshot.Revision))
+			s.Applied(snapshot)
+		}
+		s.announcing.Store(false)
+	}
+}
+
 // Refresh reads the manifest from the store and puts it in force where it is newer.
 func (s *Service) Refresh(ctx context.Context) error {
 	_, err := s.refresh(ctx)
@@ -252,7 +272,7 @@
 			if event.Deleted || event.Key != s.Keys.Manifest() {
 				continue
 			}
-			if failed = s.take(ctx, event.Value); failed != nil {
+			if failed = s.offerEncoded(ctx, event.Value); failed != nil {
 				cancel()
 				return
 			}
@@ -267,8 +287,8 @@
 	return err
 }
 
-// take puts the manifest of an event in force.
-func (s *Service) take(ctx context.Context, value []byte) error {
+// offerEncoded puts the manifest of an event in force.
+func (s *Service) offerEncoded(ctx context.Context, value []byte) error {
 	manifest, err := ParseManifest(value)
 	if err != nil {
 		return s.refuse(err)
--- a/internal/service/configuration/service.go
+++ b/internal/service/configuration/service.go
@@ -24,7 +24,9 @@
 	Keys   store.Keys
 	Holder *document.Holder
 	Log    *log.Logger
-	// Applied is called with each snapshot that comes into force, in order; nil is skipped.
+	// Applied is called with each snapshot that comes into force, in order and never
+	// twice at once; one that was replaced meanwhile may be left out. It may itself
+	// offer a configuration. Nil is skipped.
 	Applied func(*document.Snapshot)
 	// Follows reports whether this host watches the store; nil means that it does.
 	// Other hosts learn of changes from their peers.
@@ -37,6 +39,9 @@
 	kv   store.Store
 	// slot holds one token; its holder may change what is in force.
 	slot chan struct{}
+	// announcing is true while Applied runs, and announced is the last revision that it got.
+	announcing atomic.Bool
+	announced  atomic.Uint64
 	// refused is the id of the last commit whose document was refused.
 	refused atomic.Pointer[string]
 	// state is what is in force; nil before the first document.
--- a/internal/service/configuration/service_test.go
+++ b/internal/service/configuration/service_test.go
@@ -97,6 +97,7 @@
 				won++
 				return
 			}
+			t.Logf("operator %d: %v", i, err)
 			current, carried := CurrentOf(err)
 			if fault.Is(err, api.KindConflict) && carried && current == 1 {
 				conflicts++
@@ -254,6 +255,25 @@
 	assert.Equal(t, host.Metrics.Counter("configuration.refused").Count(), int64(2))
 }
 
+// TestAppliedMayOffer guards against a deadlock of a host that learns of a newer
+// configuration while it announces one, and against snapshots out of order.
+func TestAppliedMayOffer(t *testing.T) {
+	ctx := context.Background()
+	kv := memory.New()
+	operator, host := newService(kv), newService(kv)
+	var seen []api.Revision
+	host.Applied = func(s *document.Snapshot) {
+		seen = append(seen, s.Revision)
+		if s.Revision < 3 {
+			commit(t, operator, newDocument(int(s.Revision)+1), s.Revision)
+			assert.NilError(t, host.Refresh(ctx))
+		}
+	}
+	commit(t, operator, newDocument(1), 0)
+	assert.NilError(t, host.Refresh(ctx))
+	assert.DeepEqual(t, seen, []api.Revision{1, 2, 3})
+}
+
 // TestHistory guards against a history without bound, the loss of a part that the
 // history names, and the deletion of a part that a commit is about to name.
 func TestHistory(t *testing.T) {
