--- a/internal/plugin/memory/memory.go
+++ b/internal/plugin/memory/memory.go
@@ -217,12 +217,19 @@
 
 func (s *Store) dropLease(id store.LeaseID) {
 	delete(s.leases, id)
-	s.version++
+	var keys []string
 	for key, found := range s.entries {
 		if found.lease == id {
-			s.remove(key)
+			keys = append(keys, key)
 		}
 	}
+	if len(keys) == 0 {
+		return
+	}
+	s.version++
+	for _, key := range keys {
+		s.remove(key)
+	}
 	s.notify()
 }
 
