--- a/internal/plugin/etcd/etcd_test.go
+++ b/internal/plugin/etcd/etcd_test.go
@@ -183,11 +183,8 @@
 	})
 }
 
-// register is the operation on one key that the linearizability check knows:
-// a compare-and-swap of its version, which on failure reads the key.
-type register struct {
-	compare store.Version
-}
+// register is a compare-and-swap of a key's version, which on failure reads the key.
+type register struct{ compare store.Version }
 
 type registerResult struct {
 	applied, unknown bool
--- a/internal/service/configuration/service_test.go
+++ b/internal/service/configuration/service_test.go
@@ -16,32 +16,9 @@
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/plugin/memory"
 	"redwingloft/pkg/api"
+	"redwingloft/standin/keyvalue"
 )
 
-// faulty is a store whose transactions go through hook where that is not nil.
-type faulty struct {
-	store.Store
-	mu   sync.Mutex
-	hook func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error)
-}
-
-func (f *faulty) set(hook func(store.Txn, func() (store.TxnResult, error)) (store.TxnResult, error)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.hook = hook
-}
-
-func (f *faulty) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
-	f.mu.Lock()
-	hook := f.hook
-	f.mu.Unlock()
-	apply := func() (store.TxnResult, error) { return f.Store.Txn(ctx, txn) }
-	if hook == nil {
-		return apply()
-	}
-	return hook(txn, apply)
-}
-
 func newService(kv store.Store) *Service {
 	return &Service{Store: kv, Holder: &document.Holder{}, Log: logging.Discard(), Metrics: metric.New()}
 }
@@ -112,11 +89,11 @@
 // TestLostReply guards against a commit that is reported as failed, or made
 // twice, because its reply was lost.
 func TestLostReply(t *testing.T) {
-	kv := &faulty{Store: memory.New()}
+	kv := keyvalue.NewFaulty(memory.New())
 	s := newService(kv)
 	for i, applies := range []bool{true, false} {
 		var once sync.Once
-		kv.set(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
+		kv.SetHook(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
 			lost := false
 			if writesManifest(txn) {
 				once.Do(func() { lost = true })
@@ -138,7 +115,7 @@
 	// The reply is lost, and another operator commits before the transaction is sent again.
 	other := newService(kv.Store)
 	var once sync.Once
-	kv.set(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
+	kv.SetHook(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
 		result, err := apply()
 		if writesManifest(txn) {
 			once.Do(func() {
@@ -157,15 +134,13 @@
 // TestStoreOutage guards against a commit without the store, and against hosts
 // that go back to the older manifest of a store that lost its last writes.
 func TestStoreOutage(t *testing.T) {
-	kv := &faulty{Store: memory.New()}
+	kv := keyvalue.NewFaulty(memory.New())
 	s := newService(kv)
 	commit(t, s, newDocument(1), 0)
-	kv.set(func(store.Txn, func() (store.TxnResult, error)) (store.TxnResult, error) {
-		return store.TxnResult{}, store.ErrUnavailable.New("refused")
-	})
+	kv.SetDown(true)
 	_, err := s.Commit(context.Background(), newDocument(2), 1, "test", "")
 	assert.Assert(t, fault.Is(err, api.KindStoreUnavailable), "%v", err)
-	kv.set(nil)
+	kv.SetDown(false)
 	commit(t, s, newDocument(2), 1)
 
 	old := memory.New()
@@ -183,10 +158,10 @@
 // TestMembersChangeDuringCommit guards against a manifest that misses a host
 // which registered, in a new data centre, before the commit took effect.
 func TestMembersChangeDuringCommit(t *testing.T) {
-	kv := &faulty{Store: memory.New()}
+	kv := keyvalue.NewFaulty(memory.New())
 	s := newService(kv)
 	var once sync.Once
-	kv.set(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
+	kv.SetHook(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
 		if writesManifest(txn) {
 			once.Do(func() {
 				_, err := kv.Store.Txn(context.Background(), store.Txn{Puts: []store.Put{{
@@ -278,7 +253,7 @@
 // history names, and the deletion of a part that a commit is about to name.
 func TestHistory(t *testing.T) {
 	ctx := context.Background()
-	kv := &faulty{Store: memory.New()}
+	kv := keyvalue.NewFaulty(memory.New())
 	s := newService(kv)
 	for base := range api.Revision(maxHistory + 3) {
 		doc := newDocument(1)
@@ -302,7 +277,7 @@
 	// A collection between the upload of a part and its commit.
 	collected := 0
 	var once sync.Once
-	kv.set(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
+	kv.SetHook(func(txn store.Txn, apply func() (store.TxnResult, error)) (store.TxnResult, error) {
 		if writesManifest(txn) {
 			once.Do(func() { collected, err = newService(kv.Store).Collect(ctx) })
 		}
--- a/internal/service/order/order_test.go
+++ b/internal/service/order/order_test.go
@@ -17,6 +17,7 @@
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/plugin/memory"
 	"redwingloft/pkg/api"
+	"redwingloft/standin/keyvalue"
 )
 
 // upstream is a fake back end that counts runs by key.
@@ -49,9 +50,9 @@
 
 func newUpstream() *upstream { return &upstream{runs: map[string]int{}, fates: map[string][]string{}} }
 
-// newDesk returns a desk over a flaky view of kv.
-func newDesk(kv store.Store, host string, u *upstream) (*Desk, *flaky) {
-	view := &flaky{Store: kv}
+// newDesk returns a desk over a faulty view of kv.
+func newDesk(kv store.Store, host string, u *upstream) (*Desk, *keyvalue.Faulty) {
+	view := keyvalue.NewFaulty(kv)
 	desk := &Desk{Store: view, Host: api.HostID(host), Send: u.send, Metrics: metric.New()}
 	return desk, view
 }
@@ -159,7 +160,7 @@
 	kv, u := memory.New(), newUpstream()
 	d, view := newDesk(kv, "a", u)
 	other, _ := newDesk(kv, "b", u)
-	view.fates = []fate{fateLate, fateRefuse}
+	view.SetFates(keyvalue.FateLate, keyvalue.FateRefuse)
 	order := newOrder()
 	_, err := call(t, d, order)
 	wants(t, err, api.KindOrderStoreUnavailable, api.RunNo)
@@ -172,7 +173,7 @@
 	assert.Equal(t, u.runs[order.Key], 1)
 
 	// The host that left the claim may replace it without a wait.
-	view.fates = []fate{fateLate, fateRefuse}
+	view.SetFates(keyvalue.FateLate, keyvalue.FateRefuse)
 	again := newOrder()
 	_, err = call(t, d, again)
 	wants(t, err, api.KindOrderStoreUnavailable, api.RunNo)
@@ -195,14 +196,14 @@
 func TestStoreOutage(t *testing.T) {
 	kv, u := memory.New(), newUpstream()
 	d, view := newDesk(kv, "a", u)
-	view.setDown(true)
+	view.SetDown(true)
 	_, err := call(t, d, newOrder())
 	wants(t, err, api.KindOrderStoreUnavailable, api.RunNo)
 	assert.Equal(t, len(u.runs), 0)
-	view.setDown(false)
+	view.SetDown(false)
 	send := d.Send
 	d.Send = func(ctx context.Context, order Order, fencing store.Version) (Outcome, error) {
-		view.setDown(true)
+		view.SetDown(true)
 		return send(ctx, order, fencing)
 	}
 	order := newOrder()
@@ -210,7 +211,7 @@
 	assert.NilError(t, err)
 	d.Settle(context.Background())
 	assert.Equal(t, d.Pending(), 1)
-	view.setDown(false)
+	view.SetDown(false)
 	d.Drain(context.Background())
 	assert.Equal(t, d.Pending(), 0)
 	other, _ := newDesk(kv, "b", u)
@@ -254,7 +255,7 @@
 func TestDeadline(t *testing.T) {
 	kv, u := memory.New(), newUpstream()
 	d, view := newDesk(kv, "a", u)
-	view.fates = []fate{fateDelay}
+	view.SetFates(keyvalue.FateDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Microsecond)
 	defer cancel()
 	_, err := d.Call(ctx, newOrder())
@@ -308,8 +309,9 @@
 	wait.Wait()
 	assert.Equal(t, failed.Load(), int64(0))
 	assert.Equal(t, u.runs[same.Key], 1)
-	assert.Equal(t, view.grants, 1)
-	assert.Assert(t, view.txns < orders, "%d transactions", view.txns)
+	txns, grants := view.Counts()
+	assert.Equal(t, grants, 1)
+	assert.Assert(t, txns < orders, "%d transactions", txns)
 
 	// Two hosts claim one key through one aggregator.
 	id, shard := identify(newOrder())
@@ -343,12 +345,14 @@
 		kv, u := memory.New(), newUpstream()
 		var clock atomic.Int64
 		now := func() time.Time { return time.Now().Add(time.Duration(clock.Load())) }
-		fates := rapid.SliceOfN(rapid.SampledFrom([]fate{fateOK, fateOK, fateRefuse, fateDrop, fateLate, fateDelay}), 0, 8)
-		desks, views := make([]*Desk, 3), make([]*flaky, 3)
+		fates := rapid.SliceOfN(rapid.SampledFrom([]keyvalue.Fate{
+			keyvalue.FateOK, keyvalue.FateOK, keyvalue.FateRefuse, keyvalue.FateDrop, keyvalue.FateLate, keyvalue.FateDelay,
+		}), 0, 8)
+		desks, views := make([]*Desk, 3), make([]*keyvalue.Faulty, 3)
 		gone := api.HostID(fmt.Sprint(rapid.IntRange(0, 3).Draw(rt, "suspected")))
 		for i := range desks {
 			desks[i], views[i] = newDesk(kv, fmt.Sprint(i), u)
-			views[i].fates = fates.Draw(rt, "fates")
+			views[i].SetFates(fates.Draw(rt, "fates")...)
 			desks[i].Clock = now
 			desks[i].HolderAlive = func(host api.HostID) bool { return host != gone }
 			desks[i].Forward = forwardTo(desks, i, rapid.SliceOfN(rapid.IntRange(0, 3), 0, 8).Draw(rt, "messages"))
@@ -371,7 +375,7 @@
 			}
 		}
 		for _, view := range views {
-			view.recover()
+			view.Recover()
 		}
 		for range 12 {
 			for _, d := range desks {
--- a/test/e2e/order_test.go
+++ b/test/e2e/order_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -46,15 +47,16 @@
 
 // orderRun places orders while faults come and go.
 type orderRun struct {
-	t       *testing.T
-	site    *site.Site
-	random  *rand.Rand
-	client  *http.Client
+	t      *testing.T
+	site   *site.Site
+	random *rand.Rand
+	client *http.Client
+	// targets are the hosts that callers use.
 	targets atomic.Pointer[[]*site.Host]
 	done    atomic.Int64
 	ledgers []*ledger
-	// faults counts the faults that were injected.
-	faults int
+	// killed counts the hosts that were killed.
+	killed int
 }
 
 // TestOrdersUnderMixedFaults guards against an order that runs twice, and against
@@ -111,11 +113,7 @@
 		l.calls++
 		r.call(ctx, host, path, l)
 		if !l.answered {
-			pause := time.Duration(50+random.IntN(100)) * time.Millisecond
-			select {
-			case <-ctx.Done():
-			case <-time.After(pause):
-			}
+			time.Sleep(time.Duration(50+random.IntN(100)) * time.Millisecond)
 		}
 	}
 }
@@ -154,7 +152,7 @@
 
 // aim makes the hosts that run now the targets of the callers.
 func (r *orderRun) aim() {
-	hosts := append([]*site.Host(nil), r.site.Hosts...)
+	hosts := slices.Clone(r.site.Hosts)
 	r.targets.Store(&hosts)
 }
 
@@ -184,7 +182,7 @@
 		}
 		faults[index]()
 	}
-	r.clear(r.site.KeyValueControl, r.site.KeyValueAddress)
+	r.clear()
 }
 
 // mildFault is the second of two faults at a time; it touches neither the hosts nor the site.
@@ -196,35 +194,21 @@
 	r.storeSlow()
 }
 
-func (r *orderRun) order(control string, order fleet.Order) {
-	encoded, err := json.Marshal(order)
-	assert.Check(r.t, err)
-	response, err := http.Post("http://"+control+"/faults", "application/json", bytes.NewReader(encoded))
-	if assert.Check(r.t, err) {
-		assert.Check(r.t, response.StatusCode == http.StatusOK)
-		assert.Check(r.t, response.Body.Close())
-	}
+// inject sets a fault at the key-value service.
+func (r *orderRun) inject(fault injection.Fault) {
+	assert.Check(r.t, fleet.Inject(r.site.KeyValueControl, r.site.KeyValueAddress, fault))
 }
 
-func (r *orderRun) fault(control, address string, fault injection.Fault) {
-	r.order(control, fleet.Order{Address: address, Fault: fault})
-}
-
-func (r *orderRun) clear(control, address string) {
-	r.order(control, fleet.Order{Address: address, Clear: true})
+func (r *orderRun) clear() {
+	assert.Check(r.t, fleet.Clear(r.site.KeyValueControl, r.site.KeyValueAddress))
 }
 
 func (r *orderRun) killHost() {
 	victim := r.site.Hosts[r.random.IntN(len(r.site.Hosts))]
 	assert.Check(r.t, victim.Kill())
-	r.faults++
-	for i, host := range r.site.Hosts {
-		if host == victim {
-			r.site.Hosts = append(r.site.Hosts[:i:i], r.site.Hosts[i+1:]...)
-			break
-		}
-	}
-	added, err := r.site.AddHost(fmt.Sprintf("added-%d", r.faults))
+	r.killed++
+	r.site.Hosts = slices.DeleteFunc(slices.Clone(r.site.Hosts), func(h *site.Host) bool { return h == victim })
+	added, err := r.site.AddHost(fmt.Sprintf("added-%d", r.killed))
 	if assert.Check(r.t, err) {
 		assert.Check(r.t, added.WaitReady(time.Minute))
 	}
@@ -238,7 +222,6 @@
 func (r *orderRun) storeFrozen() { r.freeze(r.site.KeyValue, 1200*time.Millisecond) }
 
 func (r *orderRun) freeze(process *site.Process, pause time.Duration) {
-	r.faults++
 	assert.Check(r.t, process.Signal(syscall.SIGSTOP))
 	time.Sleep(pause)
 	assert.Check(r.t, process.Signal(syscall.SIGCONT))
@@ -246,30 +229,30 @@
 
 // storeDown refuses new connections to the key-value service and silences the open ones.
 func (r *orderRun) storeDown() {
-	r.faults++
-	r.fault(r.site.KeyValueControl, r.site.KeyValueAddress, injection.Fault{Mode: injection.ModeRefuse})
-	r.fault(r.site.KeyValueControl, r.site.KeyValueAddress, injection.Fault{Mode: injection.ModeSilence})
+	r.inject(injection.Fault{Mode: injection.ModeRefuse})
+	r.inject(injection.Fault{Mode: injection.ModeSilence})
 	time.Sleep(time.Second)
-	r.clear(r.site.KeyValueControl, r.site.KeyValueAddress)
+	r.clear()
 }
 
 func (r *orderRun) storeReplyLost() {
-	r.fault(r.site.KeyValueControl, r.site.KeyValueAddress, injection.Fault{Mode: injection.ModeDropReply, Path: "/v3/kv/txn", Count: 60})
+	r.inject(injection.Fault{Mode: injection.ModeDropReply, Path: "/v3/kv/txn", Count: 60})
 }
 
 func (r *orderRun) storeUnavailable() {
-	r.fault(r.site.KeyValueControl, r.site.KeyValueAddress, injection.Fault{Mode: injection.ModeUnavailable, Path: "/v3/kv/txn", Count: 100})
+	r.inject(injection.Fault{Mode: injection.ModeUnavailable, Path: "/v3/kv/txn", Count: 100})
 }
 
 func (r *orderRun) storeSlow() {
-	r.fault(r.site.KeyValueControl, r.site.KeyValueAddress, injection.Fault{Mode: injection.ModeDelay, DelayMs: 60, Count: 60})
+	r.inject(injection.Fault{Mode: injection.ModeDelay, DelayMs: 60, Count: 60})
 }
 
 // upstreamFault sets a fault at one upstream of each of the two services.
 func (r *orderRun) upstreamFault(fault injection.Fault) {
 	for _, group := range r.site.Options.Document.Groups {
 		if group.Name == "bookings" || group.Name == "sms-notify" {
-			r.fault(r.site.Control, string(group.Upstreams[r.random.IntN(len(group.Upstreams))].Address), fault)
+			address := group.Upstreams[r.random.IntN(len(group.Upstreams))].Address
+			assert.Check(r.t, fleet.Inject(r.site.Control, string(address), fault))
 		}
 	}
 }
@@ -295,7 +278,7 @@
 			ran[run.Key]++
 		}
 	}
-	answered, unknown, notRun, calls := 0, 0, 0, 0
+	answered, unknown, calls := 0, 0, 0
 	for _, l := range r.ledgers {
 		calls += l.calls
 		switch {
@@ -306,16 +289,13 @@
 		case !l.answered && !l.unknown && ran[l.key] != 0:
 			r.t.Errorf("order %s ran, and each of its %d calls was told that it did not", l.key, l.calls)
 		}
-		switch {
-		case l.answered:
+		if l.answered {
 			answered++
-		case l.unknown:
+		} else if l.unknown {
 			unknown++
-		default:
-			notRun++
 		}
 	}
-	r.t.Logf("%d orders in %d calls: %d answered, %d unknown, %d not run; %d keys ran", len(r.ledgers), calls, answered, unknown, notRun, len(ran))
+	r.t.Logf("%d orders in %d calls: %d answered, %d unknown, %d not run; %d keys ran", len(r.ledgers), calls, answered, unknown, len(r.ledgers)-answered-unknown, len(ran))
 	assert.Equal(r.t, len(r.ledgers), orders)
 	// Without repeated calls the faults would not have met the orders.
 	assert.Assert(r.t, calls > orders && answered > orders*9/10)
