--- a/internal/service/order/order.go
+++ b/internal/service/order/order.go
@@ -300,7 +300,7 @@
 		answer, err := outcome.replay()
 		return 0, answer, err
 	}
-	gone := order.Fenced && d.HolderAlive != nil && !d.HolderAlive(record.Host)
+	gone := order.Fenced && record.Fenced && d.HolderAlive != nil && !d.HolderAlive(record.Host)
 	if record.State == StateClaimed && (gone || d.pending.unsent(record.Token)) {
 		if version := d.takeOver(ctx, held, result.version); version != 0 {
 			return version, Outcome{}, nil
--- a/internal/service/order/order_test.go
+++ b/internal/service/order/order_test.go
@@ -228,14 +228,15 @@
 	d, _ := newDesk(kv, "b", u)
 	d.HolderAlive = func(host api.HostID) bool { return host != "holder" }
 	for _, c := range []struct {
-		fenced bool
-		state  State
-		runs   int
-	}{{false, StateClaimed, 0}, {true, StateSending, 0}, {true, StateClaimed, 1}} {
+		held, fenced bool // by the configuration of the holder, and of the other host
+		state        State
+		runs         int
+	}{{false, false, StateClaimed, 0}, {false, true, StateClaimed, 0}, {true, true, StateSending, 0}, {true, true, StateClaimed, 1}} {
 		order := newOrder()
-		order.Fenced = c.fenced
+		order.Fenced = c.held
 		holder.init()
 		held := holder.newHolding(order)
+		order.Fenced = c.fenced
 		record := held.own
 		record.State = c.state
 		result := holder.write(context.Background(), held.shard, held.write(0, &record))
--- a/internal/service/order/record.go
+++ b/internal/service/order/record.go
@@ -43,6 +43,9 @@
 	State State      `json:"state"`
 	// Digest is the hex SHA-256 of the request body.
 	Digest string `json:"digest"`
+	// Fenced tells that the holder writes StateSending before it sends the order. It
+	// goes by the configuration of the holder, which may have changed since.
+	Fenced bool `json:"fenced,omitempty"`
 	// ClaimedMs is the time of the claim by the holder's clock, in Unix milliseconds.
 	ClaimedMs int64 `json:"claimed_ms"`
 	// Status and Body are set in StateDone.
@@ -167,7 +170,7 @@
 	body := sha256.Sum256(order.Body)
 	return holding{shard: shard, id: id, own: Record{
 		Token: uuid.NewString(), Host: d.Host, State: StateClaimed,
-		Digest: hex.EncodeToString(body[:]), ClaimedMs: d.now().UnixMilli(),
+		Digest: hex.EncodeToString(body[:]), Fenced: order.Fenced, ClaimedMs: d.now().UnixMilli(),
 	}}
 }
 
