--- a/cmd/host.go
+++ b/cmd/host.go
@@ -41,8 +41,16 @@
 	_ "redwingloft/internal/plugin/openai"
 )
 
-// refreshPeriod is the time between two reads of the store's manifest and members.
-const refreshPeriod = time.Second
+const (
+	// refreshPeriod is the time between two reads of the store's members.
+	refreshPeriod = time.Second
+	// settlePeriod is the time between two tries to write order records that could not be written.
+	settlePeriod = time.Second
+	// claimInterval spaces the transactions of one order shard. The 16 shards, each at
+	// its aggregator, then make at most 320 a second for claims and as many for
+	// outcomes; the key-value service takes several hundred writes a second.
+	claimInterval = 50 * time.Millisecond
+)
 
 // hostListTimeout bounds one read of the host list.
 const hostListTimeout = 2 * time.Second
@@ -77,7 +85,7 @@
 	h := &host{settings: s, log: logger, timer: &timer.Service{}, metrics: metric.New(), snapshots: &document.Holder{}}
 	keys := store.Keys{Prefix: s.Store.Prefix}
 	h.members = &member.Service{
-		Store: kv, Keys: keys, Validity: s.Caller.AddressValidity,
+		Store: store.WithCause(kv, store.CauseMember, h.metrics), Keys: keys, Validity: s.Caller.AddressValidity,
 		Self: member.Member{
 			Host: s.Host.ID, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise, DataCentre: s.Host.DataCentre,
 		},
@@ -86,7 +94,7 @@
 	if h.upstreams, err = newMonitor(h, table); err != nil {
 		return nil, err
 	}
-	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply}
+	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply, Metrics: h.metrics}
 	h.requests = newRequests(h, kv, keys, table)
 	if s.Trace.Record != "" {
 		if h.recorder, err = trace.NewRecorder(s.Trace.Record, strings.Trim(s.Store.Prefix, "/")); err != nil {
@@ -128,7 +136,11 @@
 		Book:  &account.Book{},
 		Table: table, Router: router, Sender: sender, DataCentre: h.settings.Host.DataCentre,
 	}
-	requests.Orders = &order.Desk{Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder}
+	requests.Orders = &order.Desk{
+		Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder, Metrics: h.metrics,
+		Retention: h.settings.Store.Retention, Interval: claimInterval,
+		LongestDeadline: func() time.Duration { return h.snapshots.Load().LongestCall() },
+	}
 	return requests
 }
 
@@ -159,8 +171,11 @@
 		if err := h.start(ctx); err != nil {
 			return err
 		}
-		<-ctx.Done()
-		return ctx.Err()
+		err := h.configuration.Watch(ctx)
+		drain, stop := context.WithTimeout(context.WithoutCancel(ctx), h.settings.Host.Shutdown)
+		defer stop()
+		h.requests.Orders.Drain(drain)
+		return err
 	}, func(error) { cancel() })
 	callers := &caller.Handler{
 		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log, Timer: h.timer,
@@ -192,6 +207,7 @@
 	h.refresh(ctx)
 	h.upstreams.Start(ctx, h.timer)
 	h.timer.Every(refreshPeriod, func(time.Time) { h.refresh(ctx) })
+	h.timer.Every(settlePeriod, func(time.Time) { h.requests.Orders.Settle(ctx) })
 	return nil
 }
 
@@ -219,9 +235,6 @@
 }
 
 func (h *host) refresh(ctx context.Context) {
-	if err := h.configuration.Refresh(ctx); err != nil {
-		h.log.Warn().Err(err).Msg("configuration_refresh_failed")
-	}
 	if err := h.members.Refresh(ctx); err != nil {
 		h.log.Warn().Err(err).Msg("members_refresh_failed")
 	}
--- a/internal/service/request/service.go
+++ b/internal/service/request/service.go
@@ -103,6 +103,7 @@
 	}
 	placed := order.Order{
 		Workspace: caller.Workspace, Service: prepared.service.Name, Call: prepared.call.Name, Key: key, Body: body,
+		Fenced: prepared.snapshot.Groups[prepared.service.Group].Fencing == document.FencingChecked,
 	}
 	return s.Orders.Call(ctx, placed)
 }
