member: registration, exchange, freshness, handover gate, address list and drain

Hosts read the store each second by themselves and had no contact with each other, so store calls grew with the fleet, a partitioned host went on serving, and two hosts could serve a workspace under different versions after a change.

Hosts now exchange their state; two hosts of each data centre read the store in one compare call. Evidence of freshness comes only from answers and counts from the start of the request, because a request may be under way for any time. Ruled out: a freshness taken from pushed messages for that reason. New hosts become voters, and dead ones are removed, one at a time by a host in contact with a majority on the same list: otherwise a majority that is cut off from the store would go on serving the old version while the list grew or shrank without it.

--- /dev/null
+++ b/cmd/drain.go
@@ -0,0 +1,101 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// errStopped is the end of a host that was told to stop.
+var errStopped = errors.New("stopped by a signal")
+
+const (
+	// drainPoll is the time between two looks at the requests in progress.
+	drainPoll = 20 * time.Millisecond
+	// leaveTimeout bounds the last write to the key-value service; a host that can't
+	// make it is removed by the others later.
+	leaveTimeout = 3 * time.Second
+)
+
+// signals returns an actor that drains the host on the first signal and ends it at once on the second.
+func (h *host) signals(ctx context.Context) (func() error, func(error)) {
+	ctx, cancel := context.WithCancel(ctx)
+	received := make(chan os.Signal, 2)
+	signal.Notify(received, os.Interrupt, syscall.SIGTERM)
+	execute := func() error {
+		defer signal.Stop(received)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-received:
+		}
+		drained := make(chan struct{})
+		go func() {
+			defer close(drained)
+			h.drain(ctx)
+		}()
+		select {
+		case <-drained:
+		case <-received:
+			h.log.Warn().Int64("in_progress", h.inProgress.Load()).Msg("drain_cut_short")
+		case <-ctx.Done():
+		}
+		return errStopped
+	}
+	return execute, func(error) { cancel() }
+}
+
+// drain leaves the address lists, serves callers that still hold the address,
+// refuses new requests, waits for those in progress, and leaves the member document.
+func (h *host) drain(ctx context.Context) {
+	h.log.Info().Dur("serving_for", h.settings.Host.Drain).Msg("drain_started")
+	h.members.Drain(ctx)
+	if !sleep(ctx, h.settings.Host.Drain) {
+		return
+	}
+	h.members.Close(ctx)
+	end := time.Now().Add(h.settings.Host.Shutdown)
+	for h.inProgress.Load() > 0 && time.Now().Before(end) {
+		if !sleep(ctx, drainPoll) {
+			return
+		}
+	}
+	h.log.Info().Int64("in_progress", h.inProgress.Load()).Msg("drain_ended")
+	if h.members.Alone {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := h.members.Leave(ctx); err != nil {
+		h.log.Warn().Err(err).Msg("leave_failed")
+	}
+}
+
+// sleep reports false where ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// counted counts the requests in progress. A draining host closes each connection
+// with its answer, so that no caller sends a request on a connection that is about to end.
+func (h *host) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.inProgress.Add(1)
+		defer h.inProgress.Add(-1)
+		if h.members.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -1,11 +1,13 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
 	"fmt"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,6 +29,7 @@
 	"redwingloft/internal/service/upstream"
 	"redwingloft/internal/web/admin"
 	"redwingloft/internal/web/caller"
+	"redwingloft/internal/web/peer"
 	"redwingloft/pkg/api"
 
 	// The plug-ins register themselves.
@@ -35,8 +38,12 @@
 	_ "redwingloft/internal/plugin/openai"
 )
 
-// refreshPeriod is the time between two reads of the store's manifest and members.
-const refreshPeriod = time.Second
+const (
+	// refreshPeriod is the time between two reads of the manifest by a host that runs alone.
+	refreshPeriod = time.Second
+	// fetchTimeout bounds the fetch of a newer configuration.
+	fetchTimeout = 5 * time.Second
+)
 
 // host assembles the parts of one entry host.
 type host struct {
@@ -48,12 +55,15 @@
 	members       *member.Service
 	requests      *request.Service
 	snapshots     *document.Holder
+	client        *member.Client
+	// inProgress counts the requests of the caller listener.
+	inProgress atomic.Int64
 }
 
 func newHost(s *settings.Settings, logger *log.Logger) (*host, error) {
-	if s.Host.ID == "" {
-		s.Host.ID = api.HostID("host-" + uuid.NewString()[:8])
-	}
+	// What other hosts know of a host, such as its acknowledgements, holds for one
+	// process only, so each start makes a new id.
+	s.Host.ID = api.HostID(cmp.Or(string(s.Host.ID), "host") + "-" + uuid.NewString()[:8])
 	factory, err := kernel.Stores.Get(s.Store.Kind)
 	if err != nil {
 		return nil, fmt.Errorf("[store] kind: %w", err)
@@ -64,22 +74,37 @@
 	}
 	h := &host{settings: s, log: logger, timer: &timer.Service{}, metrics: metric.New(), snapshots: &document.Holder{}}
 	keys := store.Keys{Prefix: s.Store.Prefix}
-	h.members = &member.Service{
+	h.members = h.newMembers(kv, keys)
+	table := &upstream.Table{}
+	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: func(snapshot *document.Snapshot) {
+		table.Apply(snapshot)
+		h.members.Apply(snapshot)
+		// The other hosts wait for the acknowledgement.
+		h.members.Round(context.Background())
+	}}
+	h.requests = newRequests(h, kv, keys, table)
+	return h, nil
+}
+
+func (h *host) newMembers(kv store.Store, keys store.Keys) *member.Service {
+	s := h.settings
+	h.client = member.NewClient(s.Peer.Secret, h.metrics)
+	return &member.Service{
 		Store: kv, Keys: keys, Validity: s.Caller.AddressValidity,
 		Self: member.Member{
 			Host: s.Host.ID, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise, DataCentre: s.Host.DataCentre,
 		},
+		Alone:    s.Peer.Secret == "" || s.Store.Kind == "memory",
+		Interval: s.Peer.Interval, Freshness: s.Peer.Freshness, Seeds: s.Peer.Seeds,
+		Timer: h.timer, Metrics: h.metrics, Log: h.log,
+		Send: h.client.Exchange, Newer: h.fetch,
 	}
-	table := &upstream.Table{}
-	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply}
-	h.requests = newRequests(h, kv, keys, table)
-	return h, nil
 }
 
 func newRequests(h *host, kv store.Store, keys store.Keys, table *upstream.Table) *request.Service {
 	router, sender := &route.Router{}, upstream.NewSender()
 	requests := &request.Service{
-		Snapshot: h.snapshots.Load, Key: sealKey(h.settings.Peer.Secret),
+		Snapshot: h.snapshots.Load, Begin: h.members.Begin, Key: sealKey(h.settings.Peer.Secret),
 		Executor: &pipeline.Executor{Table: table, Router: router, Sender: sender},
 		Table:    table, Router: router, Sender: sender,
 	}
@@ -111,10 +136,17 @@
 	callers := &caller.Handler{
 		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log,
 	}
-	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, callers.Routes())
+	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, 0, h.counted(callers.Routes()))
+	if !h.members.Alone {
+		handler := &peer.Handler{
+			Secret: h.settings.Peer.Secret, Exchange: h.members.Receive, Manifest: h.configuration.Current,
+			Metrics: h.metrics, Log: h.log,
+		}
+		addServer(group, h.settings.Peer.Listen, settings.TLS{}, writeTimeout, handler.Routes())
+	}
 	if h.settings.Admin.Listen != "" {
 		handler := &admin.Handler{Metrics: h.metrics, Ready: h.ready}
-		addServer(group, h.settings.Admin.Listen, settings.TLS{}, handler.Routes())
+		addServer(group, h.settings.Admin.Listen, settings.TLS{}, writeTimeout, handler.Routes())
 	}
 }
 
@@ -123,14 +155,20 @@
 	if h.settings.Store.Kind == "memory" {
 		h.log.Warn().Msg("no key-value service is set: the host runs alone and its configuration ends with it")
 	}
-	if err := h.members.Register(ctx); err != nil {
-		h.log.Warn().Err(err).Msg("registration_failed")
+	if !h.members.Alone {
+		// The registration comes before the first read of the configuration.
+		h.members.ReadStore(ctx)
+		h.members.Round(ctx)
 	}
 	if err := h.seed(ctx); err != nil {
 		return err
 	}
-	h.refresh(ctx)
-	h.timer.Every(refreshPeriod, func(time.Time) { h.refresh(ctx) })
+	if h.members.Alone {
+		h.refresh(ctx)
+		h.timer.Every(refreshPeriod, func(time.Time) { h.refresh(ctx) })
+		return nil
+	}
+	h.members.Start(ctx)
 	return nil
 }
 
@@ -161,8 +199,24 @@
 	if err := h.configuration.Refresh(ctx); err != nil {
 		h.log.Warn().Err(err).Msg("configuration_refresh_failed")
 	}
-	if err := h.members.Refresh(ctx); err != nil {
-		h.log.Warn().Err(err).Msg("members_refresh_failed")
+}
+
+// fetch puts a newer revision in force, from the peer that has it or else from the store.
+func (h *host) fetch(from api.Address, revision api.Revision) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	if from == "" {
+		h.refresh(ctx)
+		return
+	}
+	manifest, err := h.client.Manifest(ctx, from)
+	if err == nil {
+		err = h.configuration.Offer(ctx, manifest, func(ctx context.Context, digest string) ([]byte, error) {
+			return h.client.Part(ctx, from, digest)
+		})
+	}
+	if err != nil {
+		h.log.Warn().Str("peer", string(from)).Uint64("revision", uint64(revision)).Err(err).Msg("configuration_fetch_failed")
 	}
 }
 
@@ -174,6 +228,12 @@
 }
 
 func (h *host) ready() error {
+	if h.members.Draining() {
+		return errors.New("the host is leaving")
+	}
+	if err := h.members.Fresh(); err != nil {
+		return err
+	}
 	if h.snapshots.Load() == nil {
 		return errors.New("no configuration is in force")
 	}
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/oklog/run"
@@ -22,6 +21,10 @@
 	readTimeout       = 30 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 32 << 10
+	// writeTimeout bounds the answers of the other listeners, which carry no streams.
+	writeTimeout = 30 * time.Second
+	// closeTimeout bounds the end of a listener, which has no request left after a drain.
+	closeTimeout = time.Second
 )
 
 func serveCommand() *cli.Command {
@@ -44,21 +47,21 @@
 	}
 	var group run.Group
 	host.addTo(ctx, &group)
-	group.Add(run.SignalHandler(ctx, os.Interrupt, syscall.SIGTERM))
+	group.Add(host.signals(ctx))
 	err = group.Run()
-	if errors.Is(err, run.ErrSignal) {
+	if errors.Is(err, errStopped) {
 		host.log.Info().Msg("stopped")
 		return nil
 	}
 	return err
 }
 
-// addServer adds an HTTP server to the group.
-func addServer(group *run.Group, listen string, tls settings.TLS, handler http.Handler) {
+// addServer adds an HTTP server to the group. Write bounds each answer; 0 means no bound.
+func addServer(group *run.Group, listen string, tls settings.TLS, write time.Duration, handler http.Handler) {
 	server := &http.Server{
 		Addr: listen, Handler: handler,
 		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, WriteTimeout: write,
 	}
 	group.Add(func() error {
 		if tls.CertFile != "" {
@@ -66,9 +69,10 @@
 		}
 		return fmt.Errorf("listener %s: %w", listen, server.ListenAndServe())
 	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 		defer cancel()
 		// The process ends next; an error changes nothing.
 		_ = server.Shutdown(ctx)
+		_ = server.Close()
 	})
 }
--- a/internal/service/configuration/service.go
+++ b/internal/service/configuration/service.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -37,6 +38,8 @@
 	Log    *log.Logger
 	// Applied is called with each snapshot that comes into force; nil is skipped.
 	Applied func(*document.Snapshot)
+
+	current atomic.Pointer[json.RawMessage]
 }
 
 // Commit puts doc in force where base is still the revision in the store.
@@ -114,6 +117,24 @@
 	return s.apply(manifest)
 }
 
+// Current returns the manifest in force, or nil before the first.
+func (s *Service) Current() json.RawMessage {
+	if current := s.current.Load(); current != nil {
+		return *current
+	}
+	return nil
+}
+
+// Offer puts a manifest that a peer has given in force where it is newer. The
+// manifest holds the whole document, so no part has to be fetched.
+func (s *Service) Offer(_ context.Context, offered json.RawMessage, _ func(context.Context, string) ([]byte, error)) error {
+	var manifest Manifest
+	if err := json.Unmarshal(offered, &manifest); err != nil {
+		return fault.Wrap(api.KindBadRequest, err, "the manifest is not valid")
+	}
+	return s.apply(manifest)
+}
+
 func (s *Service) apply(manifest Manifest) error {
 	if current := s.Holder.Load(); current != nil && current.Revision >= manifest.Revision {
 		return nil
@@ -126,7 +147,13 @@
 	if err != nil {
 		return fmt.Errorf("revision %d: %w", manifest.Revision, err)
 	}
+	encoded, err := json.Marshal(manifest)
+	if err != nil {
+		return err
+	}
 	if s.Holder.Store(snapshot) {
+		raw := json.RawMessage(encoded)
+		s.current.Store(&raw)
 		s.Log.Info().Uint64("revision", uint64(manifest.Revision)).Msg("configuration_in_force")
 		if s.Applied != nil {
 			s.Applied(snapshot)
--- /dev/null
+++ b/internal/service/member/client.go
@@ -0,0 +1,177 @@
+package member
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/pkg/api"
+)
+
+// HeaderSecret carries the shared peer secret.
+const HeaderSecret = "X-Peer-Secret"
+
+// Paths of the messages between hosts.
+const (
+	PathExchange = "/peer/v1/exchange"
+	PathManifest = "/peer/v1/config/manifest"
+	PathParts    = "/peer/v1/config/parts/"
+	PathGrant    = "/peer/v1/limits/grant"
+	PathClaims   = "/peer/v1/claims"
+)
+
+// Bounds of the bodies of messages between hosts.
+const (
+	// MaxExchange bounds an exchange, which carries all member documents at most: about 120 bytes a host.
+	MaxExchange = 1 << 20
+	// MaxSmall bounds a request for a grant.
+	MaxSmall = 64 << 10
+	// MaxClaims bounds a batch of claims and its answer, which holds outcomes of up to 64 KiB each.
+	MaxClaims = 16 << 20
+	// MaxPart bounds a manifest or a configuration part.
+	MaxPart = 8 << 20
+)
+
+// GrantRequest asks the home host of a workspace for tokens.
+type GrantRequest struct {
+	Workspace api.WorkspaceName `json:"workspace"`
+	// Want is the number of tokens asked for.
+	Want float64 `json:"want"`
+}
+
+// Grant answers a GrantRequest.
+type Grant struct {
+	// Tokens is the number of tokens granted, at most Want.
+	Tokens float64 `json:"tokens"`
+	// RetryAfterMs is the suggested wait where fewer were granted; 0 means none.
+	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
+}
+
+// ClaimsRequest asks the aggregator of an order shard to make claims.
+type ClaimsRequest struct {
+	Shard int `json:"shard"`
+	// Claims is defined by the order desk.
+	Claims json.RawMessage `json:"claims"`
+}
+
+// Client sends messages to other hosts.
+type Client struct {
+	Secret  string
+	Metrics *metric.Set
+	http    *http.Client
+	scheme  string
+}
+
+// Time-outs of the connections between hosts.
+const (
+	dialTimeout     = time.Second
+	answerTimeout   = 5 * time.Second
+	idleConnTimeout = 30 * time.Second
+)
+
+// NewClient returns a client with the given secret.
+func NewClient(secret string, metrics *metric.Set) *Client {
+	transport := &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		ResponseHeaderTimeout: answerTimeout,
+		IdleConnTimeout:       idleConnTimeout,
+		MaxIdleConnsPerHost:   2,
+		DisableCompression:    true,
+	}
+	return &Client{Secret: secret, Metrics: metrics, scheme: "http://", http: &http.Client{Transport: transport, Timeout: answerTimeout}}
+}
+
+// Exchange sends a message and returns the answer.
+func (c *Client) Exchange(ctx context.Context, address api.Address, message Message) (Message, error) {
+	var answer Message
+	sent, received, err := c.post(ctx, address, PathExchange, MaxExchange, message, &answer)
+	c.Metrics.Counter("member.exchange_bytes_sent").Inc(int64(sent))
+	c.Metrics.Counter("member.exchange_bytes_received").Inc(int64(received))
+	return answer, err
+}
+
+// Grant asks the home host of a workspace for tokens.
+func (c *Client) Grant(ctx context.Context, address api.Address, request GrantRequest) (Grant, error) {
+	var answer Grant
+	_, _, err := c.post(ctx, address, PathGrant, MaxSmall, request, &answer)
+	return answer, err
+}
+
+// Claims asks the aggregator of an order shard to make claims, and returns its answer.
+func (c *Client) Claims(ctx context.Context, address api.Address, request ClaimsRequest) (json.RawMessage, error) {
+	var answer json.RawMessage
+	_, _, err := c.post(ctx, address, PathClaims, MaxClaims, request, &answer)
+	return answer, err
+}
+
+// Manifest returns the manifest in force at a host.
+func (c *Client) Manifest(ctx context.Context, address api.Address) (json.RawMessage, error) {
+	return c.get(ctx, address, PathManifest)
+}
+
+// Part returns a configuration part by its hex SHA-256 digest. The receiver checks the digest.
+func (c *Client) Part(ctx context.Context, address api.Address, digest string) ([]byte, error) {
+	return c.get(ctx, address, PathParts+digest)
+}
+
+func (c *Client) get(ctx context.Context, address api.Address, path string) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.scheme+string(address)+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.do(request, MaxPart)
+}
+
+func (c *Client) post(ctx context.Context, address api.Address, path string, limit int64, body, answer any) (sent, received int, err error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return 0, 0, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.scheme+string(address)+path, bytes.NewReader(encoded))
+	if err != nil {
+		return 0, 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	data, err := c.do(request, limit)
+	if err != nil {
+		return len(encoded), len(data), err
+	}
+	return len(encoded), len(data), json.Unmarshal(data, answer)
+}
+
+func (c *Client) do(request *http.Request, limit int64) ([]byte, error) {
+	request.Header.Set(HeaderSecret, c.Secret)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	switch {
+	case err != nil:
+		return data, err
+	case int64(len(data)) > limit:
+		return nil, fmt.Errorf("the answer of %s has more than %d bytes", request.URL.Path, limit)
+	case response.StatusCode != http.StatusOK:
+		return data, refusal(response.StatusCode, data)
+	}
+	return data, nil
+}
+
+// refusal returns the error that a peer answered, with its kind where it has a known one.
+func refusal(status int, data []byte) error {
+	var told api.Error
+	if json.Unmarshal(data, &told) == nil {
+		if _, known := api.Kinds[told.Kind]; known {
+			return fault.WithRun(fault.New(told.Kind, "%s", told.Message), told.Run)
+		}
+	}
+	return fmt.Errorf("the peer answered with status %d", status)
+}
--- /dev/null
+++ b/internal/service/member/drain.go
@@ -0,0 +1,29 @@
+package member
+
+import (
+	"context"
+)
+
+// Drain takes this host off the address lists: its own at once, those of the other
+// hosts by the next exchanges, the first of which start now.
+func (s *Service) Drain(ctx context.Context) {
+	s.draining.Store(true)
+	s.Round(ctx)
+}
+
+// Draining reports whether the drain has begun.
+func (s *Service) Draining() bool { return s.draining.Load() }
+
+// Close refuses all new requests as draining. Once no request can start, it
+// acknowledges every revision, so that no handover waits for this host.
+func (s *Service) Close(ctx context.Context) {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
+	s.closed.Store(true)
+	s.starts.wait()
+	s.mu.Lock()
+	s.acked = never
+	s.notify()
+	s.mu.Unlock()
+	s.Round(ctx)
+}
--- a/internal/service/request/request.go
+++ b/internal/service/request/request.go
@@ -43,6 +43,11 @@
 type Service struct {
 	// Snapshot returns the configuration in force, or nil before the first.
 	Snapshot func() *document.Snapshot
+	// Begin waits until a request of the workspace and pipeline may start and returns the
+	// snapshot under which it runs to its end; nil means Snapshot. It is called right
+	// before the first stage, after the wait in the queue, because a request counts as
+	// started from then on.
+	Begin func(context.Context, api.WorkspaceName, api.PipelineName) (*document.Snapshot, error)
 	// Gate refuses a request that this host may not start now; nil admits all.
 	// Release is called when the request has ended.
 	Gate func(ctx context.Context, workspace *document.CompiledWorkspace, pipeline api.PipelineName) (release func(), err error)
@@ -111,17 +116,6 @@
 	if declared == nil || version == nil {
 		return nil, fault.New(api.KindNotFound, "no pipeline %q serves workspace %q", name, caller.Workspace)
 	}
-	run := pipeline.Request{
-		ID: caller.ID, Workspace: caller.Workspace, Pipeline: name, Snapshot: snapshot, Version: version,
-		Priority: caller.Priority, Item: work.Item{Input: body.Input}, MaxTokens: body.MaxTokens,
-	}
-	events := uint64(0)
-	if body.Resume != nil {
-		if err := s.resume(&run, body.Resume); err != nil {
-			return nil, err
-		}
-		events = body.Resume.LastEvent
-	}
 	ctx, cancel := context.WithTimeout(ctx, bound(caller.Deadline, declared.Deadline))
 	defer cancel()
 	release, err := s.admit(ctx, workspace, name)
@@ -129,6 +123,14 @@
 		return nil, err
 	}
 	defer release()
+	run, err := s.start(ctx, caller, name, body)
+	if err != nil {
+		return nil, err
+	}
+	events := uint64(0)
+	if body.Resume != nil {
+		events = body.Resume.LastEvent
+	}
 	result, err := s.Executor.Run(ctx, run, s.observer(&run, stream, &events))
 	if err != nil {
 		return nil, err
@@ -141,6 +143,42 @@
 	return answer, nil
 }
 
+// start returns the run of a request under the snapshot that Begin gives. A stream
+// that is resumed finishes on its own version and waits for no handover.
+func (s *Service) start(ctx context.Context, caller Caller, name api.PipelineName, body api.RunRequest) (pipeline.Request, error) {
+	held := name
+	if body.Resume != nil {
+		held = ""
+	}
+	snapshot, err := s.begin(ctx, caller.Workspace, held)
+	if err != nil {
+		return pipeline.Request{}, err
+	}
+	workspace, err := s.authenticate(snapshot, caller)
+	if err != nil {
+		return pipeline.Request{}, err
+	}
+	version := workspace.Versions[name]
+	if version == nil {
+		return pipeline.Request{}, fault.New(api.KindNotFound, "no pipeline %q serves workspace %q", name, caller.Workspace)
+	}
+	run := pipeline.Request{
+		ID: caller.ID, Workspace: caller.Workspace, Pipeline: name, Snapshot: snapshot, Version: version,
+		Priority: caller.Priority, Item: work.Item{Input: body.Input}, MaxTokens: body.MaxTokens,
+	}
+	if body.Resume != nil {
+		err = s.resume(&run, body.Resume)
+	}
+	return run, err
+}
+
+func (s *Service) begin(ctx context.Context, workspace api.WorkspaceName, name api.PipelineName) (*document.Snapshot, error) {
+	if s.Begin == nil {
+		return s.Snapshot(), nil
+	}
+	return s.Begin(ctx, workspace, name)
+}
+
 func (s *Service) admit(ctx context.Context, workspace *document.CompiledWorkspace, name api.PipelineName) (func(), error) {
 	if s.Gate == nil {
 		return func() {}, nil
@@ -220,6 +258,9 @@
 		return nil, err
 	}
 	defer release()
+	if _, err := s.begin(ctx, caller.Workspace, ""); err != nil {
+		return nil, err
+	}
 	var outcome order.Outcome
 	if call.Repeatable {
 		outcome, err = s.send(ctx, declared.Group, call, body, "", 0)
