--- /dev/null
+++ b/internal/service/member/member_test.go
@@ -0,0 +1,306 @@
+package member
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/pkg/api"
+)
+
+func lists(answer api.AddressList, host *node) bool {
+	for _, entry := range answer.Hosts {
+		if entry.Host == host.Self.Host {
+			return true
+		}
+	}
+	return false
+}
+
+// TestPartitionOfOneHost guards against a cut-off host that goes on serving or stays in address lists.
+func TestPartitionOfOneHost(t *testing.T) {
+	c := newCluster(t, 5)
+	lost := c.hosts[2]
+	lost.side, lost.cut = 1, true
+	c.run(4 * time.Second)
+	assertKind(t, c.begin(lost), api.KindHostIsolated)
+	assert.Assert(t, !lists(c.hosts[0].Addresses("dc"), lost))
+	own := lost.Addresses("dc")
+	assert.Assert(t, !lists(own, lost))
+	assert.Equal(t, len(own.Hosts), 4)
+	assert.NilError(t, c.begin(c.hosts[0]))
+	lost.side, lost.cut = 0, false
+	c.run(time.Second)
+	assert.NilError(t, c.begin(lost))
+	assert.Assert(t, lists(c.hosts[0].Addresses("dc"), lost))
+}
+
+// TestPartitionOfMinority guards against a minority without the store that serves, and a majority that stops.
+func TestPartitionOfMinority(t *testing.T) {
+	c := newCluster(t, 5)
+	c.down = true
+	c.hosts[0].side, c.hosts[1].side = 1, 1
+	c.run(4 * time.Second)
+	for i, host := range c.hosts {
+		if i < 2 {
+			assertKind(t, c.begin(host), api.KindHostIsolated)
+		} else {
+			assert.NilError(t, c.begin(host))
+		}
+	}
+}
+
+// TestStoreOutage guards against hosts that stop serving while the store is out and all peers are reachable.
+func TestStoreOutage(t *testing.T) {
+	c := newCluster(t, 5)
+	c.down = true
+	for range 40 {
+		c.run(2 * time.Second)
+		for _, host := range c.hosts {
+			assert.NilError(t, c.begin(host))
+		}
+	}
+}
+
+// TestPauseOverChange guards against a host that serves the old version after a pause.
+func TestPauseOverChange(t *testing.T) {
+	c := newCluster(t, 5)
+	frozen := c.hosts[1]
+	frozen.paused = true
+	c.commit(true)
+	c.run(time.Second)
+	assertKind(t, c.begin(c.hosts[0]), api.KindHandover)
+	c.run(4 * time.Second)
+	assert.NilError(t, c.begin(c.hosts[0]))
+	frozen.paused = false
+	assertKind(t, c.begin(frozen), api.KindHostIsolated)
+	c.run(time.Second)
+	assert.NilError(t, c.begin(frozen))
+	assert.Equal(t, len(c.faults), 0, "%v", c.faults)
+}
+
+// TestCheckDropsEvidenceOfPausedHost guards against evidence that outlives a pause
+// during which the monotonic clock stood still.
+func TestCheckDropsEvidenceOfPausedHost(t *testing.T) {
+	c := newCluster(t, 3)
+	c.hosts[0].Check()
+	c.clock = c.clock.Add(2 * time.Second)
+	assert.NilError(t, c.hosts[0].Fresh())
+	c.hosts[0].Check()
+	assertKind(t, c.hosts[0].Fresh(), api.KindHostIsolated)
+}
+
+// TestJoinDuringOutage guards against a host that can't start without the store,
+// and against a handover that is completed without it.
+func TestJoinDuringOutage(t *testing.T) {
+	c := newCluster(t, 5)
+	c.down = true
+	joined := c.join()
+	c.run(2 * time.Second)
+	assert.NilError(t, c.begin(joined))
+	assert.Assert(t, c.hosts[0].strays[joined.Self.Host] != nil)
+	assert.Assert(t, lists(c.hosts[0].Addresses("dc"), joined))
+	joined.paused, c.down = true, false
+	c.commit(true)
+	c.run(2 * time.Second)
+	assertKind(t, c.begin(c.hosts[0]), api.KindHandover)
+	joined.paused = false
+	c.run(time.Second)
+	assert.NilError(t, c.begin(c.hosts[0]))
+	assert.NilError(t, c.begin(joined))
+	assert.Equal(t, len(c.faults), 0, "%v", c.faults)
+}
+
+// TestTwoFastChanges guards against a handover that mixes up two changes in a row,
+// and against a host that skips one and misses its moves.
+func TestTwoFastChanges(t *testing.T) {
+	c := newCluster(t, 5)
+	late := c.hosts[4]
+	late.side, late.cut = 1, true
+	c.commit(true)
+	c.step(100 * time.Millisecond)
+	assertKind(t, c.begin(c.hosts[0]), api.KindHandover)
+	c.commit(false)
+	c.commit(true)
+	late.side, late.cut = 0, false
+	c.step(100 * time.Millisecond)
+	c.run(time.Second)
+	for _, host := range c.hosts {
+		assert.NilError(t, c.begin(host))
+	}
+	assert.Equal(t, c.newest, 3)
+	assert.Equal(t, len(c.faults), 0, "%v", c.faults)
+}
+
+// TestMajorityPath guards against one dead host that blocks a change, or a change
+// that does not wait for its freshness to expire.
+func TestMajorityPath(t *testing.T) {
+	c := newCluster(t, 5)
+	c.hosts[3].dead = true
+	c.commit(true)
+	c.run(3 * time.Second)
+	assertKind(t, c.begin(c.hosts[0]), api.KindHandover)
+	c.run(2 * time.Second)
+	assert.NilError(t, c.begin(c.hosts[0]))
+	assert.Equal(t, c.newest, 2)
+}
+
+// TestCutOffMajority guards against a majority without the store that serves the
+// old version while hosts join and leave on the other side.
+func TestCutOffMajority(t *testing.T) {
+	c := newCluster(t, 5)
+	for _, host := range c.hosts[:3] {
+		host.side, host.cut = 1, true
+	}
+	for range 3 {
+		c.join()
+	}
+	c.run(time.Minute)
+	c.commit(true)
+	c.run(10 * time.Second)
+	for _, host := range c.hosts {
+		_ = c.begin(host)
+		_ = c.begin(c.hosts[0])
+	}
+	assert.Equal(t, len(c.faults), 0, "%v", c.faults)
+}
+
+// TestRemovalOfDeadHost guards against dead hosts that stay in the member document
+// and live ones that are taken out.
+func TestRemovalOfDeadHost(t *testing.T) {
+	c := newCluster(t, 5)
+	c.hosts[0].dead = true
+	c.run(20 * time.Second)
+	assert.Equal(t, len(c.hosts[1].list.members), 4)
+	assert.Equal(t, c.hosts[1].list.voters, 4)
+	c.commit(true)
+	c.run(time.Second)
+	assert.NilError(t, c.begin(c.hosts[1]))
+}
+
+// TestDrain guards against a leaving host that is still listed, refuses too early,
+// or delays a handover after it has closed.
+func TestDrain(t *testing.T) {
+	c := newCluster(t, 5)
+	leaving := c.hosts[0]
+	leaving.draining.Store(true)
+	c.step(100 * time.Millisecond)
+	for _, host := range c.hosts {
+		assert.Assert(t, !lists(host.Addresses("dc"), leaving))
+	}
+	assert.NilError(t, c.begin(leaving))
+	leaving.closed.Store(true)
+	leaving.mu.Lock()
+	leaving.acked = never
+	leaving.mu.Unlock()
+	assertKind(t, c.begin(leaving), api.KindDraining)
+	c.step(100 * time.Millisecond)
+	assert.NilError(t, leaving.Leave(context.Background()))
+	leaving.dead = true
+	c.commit(true)
+	c.run(1500 * time.Millisecond)
+	assert.NilError(t, c.begin(c.hosts[1]))
+	assert.Equal(t, c.newest, 2)
+}
+
+// TestHeldRequestIsWoken guards against a request that waits past the end of its handover.
+func TestHeldRequestIsWoken(t *testing.T) {
+	c := newCluster(t, 3)
+	c.hosts[2].paused = true
+	c.commit(true)
+	c.run(time.Second)
+	started := make(chan error, 1)
+	go func() { started <- c.hosts[0].Gate(context.Background(), "w", "p") }()
+	for c.hosts[0].waiting.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.NilError(t, c.hosts[0].Gate(context.Background(), "w", ""))
+	c.hosts[0].mu.Lock()
+	c.hosts[0].finish(2)
+	c.hosts[0].mu.Unlock()
+	select {
+	case err := <-started:
+		assert.NilError(t, err)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the request still waits")
+	}
+}
+
+// TestNoStartAfterAcknowledgement guards against a start under the old snapshot
+// that goes on in another goroutine when the new one is acknowledged.
+func TestNoStartAfterAcknowledgement(t *testing.T) {
+	c := newCluster(t, 1)
+	host := c.hosts[0]
+	ctx, cancel := context.WithCancel(context.Background())
+	results := make(chan error, 4)
+	for range cap(results) {
+		go func() {
+			for ctx.Err() == nil {
+				acknowledged := api.Revision(0)
+				host.mu.Lock()
+				acknowledged = host.acked
+				host.mu.Unlock()
+				snapshot, err := host.Begin(ctx, "w", "p")
+				if err == nil && snapshot.Revision < acknowledged {
+					results <- fault.New(api.KindInternal, "revision %d started after %d", snapshot.Revision, acknowledged)
+					return
+				}
+			}
+			results <- nil
+		}()
+	}
+	for range 500 {
+		c.commit(true)
+		host.Apply(c.snapshots[len(c.snapshots)-1])
+	}
+	cancel()
+	for range cap(results) {
+		assert.NilError(t, <-results)
+	}
+}
+
+// TestStoreCallsDoNotGrow guards against store reads by every host.
+func TestStoreCallsDoNotGrow(t *testing.T) {
+	c := newCluster(t, 7)
+	c.run(5 * time.Second)
+	clear(c.calls)
+	c.run(30 * time.Second)
+	assert.Equal(t, len(c.calls), readersPerCentre, "%v", c.calls)
+}
+
+// TestAcksSurviveTheWire guards against acknowledgements that arrive higher than they were sent.
+func TestAcksSurviveTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		states := make([]state, rapid.IntRange(1, 400).Draw(t, "members"))
+		for i := range states {
+			if rapid.IntRange(0, 9).Draw(t, "differs") == 0 {
+				states[i].acked = api.Revision(rapid.Uint64Range(0, 1000).Draw(t, "acked"))
+			} else {
+				states[i].acked = rapid.SampledFrom([]api.Revision{900, never}).Draw(t, "usual")
+			}
+		}
+		decoded, valid := encodeAcks(states).decode(len(states))
+		assert.Assert(t, valid)
+		for i := range states {
+			if decoded[i] != states[i].acked {
+				assert.Equal(t, decoded[i], api.Revision(0))
+				assert.Assert(t, states[i].acked < 900)
+			}
+		}
+	})
+}
+
+// TestAloneHostServes guards against a host without peers that waits for any.
+func TestAloneHostServes(t *testing.T) {
+	s := &Service{Alone: true}
+	assertKind(t, s.Gate(context.Background(), "w", "p"), api.KindHostIsolated)
+	s.Timer = emptyCluster().alone()
+	s.Apply(&document.Snapshot{Revision: 1})
+	assert.NilError(t, s.Gate(context.Background(), "w", "p"))
+	assert.Equal(t, len(s.Addresses("dc").Hosts), 1)
+}
