--- a/internal/service/member/member.go
+++ b/internal/service/member/member.go
@@ -228,6 +228,9 @@
 
 func (s *Service) measure() {
 	s.Metrics.Gauge("member.members").Update(float64(len(s.states)))
+	if s.list != nil {
+		s.Metrics.Gauge("member.voters").Update(float64(s.list.voters))
+	}
 	s.Metrics.Gauge("member.live").Update(float64(s.Live()))
 	s.Metrics.Gauge("member.fresh_ms").Update(float64((time.Duration(s.freshUntil.Load()) - s.now()).Milliseconds()))
 	s.Metrics.Gauge("handover.waiting").Update(float64(s.waiting.Load()))
