member: benchmarks, and tests for slow messages, silent hosts and stale proofs

The state machine now moves the workspace to and fro between two versions, so that a host that skips a revision can meet its old version again.

--- /dev/null
+++ b/internal/service/member/bench_test.go
@@ -0,0 +1,149 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/store"
+	"redwingloft/pkg/api"
+)
+
+// register puts count voters in nine data centres and lets every one of them read the list.
+func register(b *testing.B, count int) *cluster {
+	c := emptyCluster()
+	c.commit(true)
+	documents := map[api.DataCentre]*Document{}
+	for i := range count {
+		n := c.join()
+		n.Self.Host = api.HostID(fmt.Sprintf("host-%08x", i*2654435761%(1<<32)))
+		n.Self.Caller = api.Address(fmt.Sprintf("10.1.%d.%d:8080", i/250, i%250))
+		n.Self.Peer = api.Address(fmt.Sprintf("10.1.%d.%d:8081", i/250, i%250))
+		n.Self.DataCentre = api.DataCentre(fmt.Sprintf("region-%d", i%9))
+		n.Self.Voter, n.Roster = true, nil
+		n.reading, n.list, n.states = reading{}, nil, nil
+		if documents[n.Self.DataCentre] == nil {
+			documents[n.Self.DataCentre] = &Document{}
+		}
+		documents[n.Self.DataCentre].Members = append(documents[n.Self.DataCentre].Members, n.Self)
+	}
+	txn := store.Txn{Deletes: []string{c.keys.Members("dc")}}
+	for centre, doc := range documents {
+		value, err := json.Marshal(doc)
+		assert.NilError(b, err)
+		txn.Puts = append(txn.Puts, store.Put{Key: c.keys.Members(centre), Value: value})
+	}
+	_, err := c.kv.Txn(context.Background(), txn)
+	assert.NilError(b, err)
+	for _, n := range c.hosts {
+		assert.NilError(b, n.readAll(context.Background()))
+		n.settleFetch()
+	}
+	for range 30 {
+		c.step(500 * time.Millisecond)
+	}
+	return c
+}
+
+// BenchmarkExchange measures one exchange with its encoding, without HTTP: the
+// time of both hosts together and the encoded bytes of both directions.
+func BenchmarkExchange(b *testing.B) {
+	for _, count := range []int{7, 50, 350} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			c := register(b, count)
+			from, to := c.hosts[0], c.hosts[1]
+			total := 0
+			from.Send = func(_ context.Context, _ api.Address, message Message) (Message, error) {
+				request, received := wire(b, message)
+				answer, returned := wire(b, to.Receive(received))
+				total = request + answer
+				return returned, nil
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				assert.NilError(b, from.Exchange(context.Background(), to.Self.Peer))
+			}
+			b.ReportMetric(float64(total), "bytes/op")
+		})
+	}
+}
+
+func wire(b *testing.B, message Message) (int, Message) {
+	encoded, err := json.Marshal(message)
+	assert.NilError(b, err)
+	var decoded Message
+	assert.NilError(b, json.Unmarshal(encoded, &decoded))
+	return len(encoded), decoded
+}
+
+// BenchmarkOutage measures freshness by majority contact alone, half a minute into
+// a store outage: the share of fresh hosts, and the age of the evidence.
+func BenchmarkOutage(b *testing.B) {
+	for _, count := range []int{7, 50, 350} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			c := register(b, count)
+			c.down = true
+			for b.Loop() {
+				for range 60 {
+					c.step(500 * time.Millisecond)
+				}
+			}
+			fresh, ages := 0, make([]time.Duration, 0, count)
+			for _, n := range c.hosts {
+				if n.isFresh() {
+					fresh++
+				}
+				ages = append(ages, n.now()-n.current.at)
+			}
+			sort.Slice(ages, func(i, j int) bool { return ages[i] < ages[j] })
+			b.ReportMetric(float64(fresh)/float64(count), "fresh/host")
+			b.ReportMetric(float64(ages[count/2].Milliseconds()), "p50_age_ms")
+			b.ReportMetric(float64(ages[count-1].Milliseconds()), "max_age_ms")
+		})
+	}
+}
+
+// BenchmarkAddresses measures the address list.
+func BenchmarkAddresses(b *testing.B) {
+	for _, count := range []int{7, 50, 350} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			c := register(b, count)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.hosts[0].Addresses("region-3")
+			}
+		})
+	}
+}
+
+// BenchmarkGate measures the start of a request on the path that holds nothing, with the system clock.
+func BenchmarkGate(b *testing.B) {
+	c := register(b, 7)
+	host := c.hosts[0]
+	host.Timer.Clock = nil
+	host.base.Store(nil)
+	host.now()
+	host.freshUntil.Store(int64(2 * time.Hour))
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if err := host.Gate(context.Background(), "w", "p"); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkHome measures the choice of a key's home host.
+func BenchmarkHome(b *testing.B) {
+	c := register(b, 350)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.hosts[0].Home("port-of-spain")
+	}
+}
--- a/internal/service/member/cluster_test.go
+++ b/internal/service/member/cluster_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"runtime"
-	"strconv"
 	"testing"
 	"time"
 
@@ -33,7 +32,9 @@
 	snapshots []*document.Snapshot
 	rosters   [][]api.HostID
 	calls     map[api.HostID]int
-	// newest is the highest version under which any host has started a request.
+	// moves counts the moves of the workspace up to each revision.
+	moves []int
+	// newest is the highest count of moves under which any host has started a request.
 	newest int
 	faults []string
 }
@@ -172,16 +173,18 @@
 	}
 }
 
-// commit puts a revision in the store, with or without a move of the workspace.
+// commit puts a revision in the store, with or without a move of the workspace
+// between its two versions.
 func (c *cluster) commit(move bool) {
-	version := 0
-	if len(c.snapshots) > 0 {
-		version = versionOf(c.snapshots[len(c.snapshots)-1])
+	moved := 0
+	if len(c.moves) > 0 {
+		moved = c.moves[len(c.moves)-1]
 	}
 	if move {
-		version++
+		moved++
 	}
-	named := &document.Version{Name: api.VersionName(strconv.Itoa(version))}
+	c.moves = append(c.moves, moved)
+	named := &document.Version{Name: versionAfter(moved)}
 	workspace := &document.CompiledWorkspace{Versions: map[api.PipelineName]*document.Version{"p": named}}
 	c.snapshots = append(c.snapshots, &document.Snapshot{
 		Revision:   api.Revision(len(c.snapshots) + 1),
@@ -198,13 +201,13 @@
 	_, _ = c.kv.Txn(context.Background(), store.Txn{Puts: []store.Put{{Key: c.keys.Manifest(), Value: []byte(value)}}})
 }
 
-func versionOf(snapshot *document.Snapshot) int {
-	version, _ := strconv.Atoi(string(snapshot.Workspaces["w"].Versions["p"].Name))
-	return version
+// versionAfter returns the version that serves after a number of moves.
+func versionAfter(moved int) api.VersionName {
+	return []api.VersionName{"even", "odd"}[moved%2]
 }
 
 // begin tries to start a request at once and checks that no host starts one under
-// an older version once any has started one under a newer.
+// an older opinion on the version once any has started one under a newer.
 func (c *cluster) begin(n *node) error {
 	ctx, cancel := context.WithDeadline(context.Background(), time.Unix(0, 0))
 	defer cancel()
@@ -212,11 +215,11 @@
 	if err != nil {
 		return err
 	}
-	version := versionOf(snapshot)
-	if version < c.newest {
-		c.faults = append(c.faults, fmt.Sprintf("%s started version %d after version %d", n.Self.Host, version, c.newest))
+	moved := c.moves[snapshot.Revision-1]
+	if moved < c.newest && versionAfter(moved) != versionAfter(c.newest) {
+		c.faults = append(c.faults, fmt.Sprintf("%s started a request as of move %d after one as of move %d", n.Self.Host, moved, c.newest))
 	}
-	c.newest = max(c.newest, version)
+	c.newest = max(c.newest, moved)
 	return nil
 }
 
--- a/internal/service/member/member_test.go
+++ b/internal/service/member/member_test.go
@@ -304,3 +304,90 @@
 	assert.NilError(t, s.Gate(context.Background(), "w", "p"))
 	assert.Equal(t, len(s.Addresses("dc").Hosts), 1)
 }
+
+// TestSlowMessages guards against evidence that a delay on the way makes younger
+// than it is, in an answer and in a request.
+func TestSlowMessages(t *testing.T) {
+	c := newCluster(t, 5)
+	c.down = true
+	asking, asked := c.hosts[0], c.hosts[1]
+	c.clock = c.clock.Add(5 * time.Second)
+	for _, host := range c.hosts[1:] {
+		for _, address := range host.Targets()[1:] {
+			_ = host.Exchange(context.Background(), address)
+		}
+	}
+	assertKind(t, asking.Fresh(), api.KindHostIsolated)
+	pushed := asked.message(asking.Self.Host, asking.listVersion())
+	assert.Assert(t, pushed.Fresh != nil)
+	asking.Receive(pushed)
+	assertKind(t, asking.Fresh(), api.KindHostIsolated)
+	c.delay = func() { c.clock = c.clock.Add(500 * time.Millisecond) }
+	start := asking.now()
+	assert.NilError(t, asking.Exchange(context.Background(), asked.Self.Peer))
+	assert.Assert(t, asking.current.at <= start)
+	for _, known := range asking.states {
+		assert.Assert(t, known.proof <= start)
+	}
+	assert.NilError(t, asking.Fresh())
+	c.clock = c.clock.Add(1500 * time.Millisecond)
+	assertKind(t, asking.Fresh(), api.KindHostIsolated)
+}
+
+// TestNewListNeedsNewProofs guards against a change of the member list that rests
+// on hosts which do not know the list before it.
+func TestNewListNeedsNewProofs(t *testing.T) {
+	c := newCluster(t, 3)
+	host := c.hosts[1]
+	_, contact := host.majorityProof()
+	assert.Assert(t, contact)
+	host.adopt(map[api.DataCentre]Versioned{"other": {Version: host.listVersion() + 1}})
+	_, contact = host.majorityProof()
+	assert.Assert(t, !contact)
+}
+
+// TestHandoverWaitsForTheManifest guards against a handover that is completed
+// without a host that the commit knew and this host does not know yet.
+func TestHandoverWaitsForTheManifest(t *testing.T) {
+	c := newCluster(t, 5)
+	c.commit(true)
+	for _, host := range c.hosts {
+		host.Roster = func() []api.HostID { return append(c.rosters[1], "joined-just-before") }
+	}
+	c.run(2 * time.Second)
+	assertKind(t, c.begin(c.hosts[0]), api.KindHandover)
+	c.run(3 * time.Second)
+	assert.NilError(t, c.begin(c.hosts[0]))
+}
+
+// TestSilentReaderStays guards against the removal of a host that no other host
+// hears but that still serves on its own reads of the store.
+func TestSilentReaderStays(t *testing.T) {
+	c := newCluster(t, 5)
+	silent := c.hosts[4]
+	silent.side = 1
+	for range 240 {
+		c.step(250 * time.Millisecond)
+		_, listed := c.hosts[0].list.index[silent.Self.Host]
+		assert.Assert(t, listed)
+	}
+	assert.NilError(t, c.begin(silent))
+}
+
+// TestReadOfUnregisteredHost guards against a host that serves on a read which
+// shows that no handover waits for it.
+func TestReadOfUnregisteredHost(t *testing.T) {
+	c := newCluster(t, 3)
+	host := c.hosts[0]
+	before := host.current.at
+	for _, change := range []func(*Document){
+		edit(host.Self.Host, func(m *Member) { m.Removing = true }),
+		func(doc *Document) { doc.Members = without(doc.Members, host.Self.Host) },
+	} {
+		c.clock = c.clock.Add(100 * time.Millisecond)
+		assert.NilError(t, c.hosts[1].change(context.Background(), change))
+		assert.NilError(t, host.readAll(context.Background()))
+		assert.Equal(t, host.current.at, before)
+		assert.Assert(t, !host.reading.registered)
+	}
+}
--- /dev/null
+++ b/internal/web/peer/peer_test.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/service/member"
+	"redwingloft/pkg/api"
+)
+
+const secret = "0123456789abcdef0123456789abcdef"
+
+func serve(t *testing.T, h *Handler) api.Address {
+	h.Metrics, h.Log = metric.New(), logging.Discard()
+	server := httptest.NewServer(h.Routes())
+	t.Cleanup(server.Close)
+	return api.Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestMessages guards against messages that change between client and handler.
+func TestMessages(t *testing.T) {
+	digest := strings.Repeat("0a", 32)
+	handler := &Handler{
+		Secret: secret,
+		Exchange: func(m member.Message) member.Message {
+			m.Ages = append(m.Ages, 255)
+			return m
+		},
+		Manifest: func() json.RawMessage { return json.RawMessage(`{"revision":7}`) },
+		Part: func(asked string) []byte {
+			if asked == digest {
+				return []byte("part")
+			}
+			return nil
+		},
+		Grant: func(_ context.Context, request member.GrantRequest) (member.Grant, error) {
+			if request.Workspace != "w" {
+				return member.Grant{}, fault.New(api.KindNotFound, "no workspace %s", request.Workspace)
+			}
+			return member.Grant{Tokens: request.Want / 2}, nil
+		},
+		Claims: func(_ context.Context, request member.ClaimsRequest) (json.RawMessage, error) {
+			return request.Claims, nil
+		},
+	}
+	address, ctx := serve(t, handler), context.Background()
+	client := member.NewClient(secret, handler.Metrics)
+	answer, err := client.Exchange(ctx, address, member.Message{From: member.Member{Host: "h"}, Ages: []byte{0, 3}})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, answer.Ages, []byte{0, 3, 255})
+	_, err = client.Exchange(ctx, address, member.Message{})
+	assert.Assert(t, fault.Is(err, api.KindBadRequest))
+	manifest, err := client.Manifest(ctx, address)
+	assert.NilError(t, err)
+	assert.Equal(t, string(manifest), `{"revision":7}`)
+	part, err := client.Part(ctx, address, digest)
+	assert.NilError(t, err)
+	assert.Equal(t, string(part), "part")
+	_, err = client.Part(ctx, address, strings.Repeat("ff", 32))
+	assert.Assert(t, fault.Is(err, api.KindNotFound))
+	_, err = client.Part(ctx, address, "..%2Fmanifest")
+	assert.Assert(t, fault.Is(err, api.KindBadRequest))
+	grant, err := client.Grant(ctx, address, member.GrantRequest{Workspace: "w", Want: 8})
+	assert.NilError(t, err)
+	assert.Equal(t, grant.Tokens, 4.0)
+	_, err = client.Grant(ctx, address, member.GrantRequest{Workspace: "other"})
+	assert.Assert(t, fault.Is(err, api.KindNotFound))
+	claims, err := client.Claims(ctx, address, member.ClaimsRequest{Shard: 3, Claims: json.RawMessage(`[1]`)})
+	assert.NilError(t, err)
+	assert.Equal(t, string(claims), `[1]`)
+}
+
+// TestSecretAndBounds guards against messages of strangers and oversize bodies.
+func TestSecretAndBounds(t *testing.T) {
+	refuse := func(member.Message) member.Message {
+		t.Error("the message was served")
+		return member.Message{}
+	}
+	handler := &Handler{Secret: secret, Exchange: refuse}
+	address := serve(t, handler)
+	for _, wrong := range []string{"", secret[1:], secret + "0"} {
+		_, err := member.NewClient(wrong, nil).Exchange(context.Background(), address, member.Message{From: member.Member{Host: "h"}})
+		assert.Assert(t, fault.Is(err, api.KindUnauthorized), "%v", err)
+	}
+	open := serve(t, &Handler{Exchange: refuse})
+	_, err := member.NewClient("", nil).Exchange(context.Background(), open, member.Message{From: member.Member{Host: "h"}})
+	assert.Assert(t, fault.Is(err, api.KindUnauthorized), "%v", err)
+	request, err := http.NewRequest(http.MethodPost, "http://"+string(address)+member.PathExchange, strings.NewReader(strings.Repeat(" ", member.MaxExchange+1)))
+	assert.NilError(t, err)
+	request.Header.Set(member.HeaderSecret, secret)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusRequestEntityTooLarge)
+}
