member: a drain lasts until the other hosts have stopped giving out the address

A host that hears of a drain one round late gives the address out until then, and its callers may keep it for the whole validity after that.

--- a/cmd/drain.go
+++ b/cmd/drain.go
@@ -54,7 +54,8 @@
 func (h *host) drain(ctx context.Context) {
 	h.log.Info().Dur("serving_for", h.settings.Host.Drain).Msg("drain_started")
 	h.members.Drain(ctx)
-	if !sleep(ctx, h.settings.Host.Drain) {
+	// Other hosts may have given out the address until they heard of the drain.
+	if !sleep(ctx, h.settings.Host.Drain+h.members.AnnounceTime()) {
 		return
 	}
 	h.members.Close(ctx)
--- a/internal/service/member/bench_test.go
+++ b/internal/service/member/bench_test.go
@@ -175,3 +175,28 @@
 		})
 	}
 }
+
+// BenchmarkAnnounce measures the rounds until all hosts know that one is leaving.
+func BenchmarkAnnounce(b *testing.B) {
+	c := register(b, 350)
+	most := 0
+	for i := 0; b.Loop(); i++ {
+		leaving := c.hosts[i%len(c.hosts)]
+		leaving.draining.Store(true)
+		rounds := 0
+		for ; !c.heardOfDrain(leaving); rounds++ {
+			c.step(500 * time.Millisecond)
+		}
+		most = max(most, rounds)
+	}
+	b.ReportMetric(float64(most), "most_rounds")
+}
+
+func (c *cluster) heardOfDrain(leaving *node) bool {
+	for _, n := range c.hosts {
+		if n != leaving && !n.drained[leaving.Self.Host] {
+			return false
+		}
+	}
+	return true
+}
