--- a/cmd/host.go
+++ b/cmd/host.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 	"redwingloft/internal/data/document"
 	"redwingloft/internal/data/settings"
 	"redwingloft/internal/data/store"
+	"redwingloft/internal/data/trace"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/helper/timer"
 	"redwingloft/internal/kernel"
@@ -58,6 +60,9 @@
 	client        *member.Client
 	// inProgress counts the requests of the caller listener.
 	inProgress atomic.Int64
+	table      *upstream.Table
+	// recorder is nil where no trace is recorded.
+	recorder *trace.Recorder
 }
 
 func newHost(s *settings.Settings, logger *log.Logger) (*host, error) {
@@ -76,6 +81,7 @@
 	keys := store.Keys{Prefix: s.Store.Prefix}
 	h.members = h.newMembers(kv, keys)
 	table := &upstream.Table{}
+	h.table = table
 	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: func(snapshot *document.Snapshot) {
 		table.Apply(snapshot)
 		h.members.Apply(snapshot)
@@ -83,6 +89,12 @@
 		h.members.Round(context.Background())
 	}}
 	h.requests = newRequests(h, kv, keys, table)
+	if s.Trace.Record != "" {
+		if h.recorder, err = trace.NewRecorder(s.Trace.Record, strings.Trim(s.Store.Prefix, "/")); err != nil {
+			return nil, fmt.Errorf("[trace] record: %w", err)
+		}
+		h.recorder.Dropped = func() { h.metrics.Counter("trace.dropped").Inc(1) }
+	}
 	return h, nil
 }
 
@@ -134,7 +146,10 @@
 		return ctx.Err()
 	}, func(error) { cancel() })
 	callers := &caller.Handler{
-		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log,
+		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log, Timer: h.timer,
+	}
+	if h.recorder != nil {
+		callers.Record = h.recorder.Record
 	}
 	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, 0, h.counted(callers.Routes()))
 	if !h.members.Alone {
@@ -144,6 +159,9 @@
 		}
 		addServer(group, h.settings.Peer.Listen, settings.TLS{}, writeTimeout, handler.Routes())
 	}
+	if h.settings.Operator.Listen != "" {
+		addServer(group, h.settings.Operator.Listen, h.settings.Operator.TLS, writeTimeout, h.newConsole().Routes())
+	}
 	if h.settings.Admin.Listen != "" {
 		handler := &admin.Handler{Metrics: h.metrics, Ready: h.ready}
 		addServer(group, h.settings.Admin.Listen, settings.TLS{}, writeTimeout, handler.Routes())
@@ -239,3 +257,11 @@
 	}
 	return nil
 }
+
+// close ends what outlives the servers.
+func (h *host) close() error {
+	if h.recorder == nil {
+		return nil
+	}
+	return h.recorder.Close()
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -11,8 +11,10 @@
 		Commands: []*cli.Command{
 			serveCommand(),
 			settingsCommand(),
+			configCommand(),
 			hostsCommand(),
 			callCommand(),
+			replayCommand(),
 			versionCommand(),
 		},
 	}
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -48,7 +48,7 @@
 	var group run.Group
 	host.addTo(ctx, &group)
 	group.Add(host.signals(ctx))
-	err = group.Run()
+	err = errors.Join(group.Run(), host.close())
 	if errors.Is(err, errStopped) {
 		host.log.Info().Msg("stopped")
 		return nil
--- a/standin/main.go
+++ b/standin/main.go
@@ -53,6 +53,9 @@
 				},
 				Action: deployment,
 			},
+			demoCommand(),
+			traceCommand(),
+			failuresCommand(),
 		},
 	}
 }
