--- a/internal/service/member/member_test.go
+++ b/internal/service/member/member_test.go
@@ -445,3 +445,24 @@
 		assert.Equal(t, host.list.voters, 3)
 	}
 }
+
+// TestSkippedRevision guards against a host that skips a move and its reversal, sees
+// no difference, and serves while others still serve by the move.
+func TestSkippedRevision(t *testing.T) {
+	c := newCluster(t, 5)
+	late := c.hosts[4]
+	late.paused = true
+	c.commit(true)
+	c.run(5 * time.Second)
+	assert.NilError(t, c.begin(c.hosts[0]))
+	c.commit(true)
+	late.paused = false
+	late.Apply(c.snapshots[2])
+	assert.NilError(t, late.readAll(context.Background()))
+	assertKind(t, c.begin(late), api.KindHandover)
+	assert.NilError(t, c.begin(c.hosts[0]))
+	c.run(time.Second)
+	assert.NilError(t, c.begin(late))
+	assert.Equal(t, c.newest, 3)
+	assert.Equal(t, len(c.faults), 0, "%v", c.faults)
+}
