site: choose ports that no outgoing connection gets

The ports came from the range of outgoing connections, which the system gives to any process between the choice and the listen.

--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -63,6 +65,8 @@
 	Control         string
 	KeyValueControl string
 	HostList        string
+	// port is the port chosen last.
+	port int
 }
 
 // PeerSecret is the peer secret of every site.
@@ -81,10 +85,10 @@
 }
 
 func (s *Site) start() error {
-	if err := relocate(s.Options.Document); err != nil {
+	if err := s.relocate(); err != nil {
 		return err
 	}
-	addresses, err := FreeAddresses(4)
+	addresses, err := s.freeAddresses(4)
 	if err != nil {
 		return err
 	}
@@ -123,12 +127,13 @@
 }
 
 // relocate gives every upstream of a document a free port.
-func relocate(doc *document.Document) error {
+func (s *Site) relocate() error {
+	doc := s.Options.Document
 	count := 0
 	for _, group := range doc.Groups {
 		count += len(group.Upstreams)
 	}
-	free, err := FreeAddresses(count)
+	free, err := s.freeAddresses(count)
 	if err != nil {
 		return err
 	}
@@ -145,7 +150,7 @@
 
 // AddHost starts one more entry host. It does not wait until the host is ready.
 func (s *Site) AddHost(id string) (*Host, error) {
-	free, err := FreeAddresses(4)
+	free, err := s.freeAddresses(4)
 	if err != nil {
 		return nil, err
 	}
@@ -309,24 +314,36 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// FreeAddresses returns n loopback addresses that no listener uses now.
-func FreeAddresses(n int) ([]string, error) {
+// Ports are taken from below the range of outgoing connections. The system may give
+// a port of that range to another process between the choice and the listen.
+const (
+	firstPort = 10_000
+	lastPort  = 32_000
+)
+
+// freeAddresses returns n loopback addresses that no listener uses now. It counts up
+// from a random port, so that a site repeats none and other sites choose elsewhere.
+func (s *Site) freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	var listeners []net.Listener
-	defer func() {
-		for _, listener := range listeners {
-			_ = listener.Close()
+	if s.port == 0 {
+		s.port = firstPort + rand.IntN(lastPort-firstPort)
+	}
+	for range lastPort - firstPort {
+		if len(addresses) == n {
+			return addresses, nil
 		}
-	}()
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		s.port = firstPort + (s.port+1-firstPort)%(lastPort-firstPort)
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(s.port))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
+			continue
+		}
+		if err := listener.Close(); err != nil {
 			return nil, err
 		}
-		listeners = append(listeners, listener)
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, address)
 	}
-	return addresses, nil
+	return nil, fmt.Errorf("fewer than %d ports are free", n)
 }
 
 // WaitDial waits until a listener accepts connections at address.
