e2e: move a workspace to and fro under load while one host stands still

A host that stands still for a second keeps its freshness and may go on by the old version for a moment.

--- a/test/e2e/member_test.go
+++ b/test/e2e/member_test.go
@@ -262,3 +262,60 @@
 	assert.NilError(t, host.Signal(syscall.SIGTERM))
 	assert.NilError(t, host.Wait(hangTimeout))
 }
+
+// move is one change of version under load.
+type move struct {
+	to api.VersionName
+	// seen is true once a host has answered by the new version.
+	seen atomic.Bool
+}
+
+// TestMovesUnderLoad guards against a host that starts a request by the old version
+// after another host has answered one by the new.
+func TestMovesUnderLoad(t *testing.T) {
+	s := startMembers(t, 3)
+	var current atomic.Pointer[move]
+	current.Store(&move{to: "old"})
+	var stop atomic.Bool
+	var load sync.WaitGroup
+	var late atomic.Int64
+	for worker := range 12 {
+		load.Go(func() {
+			for !stop.Load() {
+				now := current.Load()
+				seen := now.seen.Load()
+				version, _ := plan(t, s.Hosts[worker%len(s.Hosts)])
+				switch {
+				case current.Load() != now:
+				case version == now.to:
+					now.seen.Store(true)
+				case seen && version != "":
+					late.Add(1)
+					t.Errorf("%q after %q was served", version, now.to)
+				}
+			}
+		})
+	}
+	for range 3 {
+		for _, version := range []api.VersionName{"new", "old"} {
+			// A host that stands still for less than the freshness time may go on by the
+			// old version for a moment, so the others have to wait for it.
+			current.Store(&move{to: version})
+			assert.NilError(t, s.Hosts[2].Signal(syscall.SIGSTOP))
+			commitVersion(t, s, string(version))
+			time.Sleep(time.Second)
+			assert.NilError(t, s.Hosts[2].Signal(syscall.SIGCONT))
+			for _, host := range s.Hosts {
+				eventually(t, "the move is complete", serves(t, host, version))
+			}
+		}
+	}
+	stop.Store(true)
+	load.Wait()
+	assert.Equal(t, late.Load(), int64(0))
+	for _, line := range strings.Split(fetch(s.Hosts[0], "/metrics"), "\n") {
+		if strings.HasPrefix(line, "redwingloft_handover_wait") {
+			t.Log(line)
+		}
+	}
+}
