--- a/cmd/drain.go
+++ b/cmd/drain.go
@@ -59,12 +59,7 @@
 		return
 	}
 	h.members.Close(ctx)
-	end := time.Now().Add(h.settings.Host.Shutdown)
-	for h.inProgress.Load() > 0 && time.Now().Before(end) {
-		if !sleep(ctx, drainPoll) {
-			return
-		}
-	}
+	h.finish(ctx)
 	h.log.Info().Int64("in_progress", h.inProgress.Load()).Msg("drain_ended")
 	if h.members.Alone {
 		return
@@ -76,6 +71,20 @@
 	}
 }
 
+// finish waits for the requests in progress, and for their answers to be written, as
+// long as the settings allow.
+func (h *host) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, h.settings.Host.Shutdown)
+	defer cancel()
+	if err := h.requests.Drain(ctx); err != nil {
+		h.log.Warn().Int("in_progress", h.requests.InProgress()).Msg("requests_cut_off")
+		return
+	}
+	for h.inProgress.Load() > 0 && sleep(ctx, drainPoll) {
+		continue
+	}
+}
+
 // sleep reports false where ctx ended first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -22,11 +22,14 @@
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/helper/timer"
 	"redwingloft/internal/kernel"
+	"redwingloft/internal/service/account"
+	"redwingloft/internal/service/admission"
 	"redwingloft/internal/service/configuration"
 	"redwingloft/internal/service/member"
 	"redwingloft/internal/service/order"
 	"redwingloft/internal/service/pipeline"
 	"redwingloft/internal/service/request"
+	"redwingloft/internal/service/retry"
 	"redwingloft/internal/service/route"
 	"redwingloft/internal/service/upstream"
 	"redwingloft/internal/web/admin"
@@ -116,14 +119,55 @@
 func newRequests(h *host, kv store.Store, keys store.Keys, table *upstream.Table) *request.Service {
 	router, sender := &route.Router{}, upstream.NewSender()
 	requests := &request.Service{
-		Snapshot: h.snapshots.Load, Begin: h.members.Begin, Key: sealKey(h.settings.Peer.Secret),
-		Executor: &pipeline.Executor{Table: table, Router: router, Sender: sender},
-		Table:    table, Router: router, Sender: sender,
+		Snapshot: h.snapshots.Load, Gate: h.gate, Key: sealKey(h.settings.Peer.Secret),
+		Executor: &pipeline.Executor{
+			Table: table, Router: router, Send: sender.Do, Budget: &retry.Budget{Metrics: h.metrics},
+		},
+		Queue: &admission.Queue{Snapshot: h.snapshots.Load, Hosts: h.members.Live},
+		Quota: &admission.Quota{Limit: h.workspaceLimit, Hosts: h.members.Live, Home: h.isHome, Grant: h.askGrant},
+		Book:  &account.Book{},
+		Table: table, Router: router, Sender: sender,
 	}
 	requests.Orders = &order.Desk{Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder}
 	return requests
 }
 
+// gate asks whether a ticket may start under its revision. A stream that is resumed
+// finishes on its own version and waits for no handover.
+func (h *host) gate(ticket *admission.Ticket) (release func(), held <-chan struct{}, err error) {
+	name := ticket.Pipeline
+	if ticket.Resumed {
+		name = ""
+	}
+	held, err = h.members.Gate(ticket.Workspace, name, ticket.Revision)
+	return nil, held, err
+}
+
+func (h *host) isHome(workspace api.WorkspaceName) bool {
+	_, self := h.members.Home(string(workspace))
+	return self
+}
+
+// askGrant asks the home host of a workspace for tokens.
+func (h *host) askGrant(ctx context.Context, workspace api.WorkspaceName, want float64) (float64, error) {
+	home, _ := h.members.Home(string(workspace))
+	grant, err := h.client.Grant(ctx, home.Peer, member.GrantRequest{Workspace: workspace, Want: want})
+	return grant.Tokens, err
+}
+
+func (h *host) serveGrant(_ context.Context, request member.GrantRequest) (member.Grant, error) {
+	return member.Grant{Tokens: h.requests.Quota.Serve(request.Workspace, request.Want)}, nil
+}
+
+// workspaceLimit returns the rate a second and the burst of a workspace over all hosts.
+func (h *host) workspaceLimit(name api.WorkspaceName) (rate, burst float64) {
+	snapshot := h.snapshots.Load()
+	if snapshot == nil || snapshot.Workspaces[name] == nil {
+		return 0, 0
+	}
+	return snapshot.Workspaces[name].RequestsPerSecond, snapshot.Workspaces[name].Burst
+}
+
 // sealKey returns the key of resume tokens; a host without a peer secret runs alone and makes its own.
 func sealKey(secret string) []byte {
 	if secret != "" {
@@ -154,7 +198,7 @@
 	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, 0, h.counted(callers.Routes()))
 	if !h.members.Alone {
 		handler := &peer.Handler{
-			Secret: h.settings.Peer.Secret, Exchange: h.members.Receive, Manifest: h.configuration.Current,
+			Secret: h.settings.Peer.Secret, Exchange: h.members.Receive, Manifest: h.configuration.Current, Grant: h.serveGrant,
 			Metrics: h.metrics, Log: h.log,
 		}
 		addServer(group, h.settings.Peer.Listen, settings.TLS{}, writeTimeout, handler.Routes())
--- a/internal/service/member/bench_test.go
+++ b/internal/service/member/bench_test.go
@@ -147,8 +147,8 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			if err := host.Gate(context.Background(), "w", "p"); err != nil {
-				b.Fatal(err)
+			if wait, err := host.Gate("w", "p", 1); wait != nil || err != nil {
+				b.Fatal("not started")
 			}
 		}
 	})
--- a/internal/service/member/client.go
+++ b/internal/service/member/client.go
@@ -50,8 +50,6 @@
 type Grant struct {
 	// Tokens is the number of tokens granted, at most Want.
 	Tokens float64 `json:"tokens"`
-	// RetryAfterMs is the suggested wait where fewer were granted; 0 means none.
-	RetryAfterMs int64 `json:"retry_after_ms,omitempty"`
 }
 
 // ClaimsRequest asks the aggregator of an order shard to make claims.
--- a/internal/service/member/cluster_test.go
+++ b/internal/service/member/cluster_test.go
@@ -212,13 +212,15 @@
 // begin tries to start a request at once and checks that no host starts one under
 // an older opinion on the version once any has started one under a newer.
 func (c *cluster) begin(n *node) error {
-	ctx, cancel := context.WithDeadline(context.Background(), time.Unix(0, 0))
-	defer cancel()
-	snapshot, err := n.Begin(ctx, "w", "p")
+	revision := n.revision()
+	wait, err := n.Gate("w", "p", revision)
 	if err != nil {
 		return err
 	}
-	moved := c.moves[snapshot.Revision-1]
+	if wait != nil {
+		return fault.New(api.KindHandover, "held")
+	}
+	moved := c.moves[revision-1]
 	if moved < c.newest && versionAfter(moved) != versionAfter(c.newest) {
 		c.faults = append(c.faults, fmt.Sprintf("%s started a request as of move %d after one as of move %d", n.Self.Host, moved, c.newest))
 	}
--- a/internal/service/member/gate.go
+++ b/internal/service/member/gate.go
@@ -1,8 +1,6 @@
 package member
 
 import (
-	"context"
-	"errors"
 	"math/rand/v2"
 	"runtime"
 	"sync/atomic"
@@ -75,35 +73,41 @@
 
 const (
 	passed verdict = iota
+	// outdated means that a newer revision is in force.
+	outdated
 	retry
 	stale
 	held
 	closing
 )
 
-// Gate waits until a request of the workspace and pipeline may start.
-func (s *Service) Gate(ctx context.Context, workspace api.WorkspaceName, name api.PipelineName) error {
-	_, err := s.Begin(ctx, workspace, name)
-	return err
+// atOnce returns a channel for a start that may try again without a wait.
+func atOnce() <-chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
 }
 
-// Begin starts a request and returns the snapshot under which it runs to its end.
-// It waits while the pipeline of the workspace is handed over between versions. An
-// empty pipeline name waits for no handover.
-func (s *Service) Begin(ctx context.Context, workspace api.WorkspaceName, name api.PipelineName) (*document.Snapshot, error) {
+// Gate is asked right before a request of a pipeline starts under a revision, and does
+// not block. It returns nil where the request has started, and it then runs under
+// that revision to its end. Otherwise it returns an error, or a channel that is
+// closed when the request may try again, with the revision in force by then. An empty
+// pipeline name waits for no handover.
+func (s *Service) Gate(workspace api.WorkspaceName, name api.PipelineName, revision api.Revision) (wait <-chan struct{}, err error) {
 	p := pair{workspace, name}
 	for {
-		snapshot, result := s.try(p)
-		switch result {
+		switch s.try(p, revision) {
 		case passed:
-			return snapshot, nil
+			return nil, nil
+		case outdated:
+			return atOnce(), nil
 		case stale:
 			return nil, isolated()
 		case closing:
 			return nil, fault.New(api.KindDraining, "this host is leaving")
 		case held:
-			if err := s.hold(ctx, p); err != nil {
-				return nil, err
+			if changed := s.hold(p, revision); changed != nil {
+				return changed, nil
 			}
 		case retry:
 		}
@@ -111,21 +115,26 @@
 }
 
 // try makes one attempt to start. It loads the view, checks it, and loads it
-// again, all while counted in starts; apply stores the new view first, then waits
+// again, all while counted in starts; Apply stores the new view first, then waits
 // for the counted starts, and acknowledges last. A start that saw the old view has
 // therefore ended before the acknowledgement, and one that is counted later sees
 // the new view.
-func (s *Service) try(p pair) (*document.Snapshot, verdict) {
+func (s *Service) try(p pair, revision api.Revision) verdict {
 	c := s.starts.enter()
 	defer c.Add(-1)
 	v := s.view.Load()
 	switch {
 	case s.closed.Load():
-		return nil, closing
+		return closing
 	case v == nil:
-		return nil, stale
+		return stale
+	case revision < v.snapshot.Revision:
+		return outdated
+	case revision > v.snapshot.Revision:
+		// The snapshot is on its way from the holder to this view.
+		return held
 	case s.Alone:
-		return v.snapshot, passed
+		return passed
 	}
 	waits := uint64(v.needs(p)) > s.complete.Load()
 	// The clock is read last, so that a pause before it can't hide the end of freshness.
@@ -133,47 +142,29 @@
 	switch {
 	case s.view.Load() != v:
 		// The freshness just read may belong to the newer revision.
-		return nil, retry
+		return retry
 	case !fresh:
-		return nil, stale
+		return stale
 	case waits:
-		return nil, held
+		return held
 	}
-	return v.snapshot, passed
+	return passed
 }
 
-// hold waits for a change of the gate or the end of ctx.
-func (s *Service) hold(ctx context.Context, p pair) error {
-	s.Metrics.Counter("handover.waits").Inc(1)
-	s.waiting.Add(1)
-	start := s.now()
-	defer func() {
-		s.waiting.Add(-1)
-		s.Metrics.Counter("handover.wait_ms").Inc((s.now() - start).Milliseconds())
-	}()
-	for {
-		s.mu.Lock()
-		if s.changed == nil {
-			s.changed = make(chan struct{})
-		}
-		changed := s.changed
-		s.mu.Unlock()
-		if _, result := s.try(p); result != held {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return abandoned(ctx)
-		}
+// hold returns the channel that is closed at the next change of the gate, or nil
+// where the start is no longer held.
+func (s *Service) hold(p pair, revision api.Revision) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.try(p, revision) != held {
+		return nil
 	}
-}
-
-func abandoned(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return fault.New(api.KindHandover, "the workspace was being handed over between versions until the deadline")
+	if s.changed == nil {
+		s.changed = make(chan struct{})
 	}
-	return fault.WithRun(fault.New(api.KindCallerGone, "the caller left before the start"), api.RunNo)
+	s.Metrics.Counter("handover.waits").Inc(1)
+	s.holds = append(s.holds, s.now())
+	return s.changed
 }
 
 // Apply puts a snapshot in force at the gate, waits until no request can start
--- a/internal/service/member/member.go
+++ b/internal/service/member/member.go
@@ -98,15 +98,16 @@
 	closed     atomic.Bool
 	starts     readers
 	base       atomic.Pointer[time.Time]
-	waiting    atomic.Int64
 	lastTick   atomic.Pointer[time.Time]
 
 	// applyMu serializes changes of view.
 	applyMu sync.Mutex
 	mu      sync.Mutex
-	// changed is closed and replaced when view, complete, or closed changes.
+	// changed is closed and dropped when view, complete, or closed changes; nil while no start is held.
 	changed chan struct{}
-	list    *list
+	// holds are the times since which starts wait for changed.
+	holds []time.Duration
+	list  *list
 	// listSince is the time at which this host learned of list.
 	listSince time.Duration
 	// states is parallel to list.members.
@@ -233,16 +234,21 @@
 	}
 	s.Metrics.Gauge("member.live").Update(float64(s.Live()))
 	s.Metrics.Gauge("member.fresh_ms").Update(float64((time.Duration(s.freshUntil.Load()) - s.now()).Milliseconds()))
-	s.Metrics.Gauge("handover.waiting").Update(float64(s.waiting.Load()))
+	s.Metrics.Gauge("handover.waiting").Update(float64(len(s.holds)))
 	s.Metrics.Gauge("handover.complete_revision").Update(float64(s.complete.Load()))
 }
 
 // notify wakes all waiting requests. The caller holds mu.
 func (s *Service) notify() {
+	now := s.now()
+	for _, since := range s.holds {
+		s.Metrics.Counter("handover.wait_ms").Inc((now - since).Milliseconds())
+	}
+	s.holds = s.holds[:0]
 	if s.changed != nil {
 		close(s.changed)
 	}
-	s.changed = make(chan struct{})
+	s.changed = nil
 }
 
 // revision returns the revision in force, or 0.
--- a/internal/service/member/member_test.go
+++ b/internal/service/member/member_test.go
@@ -211,21 +211,31 @@
 	c.hosts[2].paused = true
 	c.commit(true)
 	c.run(time.Second)
-	started := make(chan error, 1)
-	go func() { started <- c.hosts[0].Gate(context.Background(), "w", "p") }()
-	for c.hosts[0].waiting.Load() == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	assert.NilError(t, c.hosts[0].Gate(context.Background(), "w", ""))
+	wait, err := c.hosts[0].Gate("w", "p", 2)
+	assert.NilError(t, err)
+	assert.Assert(t, wait != nil)
+	other, err := c.hosts[0].Gate("w", "", 2)
+	assert.NilError(t, err)
+	assert.Assert(t, other == nil)
 	c.hosts[0].mu.Lock()
 	c.hosts[0].finish(2)
 	c.hosts[0].mu.Unlock()
-	select {
-	case err := <-started:
-		assert.NilError(t, err)
-	case <-time.After(10 * time.Second):
-		t.Fatal("the request still waits")
-	}
+	<-wait
+	assert.NilError(t, c.begin(c.hosts[0]))
+}
+
+// TestGateFollowsTheRevisionInForce guards against a start under a snapshot that the
+// gate has not seen yet, or has left behind.
+func TestGateFollowsTheRevisionInForce(t *testing.T) {
+	c := newCluster(t, 1)
+	c.commit(false)
+	early, err := c.hosts[0].Gate("w", "p", 2)
+	assert.NilError(t, err)
+	c.hosts[0].Apply(c.snapshots[1])
+	<-early
+	late, err := c.hosts[0].Gate("w", "p", 1)
+	assert.NilError(t, err)
+	<-late
 }
 
 // TestNoStartAfterAcknowledgement guards against a start under the old snapshot
@@ -238,13 +248,11 @@
 	for range cap(results) {
 		go func() {
 			for ctx.Err() == nil {
-				acknowledged := api.Revision(0)
-				host.mu.Lock()
-				acknowledged = host.acked
-				host.mu.Unlock()
-				snapshot, err := host.Begin(ctx, "w", "p")
-				if err == nil && snapshot.Revision < acknowledged {
-					results <- fault.New(api.KindInternal, "revision %d started after %d", snapshot.Revision, acknowledged)
+				revision := host.revision()
+				acknowledged := host.Receive(Message{From: Member{Host: "other"}}).Acked
+				wait, err := host.Gate("w", "p", revision)
+				if err == nil && wait == nil && revision < acknowledged {
+					results <- fault.New(api.KindInternal, "revision %d started after %d", revision, acknowledged)
 					return
 				}
 			}
@@ -295,10 +303,13 @@
 // TestAloneHostServes guards against a host without peers that waits for any.
 func TestAloneHostServes(t *testing.T) {
 	s := &Service{Alone: true}
-	assertKind(t, s.Gate(context.Background(), "w", "p"), api.KindHostIsolated)
+	_, err := s.Gate("w", "p", 1)
+	assertKind(t, err, api.KindHostIsolated)
 	s.Timer = emptyCluster().alone()
 	s.Apply(&document.Snapshot{Revision: 1})
-	assert.NilError(t, s.Gate(context.Background(), "w", "p"))
+	wait, err := s.Gate("w", "p", 1)
+	assert.NilError(t, err)
+	assert.Assert(t, wait == nil)
 	assert.Equal(t, len(s.Addresses("dc").Hosts), 1)
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -321,6 +321,9 @@
 	lastPort  = 32_000
 )
 
+// FreeAddresses returns n loopback addresses that no listener uses now.
+func FreeAddresses(n int) ([]string, error) { return (&Site{}).freeAddresses(n) }
+
 // freeAddresses returns n loopback addresses that no listener uses now. It counts up
 // from a random port, so that a site repeats none and other sites choose elsewhere.
 func (s *Site) freeAddresses(n int) ([]string, error) {
