--- a/cmd/host.go
+++ b/cmd/host.go
@@ -1,12 +1,14 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"errors"
 	"fmt"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -42,19 +44,18 @@
 )
 
 const (
-	// refreshPeriod is the time between two reads of the store's members.
-	refreshPeriod = time.Second
 	// settlePeriod is the time between two tries to write order records that could not be written.
 	settlePeriod = time.Second
 	// claimInterval spaces the transactions of one order shard. The 16 shards, each at
 	// its aggregator, then make at most 320 a second for claims and as many for
 	// outcomes; the key-value service takes several hundred writes a second.
 	claimInterval = 50 * time.Millisecond
+	// fetchTimeout bounds the fetch of a newer configuration.
+	fetchTimeout = 5 * time.Second
+	// hostListTimeout bounds one read of the host list.
+	hostListTimeout = 2 * time.Second
 )
 
-// hostListTimeout bounds one read of the host list.
-const hostListTimeout = 2 * time.Second
-
 // host assembles the parts of one entry host.
 type host struct {
 	settings      *settings.Settings
@@ -66,14 +67,17 @@
 	requests      *request.Service
 	snapshots     *document.Holder
 	upstreams     *upstream.Monitor
+	client        *member.Client
+	// inProgress counts the requests of the caller listener.
+	inProgress atomic.Int64
 	// recorder is nil where no trace is recorded.
 	recorder *trace.Recorder
 }
 
 func newHost(s *settings.Settings, logger *log.Logger) (*host, error) {
-	if s.Host.ID == "" {
-		s.Host.ID = api.HostID("host-" + uuid.NewString()[:8])
-	}
+	// What other hosts know of a host, such as its acknowledgements, holds for one
+	// process only, so each start makes a new id.
+	s.Host.ID = api.HostID(cmp.Or(string(s.Host.ID), "host") + "-" + uuid.NewString()[:8])
 	factory, err := kernel.Stores.Get(s.Store.Kind)
 	if err != nil {
 		return nil, fmt.Errorf("[store] kind: %w", err)
@@ -84,17 +88,16 @@
 	}
 	h := &host{settings: s, log: logger, timer: &timer.Service{}, metrics: metric.New(), snapshots: &document.Holder{}}
 	keys := store.Keys{Prefix: s.Store.Prefix}
-	h.members = &member.Service{
-		Store: store.WithCause(kv, store.CauseMember, h.metrics), Keys: keys, Validity: s.Caller.AddressValidity,
-		Self: member.Member{
-			Host: s.Host.ID, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise, DataCentre: s.Host.DataCentre,
-		},
-	}
-	table := &upstream.Table{Host: s.Host.ID, Metrics: h.metrics, Log: logger}
+	h.members = h.newMembers(kv, keys)
+	table := &upstream.Table{Host: s.Host.ID, Metrics: h.metrics, Log: logger, Prober: h.isProber}
+	h.members.Events, h.members.Merge = eventsOf(table), mergeInto(table)
 	if h.upstreams, err = newMonitor(h, table); err != nil {
 		return nil, err
 	}
-	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply, Metrics: h.metrics}
+	h.configuration = &configuration.Service{
+		Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Metrics: h.metrics, Applied: h.applied, Follows: h.members.IsReader,
+	}
+	h.members.Roster = h.roster
 	h.requests = newRequests(h, kv, keys, table)
 	if s.Trace.Record != "" {
 		if h.recorder, err = trace.NewRecorder(s.Trace.Record, strings.Trim(s.Store.Prefix, "/")); err != nil {
@@ -123,16 +126,31 @@
 	return monitor, nil
 }
 
+func (h *host) newMembers(kv store.Store, keys store.Keys) *member.Service {
+	s := h.settings
+	h.client = member.NewClient(s.Peer.Secret, h.metrics)
+	return &member.Service{
+		Store: store.WithCause(kv, store.CauseMember, h.metrics), Keys: keys, Validity: s.Caller.AddressValidity,
+		Self: member.Member{
+			Host: s.Host.ID, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise, DataCentre: s.Host.DataCentre,
+		},
+		Alone:    s.Peer.Secret == "" || s.Store.Kind == "memory",
+		Interval: s.Peer.Interval, Freshness: s.Peer.Freshness, Seeds: s.Peer.Seeds,
+		Timer: h.timer, Metrics: h.metrics, Log: h.log,
+		Send: h.client.Exchange, Newer: h.fetch,
+	}
+}
+
 func newRequests(h *host, kv store.Store, keys store.Keys, table *upstream.Table) *request.Service {
 	router, sender := &route.Router{Prefixes: route.NewPrefixes(0)}, h.upstreams.Sender
 	requests := &request.Service{
-		Snapshot: h.snapshots.Load, Key: sealKey(h.settings.Peer.Secret),
+		Snapshot: h.snapshots.Load, Gate: h.gate, Key: sealKey(h.settings.Peer.Secret),
 		Executor: &pipeline.Executor{
 			Table: table, Router: router, Send: sender.Do, Budget: &retry.Budget{Metrics: h.metrics},
 			DataCentre: h.settings.Host.DataCentre,
 		},
-		Queue: &admission.Queue{Snapshot: h.snapshots.Load},
-		Quota: &admission.Quota{Limit: h.workspaceLimit},
+		Queue: &admission.Queue{Snapshot: h.snapshots.Load, Hosts: h.members.Live},
+		Quota: &admission.Quota{Limit: h.workspaceLimit, Hosts: h.members.Live, Home: h.isHome, Grant: h.askGrant},
 		Book:  &account.Book{},
 		Table: table, Router: router, Sender: sender, DataCentre: h.settings.Host.DataCentre,
 	}
@@ -140,6 +158,10 @@
 		Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder, Metrics: h.metrics,
 		Retention: h.settings.Store.Retention, Interval: claimInterval,
 		LongestDeadline: func() time.Duration { return h.snapshots.Load().LongestCall() },
+		HolderAlive:     h.members.Alive,
+	}
+	if !h.members.Alone {
+		requests.Orders.Forward = h.forwardClaims
 	}
 	return requests
 }
@@ -183,13 +205,16 @@
 	if h.recorder != nil {
 		callers.Record = h.recorder.Record
 	}
-	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, callers.Routes())
+	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, 0, h.counted(callers.Routes()))
+	if !h.members.Alone {
+		addServer(group, h.settings.Peer.Listen, settings.TLS{}, writeTimeout, h.newPeer().Routes())
+	}
 	if h.settings.Operator.Listen != "" {
-		addServer(group, h.settings.Operator.Listen, h.settings.Operator.TLS, h.newConsole().Routes())
+		addServer(group, h.settings.Operator.Listen, h.settings.Operator.TLS, writeTimeout, h.newConsole().Routes())
 	}
 	if h.settings.Admin.Listen != "" {
 		handler := &admin.Handler{Metrics: h.metrics, Ready: h.ready}
-		addServer(group, h.settings.Admin.Listen, settings.TLS{}, handler.Routes())
+		addServer(group, h.settings.Admin.Listen, settings.TLS{}, writeTimeout, handler.Routes())
 	}
 }
 
@@ -198,16 +223,19 @@
 	if h.settings.Store.Kind == "memory" {
 		h.log.Warn().Msg("no key-value service is set: the host runs alone and its configuration ends with it")
 	}
-	if err := h.members.Register(ctx); err != nil {
-		h.log.Warn().Err(err).Msg("registration_failed")
+	if !h.members.Alone {
+		// The registration comes before the first read of the configuration.
+		h.members.ReadStore(ctx)
+		h.members.Round(ctx)
 	}
 	if err := h.seed(ctx); err != nil {
 		return err
 	}
-	h.refresh(ctx)
 	h.upstreams.Start(ctx, h.timer)
-	h.timer.Every(refreshPeriod, func(time.Time) { h.refresh(ctx) })
 	h.timer.Every(settlePeriod, func(time.Time) { h.requests.Orders.Settle(ctx) })
+	if !h.members.Alone {
+		h.members.Start(ctx)
+	}
 	return nil
 }
 
@@ -235,8 +263,8 @@
 }
 
 func (h *host) refresh(ctx context.Context) {
-	if err := h.members.Refresh(ctx); err != nil {
-		h.log.Warn().Err(err).Msg("members_refresh_failed")
+	if err := h.configuration.Refresh(ctx); err != nil {
+		h.log.Warn().Err(err).Msg("configuration_refresh_failed")
 	}
 }
 
@@ -248,6 +276,12 @@
 }
 
 func (h *host) ready() error {
+	if h.members.Draining() {
+		return errors.New("the host is leaving")
+	}
+	if err := h.members.Fresh(); err != nil {
+		return err
+	}
 	if h.snapshots.Load() == nil {
 		return errors.New("no configuration is in force")
 	}
--- /dev/null
+++ b/cmd/peers.go
@@ -0,0 +1,170 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/service/admission"
+	"redwingloft/internal/service/configuration"
+	"redwingloft/internal/service/member"
+	"redwingloft/internal/service/order"
+	"redwingloft/internal/service/upstream"
+	"redwingloft/internal/web/peer"
+	"redwingloft/pkg/api"
+)
+
+// newPeer assembles the handler of the messages between hosts.
+func (h *host) newPeer() *peer.Handler {
+	return &peer.Handler{
+		Secret: h.settings.Peer.Secret, Exchange: h.members.Receive, Manifest: h.manifest, Part: h.part,
+		Grant: h.serveGrant, Claims: h.serveClaims, Metrics: h.metrics, Log: h.log,
+	}
+}
+
+// applied puts a snapshot in force and acknowledges it to the other hosts, which wait for that.
+func (h *host) applied(snapshot *document.Snapshot) {
+	h.upstreams.Table.Apply(snapshot)
+	h.members.Apply(snapshot)
+	h.members.Round(context.Background())
+}
+
+// roster returns the hosts that were registered at the commit in force.
+func (h *host) roster() []api.HostID {
+	if current := h.configuration.Current(); current != nil {
+		return current.Members
+	}
+	return nil
+}
+
+func (h *host) manifest() json.RawMessage {
+	current := h.configuration.Current()
+	if current == nil {
+		return nil
+	}
+	encoded, err := json.Marshal(current)
+	if err != nil {
+		h.log.Error().Err(err).Msg("manifest_not_encoded")
+		return nil
+	}
+	return encoded
+}
+
+func (h *host) part(digest string) []byte {
+	part, _ := h.configuration.Part(digest)
+	return part
+}
+
+// fetch puts a newer revision in force, from the peer that has it or else from the store.
+func (h *host) fetch(from api.Address, revision api.Revision) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	if from == "" {
+		h.refresh(ctx)
+		return
+	}
+	if err := h.fetchFrom(ctx, from); err != nil {
+		h.log.Warn().Str("peer", string(from)).Uint64("revision", uint64(revision)).Err(err).Msg("configuration_fetch_failed")
+	}
+}
+
+func (h *host) fetchFrom(ctx context.Context, from api.Address) error {
+	encoded, err := h.client.Manifest(ctx, from)
+	if err != nil {
+		return err
+	}
+	manifest, err := configuration.ParseManifest(encoded)
+	if err != nil {
+		return err
+	}
+	return h.configuration.Offer(ctx, manifest, func(ctx context.Context, digest string) ([]byte, error) {
+		return h.client.Part(ctx, from, digest)
+	})
+}
+
+// gate asks whether a ticket may start under its revision. A stream that is resumed
+// finishes on its own version and waits for no handover.
+func (h *host) gate(ticket *admission.Ticket) (release func(), held <-chan struct{}, err error) {
+	name := ticket.Pipeline
+	if ticket.Resumed {
+		name = ""
+	}
+	held, err = h.members.Gate(ticket.Workspace, name, ticket.Revision)
+	return nil, held, err
+}
+
+func (h *host) isHome(workspace api.WorkspaceName) bool {
+	_, self := h.members.Home(string(workspace))
+	return self
+}
+
+// askGrant asks the home host of a workspace for tokens.
+func (h *host) askGrant(ctx context.Context, workspace api.WorkspaceName, want float64) (float64, error) {
+	home, _ := h.members.Home(string(workspace))
+	grant, err := h.client.Grant(ctx, home.Peer, member.GrantRequest{Workspace: workspace, Want: want})
+	return grant.Tokens, err
+}
+
+func (h *host) serveGrant(_ context.Context, request member.GrantRequest) (member.Grant, error) {
+	return member.Grant{Tokens: h.requests.Quota.Serve(request.Workspace, request.Want)}, nil
+}
+
+// forwardClaims passes the writes of an order shard to its aggregator.
+func (h *host) forwardClaims(ctx context.Context, shard int, claims []order.Claim) ([]order.ClaimResult, error) {
+	aggregator, self := h.members.Home(fmt.Sprintf("order-shard/%d", shard))
+	if self {
+		return nil, order.ErrNotForwarded
+	}
+	encoded, err := json.Marshal(claims)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := h.client.Claims(ctx, aggregator.Peer, member.ClaimsRequest{Shard: shard, Claims: encoded})
+	if err != nil {
+		return nil, err
+	}
+	var results []order.ClaimResult
+	return results, json.Unmarshal(answer, &results)
+}
+
+func (h *host) serveClaims(ctx context.Context, request member.ClaimsRequest) (json.RawMessage, error) {
+	var claims []order.Claim
+	if err := json.Unmarshal(request.Claims, &claims); err != nil {
+		return nil, fault.New(api.KindBadRequest, "the claims are not valid: %v", err)
+	}
+	results, err := h.requests.Orders.Claim(ctx, request.Shard, claims)
+	if err != nil {
+		return nil, fault.Wrap(api.KindBadRequest, err, "the claims were not made")
+	}
+	return json.Marshal(results)
+}
+
+func (h *host) isProber(id api.UpstreamID) bool { return h.members.IsProber(string(id)) }
+
+// eventsOf returns the upstream events of a table in the form of an exchange.
+func eventsOf(table *upstream.Table) func(uint64) (json.RawMessage, uint64) {
+	return func(since uint64) (json.RawMessage, uint64) {
+		events, last := table.Events(since)
+		if len(events) == 0 {
+			return nil, last
+		}
+		encoded, err := json.Marshal(events)
+		if err != nil {
+			return nil, since
+		}
+		return encoded, last
+	}
+}
+
+// mergeInto returns a function that takes the upstream events of another host. Events
+// that are not valid are dropped; the state of their upstreams is learned anew.
+func mergeInto(table *upstream.Table) func(json.RawMessage) {
+	return func(encoded json.RawMessage) {
+		var events []upstream.Event
+		if json.Unmarshal(encoded, &events) == nil {
+			table.Merge(events)
+		}
+	}
+}
