--- a/cmd/console.go
+++ b/cmd/console.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 
-	"redwingloft/internal/service/upstream"
+	"redwingloft/internal/service/account"
 	"redwingloft/internal/web/console"
+	"redwingloft/pkg/api"
 )
 
 // newConsole assembles the operator side of a host.
@@ -33,21 +35,48 @@
 		}
 		status.Hosts = append(status.Hosts, host)
 	}
+	table := h.upstreams.Table
 	for _, group := range snapshot.Document.Groups {
-		for _, instance := range h.table.Group(group.Name) {
+		for _, instance := range table.All(group.Name) {
 			status.Upstreams = append(status.Upstreams, console.UpstreamStatus{
-				Upstream: instance.ID, Group: group.Name, State: upstreamState(instance), InFlight: instance.InFlight(),
+				Upstream: instance.ID, Group: group.Name, State: string(table.State(instance)), InFlight: instance.InFlight(),
 			})
 		}
 	}
+	addAccount(&status, h.requests.Book.Summary())
 	return status
 }
 
-func upstreamState(instance *upstream.Instance) string {
-	if instance.Available() {
-		return "healthy"
+// addAccount adds attainment and cost by pipeline over all versions and workspaces.
+func addAccount(status *console.Status, summary account.Summary) {
+	for _, line := range summary.Versions {
+		if line.Pipeline == "" {
+			continue // a plain service
+		}
+		pipelines := &status.Pipelines
+		if n := len(*pipelines); n == 0 || (*pipelines)[n-1].Pipeline != line.Pipeline {
+			*pipelines = append(*pipelines, console.PipelineStatus{Pipeline: line.Pipeline})
+		}
+		last := &(*pipelines)[len(*pipelines)-1]
+		last.Requests += line.Requests
+		last.Attained += line.Attained
+		for _, stage := range line.Stages {
+			addStage(status, line.Pipeline, stage)
+		}
+	}
+}
+
+func addStage(status *console.Status, pipeline api.PipelineName, stage account.Stage) {
+	at := slices.IndexFunc(status.Stages, func(known console.StageStatus) bool {
+		return known.Pipeline == pipeline && known.Stage == stage.Stage
+	})
+	if at < 0 {
+		at = len(status.Stages)
+		status.Stages = append(status.Stages, console.StageStatus{Pipeline: pipeline, Stage: stage.Stage})
 	}
-	return "ejected"
+	status.Stages[at].Attempts += stage.Attempts
+	status.Stages[at].Cost += stage.Cost
+	status.Stages[at].LostCost += stage.LostCost
 }
 
 // history returns at most limit revisions, the newest first.
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -36,6 +36,7 @@
 
 	// The plug-ins register themselves.
 	_ "redwingloft/internal/plugin/etcd"
+	_ "redwingloft/internal/plugin/httpsd"
 	_ "redwingloft/internal/plugin/memory"
 	_ "redwingloft/internal/plugin/openai"
 )
@@ -51,6 +52,9 @@
 	claimInterval = 50 * time.Millisecond
 )
 
+// hostListTimeout bounds one read of the host list.
+const hostListTimeout = 2 * time.Second
+
 // host assembles the parts of one entry host.
 type host struct {
 	settings      *settings.Settings
@@ -61,7 +65,7 @@
 	members       *member.Service
 	requests      *request.Service
 	snapshots     *document.Holder
-	table         *upstream.Table
+	upstreams     *upstream.Monitor
 	// recorder is nil where no trace is recorded.
 	recorder *trace.Recorder
 }
@@ -86,8 +90,10 @@
 			Host: s.Host.ID, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise, DataCentre: s.Host.DataCentre,
 		},
 	}
-	table := &upstream.Table{}
-	h.table = table
+	table := &upstream.Table{Host: s.Host.ID, Metrics: h.metrics, Log: logger}
+	if h.upstreams, err = newMonitor(h, table); err != nil {
+		return nil, err
+	}
 	h.configuration = &configuration.Service{Store: kv, Keys: keys, Holder: h.snapshots, Log: logger, Applied: table.Apply, Metrics: h.metrics}
 	h.requests = newRequests(h, kv, keys, table)
 	if s.Trace.Record != "" {
@@ -99,17 +105,36 @@
 	return h, nil
 }
 
+func newMonitor(h *host, table *upstream.Table) (*upstream.Monitor, error) {
+	monitor := &upstream.Monitor{Table: table, Sender: upstream.NewSender()}
+	if h.settings.HostList.Kind == "none" {
+		return monitor, nil
+	}
+	factory, err := kernel.HostLists.Get(h.settings.HostList.Kind)
+	if err != nil {
+		return nil, fmt.Errorf("[host_list] kind: %w", err)
+	}
+	list, err := factory(h.settings.HostList.URL, hostListTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("[host_list] url: %w", err)
+	}
+	monitor.Poller, monitor.PollPeriod = &upstream.Poller{List: list, Table: table}, h.settings.HostList.Period
+	monitor.PollFailed = func(err error) { h.log.Warn().Err(err).Msg("host_list_failed") }
+	return monitor, nil
+}
+
 func newRequests(h *host, kv store.Store, keys store.Keys, table *upstream.Table) *request.Service {
-	router, sender := &route.Router{}, upstream.NewSender()
+	router, sender := &route.Router{Prefixes: route.NewPrefixes(0)}, h.upstreams.Sender
 	requests := &request.Service{
 		Snapshot: h.snapshots.Load, Key: sealKey(h.settings.Peer.Secret),
 		Executor: &pipeline.Executor{
 			Table: table, Router: router, Send: sender.Do, Budget: &retry.Budget{Metrics: h.metrics},
+			DataCentre: h.settings.Host.DataCentre,
 		},
 		Queue: &admission.Queue{Snapshot: h.snapshots.Load},
 		Quota: &admission.Quota{Limit: h.workspaceLimit},
 		Book:  &account.Book{},
-		Table: table, Router: router, Sender: sender,
+		Table: table, Router: router, Sender: sender, DataCentre: h.settings.Host.DataCentre,
 	}
 	requests.Orders = &order.Desk{
 		Store: kv, Keys: keys, Host: h.settings.Host.ID, Send: requests.SendOrder, Metrics: h.metrics,
@@ -180,6 +205,7 @@
 		return err
 	}
 	h.refresh(ctx)
+	h.upstreams.Start(ctx, h.timer)
 	h.timer.Every(refreshPeriod, func(time.Time) { h.refresh(ctx) })
 	h.timer.Every(settlePeriod, func(time.Time) { h.requests.Orders.Settle(ctx) })
 	return nil
--- a/internal/service/request/request.go
+++ b/internal/service/request/request.go
@@ -55,6 +55,8 @@
 	Table    *upstream.Table
 	Router   *route.Router
 	Sender   *upstream.Sender
+	// DataCentre is that of this host.
+	DataCentre api.DataCentre
 
 	progress progress
 }
