--- a/internal/service/member/member_test.go
+++ b/internal/service/member/member_test.go
@@ -235,6 +235,7 @@
 	<-early
 	late, err := c.hosts[0].Gate("w", "p", 1)
 	assert.NilError(t, err)
+	assert.Assert(t, late != nil, "the request was started")
 	<-late
 }
 
@@ -243,6 +244,9 @@
 func TestNoStartAfterAcknowledgement(t *testing.T) {
 	c := newCluster(t, 1)
 	host := c.hosts[0]
+	for range 500 {
+		c.commit(true)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	results := make(chan error, 4)
 	for range cap(results) {
@@ -259,9 +263,8 @@
 			results <- nil
 		}()
 	}
-	for range 500 {
-		c.commit(true)
-		host.Apply(c.snapshots[len(c.snapshots)-1])
+	for _, snapshot := range c.snapshots {
+		host.Apply(snapshot)
 	}
 	cancel()
 	for range cap(results) {
