--- a/cmd/console.go
+++ b/cmd/console.go
@@ -28,12 +28,11 @@
 		return status
 	}
 	status.Revision = snapshot.Revision
-	for _, address := range h.members.Addresses(h.settings.Host.DataCentre).Hosts {
-		host := console.HostStatus{Host: address.Host, DataCentre: address.DataCentre, Address: address.Address}
-		if address.Host == h.settings.Host.ID {
-			host.Revision, host.State = snapshot.Revision, "this host"
-		}
-		status.Hosts = append(status.Hosts, host)
+	for _, known := range h.members.Report() {
+		status.Hosts = append(status.Hosts, console.HostStatus{
+			Host: known.Host, DataCentre: known.DataCentre, Address: known.Caller,
+			Revision: known.Revision, State: string(known.State),
+		})
 	}
 	table := h.upstreams.Table
 	for _, group := range snapshot.Document.Groups {
