--- a/standin/commands.go
+++ b/standin/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 	"time"
 
@@ -11,6 +12,7 @@
 	"redwingloft/internal/data/trace"
 	"redwingloft/standin/demo"
 	"redwingloft/standin/failure"
+	"redwingloft/standin/footprint"
 	"redwingloft/standin/load"
 )
 
@@ -99,3 +101,31 @@
 		},
 	}
 }
+
+func footprintCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "footprint",
+		Usage: "measure memory, processor time and messages of idle entry hosts by the size of the document",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "binaries", Usage: "`folder` of the programs", Value: "bin"},
+			&cli.IntFlag{Name: "hosts", Usage: "entry hosts of each site", Value: 7},
+			&cli.DurationFlag{Name: "duration", Usage: "length of each measurement", Value: 10 * time.Second},
+			&cli.StringFlag{Name: "out", Usage: "JSON `file` to write"},
+		},
+		Action: runFootprint,
+	}
+}
+
+func runFootprint(ctx context.Context, c *cli.Command) error {
+	results, err := footprint.Run(ctx, footprint.Options{
+		Binaries: c.String("binaries"), Hosts: c.Int("hosts"), Duration: c.Duration("duration"), Out: c.Root().Writer,
+	})
+	if err != nil || c.String("out") == "" {
+		return err
+	}
+	encoded, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(c.String("out"), append(encoded, '\n'), 0o644)
+}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -36,6 +36,8 @@
 	StandinFlags []string
 	// Settings are extra lines by INI section for every host.
 	Settings map[string][]string
+	// KeyValueOnly starts no upstreams, and keeps the addresses of the document.
+	KeyValueOnly bool
 	// Folder takes settings and logs; it must exist.
 	Folder string
 }
@@ -83,9 +85,29 @@
 }
 
 func (s *Site) start() error {
-	if err := relocate(s.Options.Document, &s.ports); err != nil {
+	if !s.Options.KeyValueOnly {
+		if err := relocate(s.Options.Document, &s.ports); err != nil {
+			return err
+		}
+	}
+	if err := s.startStandins(); err != nil {
 		return err
 	}
+	for i := range s.Options.Hosts {
+		if _, err := s.AddHost(fmt.Sprintf("host-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	for _, host := range s.Hosts {
+		if err := host.WaitReady(startTimeout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startStandins starts the key-value service and, unless it is to run alone, the upstreams.
+func (s *Site) startStandins() error {
 	addresses, err := s.ports.free(4)
 	if err != nil {
 		return err
@@ -102,26 +124,14 @@
 	if err != nil {
 		return err
 	}
+	if err := WaitDial(s.KeyValueControl, startTimeout); err != nil || s.Options.KeyValueOnly {
+		return err
+	}
 	flags := append([]string{"deployment", "--document", s.path("document.json"), "--control", s.Control, "--host-list", s.HostList}, s.Options.StandinFlags...)
 	if s.Upstreams, err = s.run("upstreams", "standin", flags...); err != nil {
 		return err
 	}
-	for _, address := range []string{s.KeyValueControl, s.Control} {
-		if err := WaitDial(address, startTimeout); err != nil {
-			return err
-		}
-	}
-	for i := range s.Options.Hosts {
-		if _, err := s.AddHost(fmt.Sprintf("host-%d", i+1)); err != nil {
-			return err
-		}
-	}
-	for _, host := range s.Hosts {
-		if err := host.WaitReady(startTimeout); err != nil {
-			return err
-		}
-	}
-	return nil
+	return WaitDial(s.Control, startTimeout)
 }
 
 // relocate gives every upstream of a document a free port.
@@ -196,7 +206,7 @@
 		{"operator", []string{"listen = " + host.Operator}},
 		{"admin", []string{"listen = " + host.Admin}},
 		{"store", []string{"kind = etcd", "endpoints = http://" + s.KeyValueAddress, "prefix = " + s.Options.Document.Deployment + "/"}},
-		{"host_list", []string{"kind = http_sd", "url = http://" + s.HostList + "/targets", "period = 500ms"}},
+		{"host_list", s.hostListSettings()},
 		{"document", []string{"path = " + s.path("document.json")}},
 		{"log", nil},
 		{"trace", nil},
@@ -208,6 +218,13 @@
 	return text.String()
 }
 
+func (s *Site) hostListSettings() []string {
+	if s.Options.KeyValueOnly {
+		return nil
+	}
+	return []string{"kind = http_sd", "url = http://" + s.HostList + "/targets", "period = 500ms"}
+}
+
 func (s *Site) run(name, program string, args ...string) (*Process, error) {
 	out, err := os.Create(s.path(name + ".log"))
 	if err != nil {
@@ -270,6 +287,9 @@
 	return err
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Wait waits for the process to end by itself and returns its error.
 func (p *Process) Wait(timeout time.Duration) error {
 	select {
