Let an operator remove hosts that were lost together

Cause: after all hosts of a site have died at once and new ones have started at other addresses, the old voters block every majority and the new hosts hold all pipelines. They can't remove the old ones by themselves, since from their side an end can't be told from a partition. Ruled out: removal after a time, which a partitioned majority without the store would outlive while it serves an older configuration.

'redwingloft hosts remove HOST...' takes hosts that have ended off the member documents in one transaction; a host that is alive is refused.

--- a/cmd/console.go
+++ b/cmd/console.go
@@ -15,7 +15,7 @@
 		Config: console.Configuration{
 			Snapshot: h.snapshots.Load, At: h.configuration.At, History: h.history, Commit: h.configuration.Commit,
 		},
-		Status: h.status, Key: sealKey(h.settings.Peer.Secret), Session: h.settings.Operator.Session,
+		Status: h.status, RemoveHosts: h.members.Remove, Key: sealKey(h.settings.Peer.Secret), Session: h.settings.Operator.Session,
 		Secure: h.settings.Operator.TLS.CertFile != "", Log: h.log,
 	}
 }
--- a/cmd/hosts.go
+++ b/cmd/hosts.go
@@ -30,7 +30,8 @@
 			&cli.StringFlag{Name: "data-centre", Usage: "data centre of the caller"},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
 		},
-		Action: listHosts,
+		Action:   listHosts,
+		Commands: []*cli.Command{hostsRemoveCommand()},
 	}
 }
 
--- /dev/null
+++ b/internal/service/member/remove.go
@@ -0,0 +1,75 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/pkg/api"
+)
+
+// Remove takes hosts off the member documents in one transaction, on an operator's
+// word that their processes have ended. It is the way back where half of the voters
+// or more were lost at once: the hosts that are left may not remove them, because
+// from their side an end can't be told from a partition. Where no voter is left,
+// all remaining hosts become voters. A host that is alive here is refused.
+func (s *Service) Remove(ctx context.Context, hosts []api.HostID) error {
+	for _, host := range hosts {
+		if s.Alive(host) {
+			return fault.New(api.KindConflict, "host %s is alive; stop it before it is removed", host)
+		}
+	}
+	documents, err := s.readDocuments(ctx)
+	if err != nil {
+		return err
+	}
+	txn, err := s.withoutHosts(documents, hosts)
+	if err != nil {
+		return err
+	}
+	result, err := s.Store.Txn(ctx, txn)
+	switch {
+	case store.IsErrUnknownOutcome(err):
+		return fault.Wrap(api.KindStoreOutcomeUnknown, err, "the hosts may have been removed")
+	case err != nil:
+		return fault.Wrap(api.KindStoreUnavailable, err, "the hosts were not removed")
+	case !result.Applied:
+		return fault.New(api.KindConflict, "the member documents changed meanwhile")
+	}
+	s.logger().Warn().Int("hosts", len(hosts)).Msg("hosts_removed_by_operator")
+	return s.readAll(ctx)
+}
+
+// withoutHosts returns the transaction that removes hosts from documents.
+func (s *Service) withoutHosts(documents map[api.DataCentre]Versioned, hosts []api.HostID) (store.Txn, error) {
+	found, voters := 0, 0
+	for centre, doc := range documents {
+		kept := slices.DeleteFunc(slices.Clone(doc.Members), func(m Member) bool { return slices.Contains(hosts, m.Host) })
+		found += len(doc.Members) - len(kept)
+		for _, member := range kept {
+			if member.Voter {
+				voters++
+			}
+		}
+		doc.Members = kept
+		documents[centre] = doc
+	}
+	if found != len(hosts) {
+		return store.Txn{}, fault.New(api.KindNotFound, "%d of the %d hosts are not registered", len(hosts)-found, len(hosts))
+	}
+	txn := store.Txn{}
+	for centre, doc := range documents {
+		for i := range doc.Members {
+			doc.Members[i].Voter = doc.Members[i].Voter || voters == 0
+		}
+		value, err := json.Marshal(doc.Document)
+		if err != nil {
+			return store.Txn{}, err
+		}
+		txn.If = append(txn.If, store.Compare{Key: s.Keys.Members(centre), Version: doc.Version})
+		txn.Puts = append(txn.Puts, store.Put{Key: s.Keys.Members(centre), Value: value})
+	}
+	return txn, nil
+}
--- /dev/null
+++ b/internal/service/member/remove_test.go
@@ -0,0 +1,48 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/helper/fault"
+	"redwingloft/pkg/api"
+)
+
+// TestRemoveAfterColdRestart guards against a site that serves nothing any more
+// after all its hosts have died at once and new ones have started elsewhere.
+func TestRemoveAfterColdRestart(t *testing.T) {
+	c := newCluster(t, 5)
+	c.commit(true)
+	c.run(3 * time.Second)
+	var dead []api.HostID
+	for _, host := range c.hosts {
+		host.dead = true
+		dead = append(dead, host.Self.Host)
+	}
+	fresh := []*node{c.join(), c.join(), c.join()}
+	c.run(30 * time.Second)
+	assert.Assert(t, c.begin(fresh[0]) != nil, "the old voters may still serve, so nothing may start")
+
+	assert.NilError(t, fresh[0].Remove(t.Context(), dead))
+	c.run(10 * time.Second)
+	for _, host := range fresh {
+		assert.NilError(t, c.begin(host))
+	}
+	c.commit(true)
+	c.run(10 * time.Second)
+	assert.NilError(t, c.begin(fresh[2]))
+}
+
+// TestRemoveRefusesLiveAndUnknownHosts guards against the removal of a host that
+// still serves, and against a mistyped name that is passed over.
+func TestRemoveRefusesLiveAndUnknownHosts(t *testing.T) {
+	c := newCluster(t, 3)
+	c.commit(true)
+	c.run(3 * time.Second)
+	err := c.hosts[0].Remove(t.Context(), []api.HostID{c.hosts[1].Self.Host})
+	assert.Equal(t, fault.KindOf(err), api.KindConflict)
+	err = c.hosts[0].Remove(t.Context(), []api.HostID{"nobody"})
+	assert.Equal(t, fault.KindOf(err), api.KindNotFound)
+}
--- a/internal/web/console/handler.go
+++ b/internal/web/console/handler.go
@@ -60,6 +60,8 @@
 	Config Configuration
 	// Status reports on the site as this host sees it.
 	Status func() Status
+	// RemoveHosts takes hosts that have ended off the list of members.
+	RemoveHosts func(context.Context, []api.HostID) error
 	// Key seals the sessions. All hosts of a site share it.
 	Key []byte
 	// Session is the life of a session.
--- a/internal/web/console/operator_api.go
+++ b/internal/web/console/operator_api.go
@@ -20,6 +20,7 @@
 	PathRevisions = PathConfig + "/revisions/"
 	PathValidate  = PathConfig + "/validate"
 	PathStatus    = "/operator/v1/status"
+	PathRemove    = "/operator/v1/hosts/remove"
 )
 
 // maxHistory bounds an answer of PathHistory.
@@ -59,6 +60,16 @@
 	Faults []api.Fault `json:"faults"`
 }
 
+// RemoveRequest asks to take hosts that have ended off the list of members.
+type RemoveRequest struct {
+	Hosts []api.HostID `json:"hosts"`
+}
+
+// RemoveAnswer names the removed hosts.
+type RemoveAnswer struct {
+	Removed []api.HostID `json:"removed"`
+}
+
 // action answers one request of the JSON interface.
 type action func(r *http.Request, operator *document.Operator) (any, error)
 
@@ -68,6 +79,7 @@
 	mux.Handle("GET "+PathHistory, h.basic(h.readHistory))
 	mux.Handle("GET "+PathRevisions+"{revision}", h.basic(h.readRevision))
 	mux.Handle("POST "+PathValidate, h.basic(h.validateConfig))
+	mux.Handle("POST "+PathRemove, h.basic(h.removeHosts))
 	mux.Handle("GET "+PathStatus, h.basic(func(*http.Request, *document.Operator) (any, error) { return h.Status(), nil }))
 }
 
@@ -188,6 +200,24 @@
 	return CommitAnswer{Revision: revision}, nil
 }
 
+func (h *Handler) removeHosts(r *http.Request, operator *document.Operator) (any, error) {
+	if err := mustBeEditor(operator); err != nil {
+		return nil, err
+	}
+	var request RemoveRequest
+	if err := decodeJSON(r, &request); err != nil {
+		return nil, err
+	}
+	if len(request.Hosts) == 0 {
+		return nil, fault.New(api.KindBadRequest, "hosts is empty")
+	}
+	if err := h.RemoveHosts(r.Context(), request.Hosts); err != nil {
+		return nil, err
+	}
+	h.Log.Warn().Str("operator", operator.Name).Int("hosts", len(request.Hosts)).Msg("hosts_removed")
+	return RemoveAnswer{Removed: request.Hosts}, nil
+}
+
 func (h *Handler) validateConfig(r *http.Request, _ *document.Operator) (any, error) {
 	var request ValidateRequest
 	if err := decodeJSON(r, &request); err != nil {
--- a/internal/web/console/operator_api_test.go
+++ b/internal/web/console/operator_api_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -86,3 +87,22 @@
 	r.Header.Set("Content-Type", "application/x-www-form-urlencoded")
 	assert.Equal(t, s.send(r).Code, http.StatusRequestEntityTooLarge)
 }
+
+// TestRemoveHostsNeedsAnEditor guards against a viewer who takes hosts off the list
+// of members, and against an empty request that is answered as done.
+func TestRemoveHostsNeedsAnEditor(t *testing.T) {
+	s := newSite(t)
+	var removed []api.HostID
+	s.handler.RemoveHosts = func(_ context.Context, hosts []api.HostID) error {
+		removed = append(removed, hosts...)
+		return nil
+	}
+	request := RemoveRequest{Hosts: []api.HostID{"host-1", "host-2"}}
+	var refusal api.Error
+	assert.Equal(t, s.call("viewer", http.MethodPost, PathRemove, request, &refusal), http.StatusForbidden)
+	assert.Equal(t, s.call("editor", http.MethodPost, PathRemove, RemoveRequest{}, &refusal), http.StatusBadRequest)
+	assert.Equal(t, len(removed), 0)
+	var answer RemoveAnswer
+	assert.Equal(t, s.call("editor", http.MethodPost, PathRemove, request, &answer), http.StatusOK)
+	assert.DeepEqual(t, removed, request.Hosts)
+}
