--- a/internal/service/configuration/bench_test.go
+++ b/internal/service/configuration/bench_test.go
@@ -1,8 +1,11 @@
 package configuration
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -35,15 +38,19 @@
 	ctx := context.Background()
 	source, host := newService(memory.New()), newService(memory.New())
 	doc := newDocument(targetWorkspaces)
+	zipped := 0
 	fetch := func(_ context.Context, digest string) ([]byte, error) {
 		data, _ := source.Part(digest)
+		b.StopTimer()
+		zipped += zippedSize(b, data)
+		b.StartTimer()
 		return data, nil
 	}
 	members := make([]api.HostID, 350)
 	for i := range members {
-		members[i] = "host-01234567"
+		members[i] = api.HostID(fmt.Sprintf("host-%08x", uint32(i)*2654435761))
 	}
-	change := func(i int) (*Manifest, int) {
+	change := func(i int) (*Manifest, []byte) {
 		doc.Workspaces[i%targetWorkspaces].Weight = float64(i%1000 + 1)
 		_, err := source.Commit(ctx, doc, api.Revision(i), "bench", "")
 		assert.NilError(b, err)
@@ -51,19 +58,32 @@
 		manifest.Members = members
 		encoded, err := json.Marshal(manifest)
 		assert.NilError(b, err)
-		return &manifest, len(encoded)
+		return &manifest, encoded
 	}
 	manifest, _ := change(0)
 	assert.NilError(b, host.Offer(ctx, manifest, fetch))
 	parts := host.Metrics.Counter("configuration.bytes_from_peer")
 	parts.Clear()
 	manifests := 0
+	zipped = 0
 	for i := range b.N {
 		b.StopTimer()
-		manifest, size := change(i + 1)
-		manifests += size
+		manifest, encoded := change(i + 1)
+		manifests += len(encoded)
+		zipped += zippedSize(b, encoded)
 		b.StartTimer()
 		assert.NilError(b, host.Offer(ctx, manifest, fetch))
 	}
 	b.ReportMetric(float64(manifests+int(parts.Count()))/float64(b.N), "bytes/change")
+	b.ReportMetric(float64(zipped)/float64(b.N), "gzip_bytes/change")
+}
+
+// zippedSize returns the size of data as peers send it.
+func zippedSize(b *testing.B, data []byte) int {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	_, err := w.Write(data)
+	assert.NilError(b, err)
+	assert.NilError(b, w.Close())
+	return out.Len()
 }
--- a/internal/service/member/bench_test.go
+++ b/internal/service/member/bench_test.go
@@ -87,7 +87,7 @@
 func BenchmarkFreshness(b *testing.B) {
 	for _, down := range []bool{false, true} {
 		for _, period := range []struct{ interval, freshness time.Duration }{
-			{500 * time.Millisecond, 3 * time.Second}, {time.Second, 3 * time.Second}, {time.Second, 5 * time.Second},
+			{500 * time.Millisecond, 3 * time.Second}, {time.Second, 3 * time.Second}, {time.Second, 5 * time.Second}, {1500 * time.Millisecond, 6 * time.Second},
 		} {
 			for _, count := range []int{7, 50, 350} {
 				b.Run(fmt.Sprintf("down=%t/interval=%s/freshness=%s/%d", down, period.interval, period.freshness, count), func(b *testing.B) {
--- a/internal/service/member/client.go
+++ b/internal/service/member/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -124,6 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
+	request.Header.Set("Accept-Encoding", "gzip")
 	return c.do(request, MaxPart)
 }
 
@@ -153,7 +155,9 @@
 		return nil, err
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	counted := &countingReader{reader: response.Body}
+	data, err := readBody(response.Header, counted, limit)
+	c.Metrics.Counter("member.bytes_received").Inc(counted.bytes)
 	switch {
 	case err != nil:
 		return data, err
@@ -165,6 +169,30 @@
 	return data, nil
 }
 
+// readBody reads a body of at most limit+1 bytes after decompression.
+func readBody(header http.Header, body io.Reader, limit int64) ([]byte, error) {
+	if header.Get("Content-Encoding") == "gzip" {
+		unzipped, err := gzip.NewReader(body)
+		if err != nil {
+			return nil, err
+		}
+		body = unzipped
+	}
+	return io.ReadAll(io.LimitReader(body, limit+1))
+}
+
+// countingReader counts the bytes read.
+type countingReader struct {
+	reader io.Reader
+	bytes  int64
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.reader.Read(p)
+	r.bytes += int64(n)
+	return n, err
+}
+
 // refusal returns the error that a peer answered, with its kind where it has a known one.
 func refusal(status int, data []byte) error {
 	var told api.Error
--- a/internal/web/peer/peer.go
+++ b/internal/web/peer/peer.go
@@ -2,6 +2,7 @@
 package peer
 
 import (
+	"compress/gzip"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
@@ -83,13 +84,13 @@
 	h.Metrics.Counter("member.exchange_bytes_sent").Inc(int64(sent))
 }
 
-func (h *Handler) manifest(w http.ResponseWriter, _ *http.Request) {
+func (h *Handler) manifest(w http.ResponseWriter, r *http.Request) {
 	manifest := h.Manifest()
 	if manifest == nil {
 		h.refuse(w, fault.New(api.KindNotFound, "no configuration is in force"))
 		return
 	}
-	h.answer(w, manifest)
+	zip(w, r, "application/json", manifest)
 }
 
 func (h *Handler) part(w http.ResponseWriter, r *http.Request) {
@@ -103,9 +104,22 @@
 		h.refuse(w, fault.New(api.KindNotFound, "no part %s", digest))
 		return
 	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	// The peer may have left; it asks again.
-	_, _ = w.Write(part)
+	zip(w, r, "application/octet-stream", part)
+}
+
+// zip answers with a compressed body where the peer takes one: manifests and parts
+// are JSON and shrink to about two fifths.
+func zip(w http.ResponseWriter, r *http.Request, kind string, body []byte) {
+	w.Header().Set("Content-Type", kind)
+	if r.Header.Get("Accept-Encoding") != "gzip" {
+		// The peer may have left; it asks again.
+		_, _ = w.Write(body)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	compressed := gzip.NewWriter(w)
+	_, _ = compressed.Write(body)
+	_ = compressed.Close()
 }
 
 // post returns a handler that decodes a body, calls f and answers its result.
--- a/internal/web/peer/peer_test.go
+++ b/internal/web/peer/peer_test.go
@@ -162,3 +162,19 @@
 		})
 	}
 }
+
+// TestCompressedAnswersAreBounded guards against a small compressed answer that
+// takes much memory, and against one that is passed on compressed.
+func TestCompressedAnswersAreBounded(t *testing.T) {
+	digest := strings.Repeat("0a", 32)
+	for size, accepted := range map[int]bool{1 << 20: true, member.MaxPart + 1: false} {
+		handler := &Handler{Secret: secret, Part: func(string) []byte { return make([]byte, size) }}
+		client := member.NewClient(secret, metric.New())
+		part, err := client.Part(context.Background(), serve(t, handler), digest)
+		assert.Equal(t, err == nil, accepted, "%d bytes: %v", size, err)
+		if accepted {
+			assert.Equal(t, len(part), size)
+			assert.Assert(t, client.Metrics.Counter("member.bytes_received").Count() < int64(size)/100)
+		}
+	}
+}
