--- a/test/e2e/upstream_test.go
+++ b/test/e2e/upstream_test.go
@@ -106,10 +106,11 @@
 }
 
 // TestDrainNoticeEndsWork guards against new work for an engine after its drain
-// notice, against requests that fail because of it, and against an engine that
-// is not used again after its new start.
+// notice, against requests that fail because of it, against hosts that do not
+// tell each other of it, and against an engine that is not used again after its
+// new start.
 func TestDrainNoticeEndsWork(t *testing.T) {
-	s := startSite(t, "greenhand", site.Options{Hosts: 1})
+	s := startSite(t, "greenhand", site.Options{Hosts: 2})
 	host, draining := s.Hosts[0], s.Engines()[0]
 	assert.NilError(t, fleet.Inject(s.Control, draining, injection.Fault{Mode: injection.ModeDraining}))
 	number := 0
@@ -117,16 +118,18 @@
 		assert.Assert(t, time.Now().Before(end), "the engine gets no request")
 		answerPlan(t, host, number)
 	}
+	waitCounter(t, s.Hosts[1], 1, "upstream_leaving_peer")
 	for range 60 {
 		number++
-		answerPlan(t, host, number)
+		answerPlan(t, s.Hosts[number%2], number)
 	}
+	assert.Equal(t, counter(t, s.Hosts[1], "attempt_failed_draining"), int64(0))
 	// The one request that met the notice went on elsewhere.
 	assert.Equal(t, counter(t, host, "attempt_failed_draining"), int64(1))
 	// The notice on a health check, and then a clean answer, is a new start.
 	waitCounter(t, host, 1, "probe_draining")
 	assert.NilError(t, fleet.Clear(s.Control, draining))
-	waitCounter(t, host, 1, "upstream_healthy_probe")
+	waitCounter(t, host, 1, "upstream_healthy_probe", "upstream_healthy_peer")
 	before := requests(t, draining)
 	for end := time.Now().Add(bound); requests(t, draining) == before; number++ {
 		assert.Assert(t, time.Now().Before(end), "the engine gets no request")
