--- a/internal/tool/slopes/main.go
+++ b/internal/tool/slopes/main.go
@@ -23,7 +23,7 @@
 	Command string `json:"command"`
 	Go      string `json:"go"`
 	CPU     string `json:"cpu"`
-	// Values is keyed by "package/benchmark" and by unit, such as "ns/op".
+	// Values is keyed by "package/Benchmark" and by unit, such as "ns/op".
 	Values map[string]map[string]float64 `json:"values"`
 }
 
@@ -95,5 +95,6 @@
 	if dash := strings.LastIndexByte(name, '-'); dash > 0 {
 		name = name[:dash]
 	}
-	return pkg + "/" + name
+	// The reader cuts "Benchmark" off the name.
+	return pkg + "/Benchmark" + name
 }
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -108,6 +108,7 @@
 		Usage: "measure memory, processor time and messages of idle entry hosts by the size of the document",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "binaries", Usage: "`folder` of the programs", Value: "bin"},
+			&cli.StringFlag{Name: "deployments", Usage: "`folder` of the example deployments", Value: "deployments"},
 			&cli.IntFlag{Name: "hosts", Usage: "entry hosts of each site", Value: 7},
 			&cli.DurationFlag{Name: "duration", Usage: "length of each measurement", Value: 10 * time.Second},
 			&cli.StringFlag{Name: "out", Usage: "JSON `file` to write"},
@@ -117,13 +118,13 @@
 }
 
 func runFootprint(ctx context.Context, c *cli.Command) error {
-	results, err := footprint.Run(ctx, footprint.Options{
-		Binaries: c.String("binaries"), Hosts: c.Int("hosts"), Duration: c.Duration("duration"), Out: c.Root().Writer,
+	report, err := footprint.Run(ctx, footprint.Options{
+		Binaries: c.String("binaries"), Folder: c.String("deployments"), Hosts: c.Int("hosts"), Duration: c.Duration("duration"), Out: c.Root().Writer,
 	})
 	if err != nil || c.String("out") == "" {
 		return err
 	}
-	encoded, err := json.MarshalIndent(results, "", "  ")
+	encoded, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
 		return err
 	}
--- a/standin/footprint/footprint.go
+++ b/standin/footprint/footprint.go
@@ -30,6 +30,8 @@
 // Options describe a measurement.
 type Options struct {
 	Binaries string
+	// Folder holds the example deployments.
+	Folder string
 	// Hosts is the number of entry hosts.
 	Hosts int
 	// Duration is the length of the measurement.
@@ -52,8 +54,26 @@
 	StoreCalls float64 `json:"store_calls_per_s"`
 }
 
-// Run measures sites with documents of several sizes.
-func Run(ctx context.Context, options Options) ([]Result, error) {
+// Report is the result of all measurements.
+type Report struct {
+	Idle    []Result `json:"idle"`
+	Serving Serving  `json:"serving"`
+}
+
+// Run measures idle sites with documents of several sizes, and one that serves.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	idle, err := runIdle(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	serving, err := runServing(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	return &Report{Idle: idle, Serving: serving}, nil
+}
+
+func runIdle(ctx context.Context, options Options) ([]Result, error) {
 	var results []Result
 	small := load.Size{Workspaces: 5, Upstreams: 39, Models: 1, Pipelines: 3, Centres: 4}
 	half := load.Target
