--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -36,6 +37,9 @@
 	StandinFlags []string
 	// Settings are extra lines by INI section for every host.
 	Settings map[string][]string
+	// HostSettings returns further lines by INI section for one host, or nil. Of a
+	// key that appears twice the last line counts. It may be nil.
+	HostSettings func(id string) map[string][]string
 	// Folder takes settings and logs; it must exist.
 	Folder string
 }
@@ -98,18 +102,15 @@
 	if err := os.WriteFile(s.path("document.json"), encoded, 0o600); err != nil {
 		return err
 	}
-	s.KeyValue, err = s.run("key_value", "standin", "key-value", "--listen", s.KeyValueAddress, "--control", s.KeyValueControl)
-	if err != nil {
+	if err := s.startKeyValue(); err != nil {
 		return err
 	}
 	flags := append([]string{"deployment", "--document", s.path("document.json"), "--control", s.Control, "--host-list", s.HostList}, s.Options.StandinFlags...)
 	if s.Upstreams, err = s.run("upstreams", "standin", flags...); err != nil {
 		return err
 	}
-	for _, address := range []string{s.KeyValueControl, s.Control} {
-		if err := WaitDial(address, startTimeout); err != nil {
-			return err
-		}
+	if err := WaitDial(s.Control, startTimeout); err != nil {
+		return err
 	}
 	for i := range s.Options.Hosts {
 		if _, err := s.AddHost(fmt.Sprintf("host-%d", i+1)); err != nil {
@@ -124,6 +125,28 @@
 	return nil
 }
 
+// startKeyValue starts an empty key-value service and waits until it listens.
+func (s *Site) startKeyValue() (err error) {
+	s.KeyValue, err = s.run("key_value", "standin", "key-value", "--listen", s.KeyValueAddress, "--control", s.KeyValueControl)
+	if err != nil {
+		return err
+	}
+	for _, address := range []string{s.KeyValueAddress, s.KeyValueControl} {
+		if err := WaitDial(address, startTimeout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// RestartKeyValue kills the key-value service and starts it again without data.
+func (s *Site) RestartKeyValue() error {
+	if err := s.KeyValue.Kill(); err != nil {
+		return err
+	}
+	return s.startKeyValue()
+}
+
 // relocate gives every upstream of a document a free port.
 func relocate(doc *document.Document, ports *ports) error {
 	count := 0
@@ -201,9 +224,14 @@
 		{"log", nil},
 		{"trace", nil},
 	}
+	var own map[string][]string
+	if s.Options.HostSettings != nil {
+		own = s.Options.HostSettings(string(host.ID))
+	}
 	var text strings.Builder
 	for _, section := range sections {
-		fmt.Fprintf(&text, "[%s]\n%s\n", section.name, strings.Join(append(section.lines, s.Options.Settings[section.name]...), "\n"))
+		lines := slices.Concat(section.lines, s.Options.Settings[section.name], own[section.name])
+		fmt.Fprintf(&text, "[%s]\n%s\n", section.name, strings.Join(lines, "\n"))
 	}
 	return text.String()
 }
--- a/test/e2e/member_test.go
+++ b/test/e2e/member_test.go
@@ -35,12 +35,18 @@
 	s := startSite(t, "greenhand", site.Options{Hosts: hosts, Settings: map[string][]string{
 		"host": {"drain = 3s"}, "caller": {"address_validity = 1s"}, "peer": {"interval = 200ms"},
 	}})
+	waitVoters(t, s, hosts)
+	return s
+}
+
+// waitVoters waits until every host knows the given number of voters.
+func waitVoters(t *testing.T, s *site.Site, voters int) {
+	t.Helper()
 	for _, host := range s.Hosts {
 		eventually(t, "all hosts are voters", func() bool {
-			return strings.Contains(fetch(host, "/metrics"), fmt.Sprintf("redwingloft_member_voters %d\n", hosts))
+			return strings.Contains(fetch(host, "/metrics"), fmt.Sprintf("redwingloft_member_voters %d\n", voters))
 		})
 	}
-	return s
 }
 
 func eventually(t *testing.T, what string, f func() bool) {
--- /dev/null
+++ b/test/e2e/takeover_test.go
@@ -0,0 +1,238 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/kernel"
+	"redwingloft/internal/plugin/etcd"
+	"redwingloft/internal/service/order"
+	"redwingloft/pkg/api"
+	"redwingloft/standin/fleet"
+	"redwingloft/standin/injection"
+	"redwingloft/standin/site"
+)
+
+// Calls that may not be repeated: the upstreams of the first check fencing numbers,
+// those of the second ignore them.
+const (
+	fencedCall   = "sms-notify/send"
+	unfencedCall = "bookings/book"
+)
+
+// callService calls a service at a host, with an idempotency key where that is not
+// empty. The refusal is empty where the call was answered. It is called by goroutines, which must not end the test.
+func callService(host *site.Host, call, key string) (api.Error, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+host.Caller+api.PathServices+call, bytes.NewReader([]byte(`{"visit":1}`)))
+	if err != nil {
+		return api.Error{}, err
+	}
+	// net/http must not repeat the call, as it would hide one.
+	request.GetBody = nil
+	request.Header.Set(api.HeaderWorkspace, "port-of-spain")
+	request.Header.Set("Authorization", "Bearer "+token("port-of-spain"))
+	if key != "" {
+		request.Header.Set(api.HeaderIdempotencyKey, key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return api.Error{}, err
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusOK {
+		var answer api.ServiceAnswer
+		return api.Error{}, json.NewDecoder(response.Body).Decode(&answer)
+	}
+	var refusal api.Error
+	return refusal, json.NewDecoder(response.Body).Decode(&refusal)
+}
+
+// startOrders starts hosts whose calls may take the given time.
+func startOrders(t *testing.T, hosts int, deadline time.Duration) *site.Site {
+	t.Helper()
+	doc := loadDocument(t, "greenhand")
+	for i := range doc.Workspaces {
+		doc.Workspaces[i].RequestsPerSecond = 0
+	}
+	for i := range doc.Services {
+		for j := range doc.Services[i].Calls {
+			doc.Services[i].Calls[j].Deadline = document.Milliseconds(deadline.Milliseconds())
+		}
+	}
+	s := startSite(t, "greenhand", site.Options{Document: doc, Hosts: hosts, Settings: map[string][]string{"peer": {"interval = 200ms"}}})
+	waitVoters(t, s, hosts)
+	return s
+}
+
+// ranOf returns how often each order of a group ran, by key.
+func ranOf(t *testing.T, s *site.Site, group string) map[string]int {
+	t.Helper()
+	ran := map[string]int{}
+	for _, run := range runs(t, s, group) {
+		ran[run.Key]++
+	}
+	return ran
+}
+
+func sum(t *testing.T, hosts []*site.Host, name string) int64 {
+	t.Helper()
+	total := int64(0)
+	for _, host := range hosts {
+		total += counter(t, host, name)
+	}
+	return total
+}
+
+// TestOrdersPassTheAggregator guards against claims that never reach the
+// aggregator, and against orders that are refused, lost or run twice because
+// their aggregator freezes and then dies while it holds claims.
+func TestOrdersPassTheAggregator(t *testing.T) {
+	s := startOrders(t, 3, 30*time.Second)
+	serving, victim := s.Hosts[:2], s.Hosts[2]
+	var (
+		wait   sync.WaitGroup
+		mu     sync.Mutex
+		keys   []string
+		stop   atomic.Bool
+		placed atomic.Int64
+	)
+	for caller := range 8 {
+		wait.Go(func() {
+			for i := 0; !stop.Load() && i < 2000; i++ {
+				key := newKey(t)
+				refusal, err := callService(serving[caller%2], unfencedCall, key)
+				if !assert.Check(t, err) || !assert.Check(t, refusal.Kind == "", "%+v", refusal) {
+					return
+				}
+				mu.Lock()
+				keys = append(keys, key)
+				mu.Unlock()
+				placed.Add(1)
+			}
+		})
+	}
+	more := func() {
+		for wanted := placed.Load() + 32; placed.Load() < wanted && !t.Failed(); {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	eventually(t, "claims pass the host that will fail", func() bool {
+		return counter(t, victim, "order_claims_received") > 0 && sum(t, serving, "order_forwards") > 0
+	})
+	assert.NilError(t, victim.Signal(syscall.SIGSTOP))
+	eventually(t, "claims to the frozen aggregator fail", func() bool { return sum(t, serving, "order_forwards_failed") > 0 })
+	more()
+	assert.NilError(t, victim.Signal(syscall.SIGCONT))
+	more()
+	assert.NilError(t, victim.Kill())
+	more()
+	stop.Store(true)
+	wait.Wait()
+	ran := ranOf(t, s, "bookings")
+	assert.Equal(t, len(ran), len(keys))
+	for _, key := range keys {
+		assert.Equal(t, ran[key], 1, key)
+	}
+	t.Logf("%d orders, %d forwards, %d of them failed", len(keys), sum(t, serving, "order_forwards"), sum(t, serving, "order_forwards_failed"))
+}
+
+// claimed reports whether the store holds an order record in the state claimed for each of n orders.
+func claimed(t *testing.T, s *site.Site, n int) bool {
+	t.Helper()
+	client, err := etcd.New(kernel.StoreOptions{Endpoints: []string{"http://" + s.KeyValueAddress}})
+	assert.NilError(t, err)
+	keys := store.Keys{Prefix: s.Options.Document.Deployment + "/"}
+	entries, err := client.List(t.Context(), keys.Prefix+"orders/", "", 0)
+	assert.NilError(t, err)
+	for _, entry := range entries {
+		var record order.Record
+		assert.NilError(t, json.Unmarshal(entry.Value, &record))
+		assert.Equal(t, record.State, order.StateClaimed)
+	}
+	return len(entries) == n
+}
+
+// TestTakeover guards against an order that stays blocked although its holder died
+// before the send and the upstream checks fencing numbers, and against a second
+// run of an order whose upstream does not check them.
+func TestTakeover(t *testing.T) {
+	s := startOrders(t, 3, 4*time.Second)
+	holder, other := s.Hosts[0], s.Hosts[1]
+	fenced, unfenced := newKey(t), newKey(t)
+	// The claims are applied and their replies are lost, so that the holder can't go on to the send.
+	fault := injection.Fault{Mode: injection.ModeDropReply, Path: "/v3/kv/txn"}
+	assert.NilError(t, fleet.Inject(s.KeyValueControl, s.KeyValueAddress, fault))
+	var wait sync.WaitGroup
+	for call, key := range map[string]string{fencedCall: fenced, unfencedCall: unfenced} {
+		wait.Go(func() {
+			_, err := callService(holder, call, key)
+			assert.Check(t, err != nil, "the holder answered")
+		})
+	}
+	eventually(t, "both orders are claimed", func() bool { return claimed(t, s, 2) })
+	assert.NilError(t, holder.Kill())
+	wait.Wait()
+	assert.NilError(t, fleet.Clear(s.KeyValueControl, s.KeyValueAddress))
+	assert.Assert(t, claimed(t, s, 2))
+
+	repeat := func(call, key string) api.Kind {
+		refusal, err := callService(other, call, key)
+		assert.NilError(t, err)
+		if refusal.Kind != "" {
+			assert.Assert(t, refusal.Kind == api.KindOrderInProgress || refusal.Kind == api.KindOrderOutcomeUnknown, "%+v", refusal)
+			assert.Equal(t, refusal.Run, api.RunUnknown)
+		}
+		return refusal.Kind
+	}
+	eventually(t, "another host runs the order with a fencing number", func() bool {
+		assert.Assert(t, repeat(unfencedCall, unfenced) != "")
+		return repeat(fencedCall, fenced) == ""
+	})
+	assert.Equal(t, counter(t, other, "order_takeovers"), int64(1))
+	assert.Equal(t, repeat(fencedCall, fenced), api.Kind(""))
+	eventually(t, "the order without a fencing number is older than the longest deadline", func() bool {
+		return repeat(unfencedCall, unfenced) == api.KindOrderOutcomeUnknown
+	})
+	assert.Equal(t, ranOf(t, s, "sms-notify")[fenced], 1)
+	assert.Equal(t, ranOf(t, s, "bookings")[unfenced], 0)
+}
+
+// TestOrderWithoutTheStore guards against an order that is sent, or answered other
+// than as not run, while the key-value service is down, and against one that
+// can't be placed again after it.
+func TestOrderWithoutTheStore(t *testing.T) {
+	s := startOrders(t, 2, 30*time.Second)
+	storeOut(t, s)
+	groups := map[string]string{"sms-notify": fencedCall, "bookings": unfencedCall}
+	for group, call := range groups {
+		key := newKey(t)
+		for _, host := range s.Hosts {
+			refusal, err := callService(host, call, key)
+			assert.NilError(t, err)
+			assert.Equal(t, refusal.Kind, api.KindOrderStoreUnavailable)
+			assert.Equal(t, refusal.Run, api.RunNo)
+		}
+		assert.Equal(t, len(runs(t, s, group)), 0)
+	}
+	assert.NilError(t, fleet.Clear(s.KeyValueControl, s.KeyValueAddress))
+	for group, call := range groups {
+		key := newKey(t)
+		eventually(t, "orders run again", func() bool {
+			refusal, err := callService(s.Hosts[0], call, key)
+			assert.NilError(t, err)
+			return refusal.Kind == ""
+		})
+		assert.Equal(t, ranOf(t, s, group)[key], 1)
+		assert.Equal(t, len(runs(t, s, group)), 1)
+	}
+}
