--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -40,6 +40,8 @@
 	// HostSettings returns further lines by INI section for one host, or nil. Of a
 	// key that appears twice the last line counts. It may be nil.
 	HostSettings func(id string) map[string][]string
+	// KeyValueOnly starts no upstreams, and keeps the addresses of the document.
+	KeyValueOnly bool
 	// Folder takes settings and logs; it must exist.
 	Folder string
 }
@@ -87,9 +89,29 @@
 }
 
 func (s *Site) start() error {
-	if err := relocate(s.Options.Document, &s.ports); err != nil {
+	if !s.Options.KeyValueOnly {
+		if err := relocate(s.Options.Document, &s.ports); err != nil {
+			return err
+		}
+	}
+	if err := s.startStandins(); err != nil {
 		return err
 	}
+	for i := range s.Options.Hosts {
+		if _, err := s.AddHost(fmt.Sprintf("host-%d", i+1)); err != nil {
+			return err
+		}
+	}
+	for _, host := range s.Hosts {
+		if err := host.WaitReady(startTimeout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startStandins starts the key-value service and, unless it is to run alone, the upstreams.
+func (s *Site) startStandins() error {
 	addresses, err := s.ports.free(4)
 	if err != nil {
 		return err
@@ -102,27 +124,14 @@
 	if err := os.WriteFile(s.path("document.json"), encoded, 0o600); err != nil {
 		return err
 	}
-	if err := s.startKeyValue(); err != nil {
+	if err := s.startKeyValue(); err != nil || s.Options.KeyValueOnly {
 		return err
 	}
 	flags := append([]string{"deployment", "--document", s.path("document.json"), "--control", s.Control, "--host-list", s.HostList}, s.Options.StandinFlags...)
 	if s.Upstreams, err = s.run("upstreams", "standin", flags...); err != nil {
 		return err
 	}
-	if err := WaitDial(s.Control, startTimeout); err != nil {
-		return err
-	}
-	for i := range s.Options.Hosts {
-		if _, err := s.AddHost(fmt.Sprintf("host-%d", i+1)); err != nil {
-			return err
-		}
-	}
-	for _, host := range s.Hosts {
-		if err := host.WaitReady(startTimeout); err != nil {
-			return err
-		}
-	}
-	return nil
+	return WaitDial(s.Control, startTimeout)
 }
 
 // startKeyValue starts an empty key-value service and waits until it listens.
@@ -219,7 +228,7 @@
 		{"operator", []string{"listen = " + host.Operator}},
 		{"admin", []string{"listen = " + host.Admin}},
 		{"store", []string{"kind = etcd", "endpoints = http://" + s.KeyValueAddress, "prefix = " + s.Options.Document.Deployment + "/"}},
-		{"host_list", []string{"kind = http_sd", "url = http://" + s.HostList + "/targets", "period = 500ms"}},
+		{"host_list", s.hostListSettings()},
 		{"document", []string{"path = " + s.path("document.json")}},
 		{"log", nil},
 		{"trace", nil},
@@ -236,6 +245,13 @@
 	return text.String()
 }
 
+func (s *Site) hostListSettings() []string {
+	if s.Options.KeyValueOnly {
+		return nil
+	}
+	return []string{"kind = http_sd", "url = http://" + s.HostList + "/targets", "period = 500ms"}
+}
+
 func (s *Site) run(name, program string, args ...string) (*Process, error) {
 	out, err := os.Create(s.path(name + ".log"))
 	if err != nil {
@@ -298,6 +314,9 @@
 	return err
 }
 
+// PID returns the process id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
 // Wait waits for the process to end by itself and returns its error.
 func (p *Process) Wait(timeout time.Duration) error {
 	select {
--- a/test/e2e/configuration_test.go
+++ b/test/e2e/configuration_test.go
@@ -51,7 +51,7 @@
 // revision returns the revision in force at a host.
 func revision(t *testing.T, host *site.Host) api.Revision {
 	t.Helper()
-	return statusOf(t, host).Revision
+	return operatorStatus(t, host).Revision
 }
 
 // commitWeight changes one workspace through an operator's command line at a host.
--- a/test/e2e/limit_test.go
+++ b/test/e2e/limit_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -11,7 +10,6 @@
 	"gotest.tools/v3/assert"
 
 	"redwingloft/internal/helper/hashing"
-	"redwingloft/internal/web/console"
 	"redwingloft/pkg/api"
 	"redwingloft/standin/site"
 )
@@ -74,21 +72,11 @@
 	assert.Assert(t, float64(admitted) <= bound, "%s: %d admitted; at most %.0f may be", when, admitted, bound)
 }
 
-// statusOf returns what a host reports of itself and the others.
-func statusOf(t *testing.T, host *site.Host) console.Status {
-	t.Helper()
-	var status console.Status
-	code, err := operate(host, http.MethodGet, console.PathStatus, nil, &status)
-	assert.NilError(t, err)
-	assert.Equal(t, code, http.StatusOK)
-	return status
-}
-
 // liveHosts returns the full ids of the hosts that a host knows as live, itself included.
 func liveHosts(t *testing.T, host *site.Host) []api.HostID {
 	t.Helper()
 	var live []api.HostID
-	for _, known := range statusOf(t, host).Hosts {
+	for _, known := range operatorStatus(t, host).Hosts {
 		if known.State == "live" || known.State == "this host" {
 			live = append(live, known.Host)
 		}
@@ -142,7 +130,7 @@
 func split(t *testing.T, hosts []*site.Host, id api.HostID) (one *site.Host, others []*site.Host) {
 	t.Helper()
 	for _, host := range hosts {
-		if statusOf(t, host).Host == id {
+		if operatorStatus(t, host).Host == id {
 			one = host
 			continue
 		}
