Pass the trace context to upstreams and log every request

The design promises that traceparent is passed through; no code did it. The caller handler now puts a valid header into the request's context and the sender writes it on every attempt, retries, hedges and orders included. A context value was preferred to a field in each of the five request types between them. Malformed headers are dropped, as the W3C recommendation asks.

Lines for refused requests lacked the workspace and the path, and an overloaded host wrote one for every refusal. They are now bounded to 10 a second after a burst of 50, and the next line tells how many were left out; the counters still count all. Answered requests get a line at level debug, a starting host one with its id and addresses.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -199,13 +199,7 @@
 		h.requests.Orders.Drain(drain)
 		return err
 	}, func(error) { cancel() })
-	callers := &caller.Handler{
-		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log, Timer: h.timer,
-	}
-	if h.recorder != nil {
-		callers.Record = h.recorder.Record
-	}
-	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, 0, h.counted(callers.Routes()))
+	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, 0, h.counted(h.newCaller().Routes()))
 	if !h.members.Alone {
 		addServer(group, h.settings.Peer.Listen, settings.TLS{}, writeTimeout, h.newPeer().Routes())
 	}
@@ -218,10 +212,24 @@
 	}
 }
 
+func (h *host) newCaller() *caller.Handler {
+	handler := &caller.Handler{
+		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.bodyBytes, Metrics: h.metrics, Log: h.log, Timer: h.timer,
+	}
+	if h.recorder != nil {
+		handler.Record = h.recorder.Record
+	}
+	return handler
+}
+
 // start registers the host, loads the configuration and follows both.
 func (h *host) start(ctx context.Context) error {
+	h.log.Info().Str("id", string(h.settings.Host.ID)).Str("data_centre", string(h.settings.Host.DataCentre)).
+		Str("caller", h.settings.Caller.Listen).Str("peer", h.settings.Peer.Listen).
+		Str("operator", h.settings.Operator.Listen).Str("admin", h.settings.Admin.Listen).
+		Str("store", h.settings.Store.Kind).Str("version", version).Msg("host_started")
 	if h.settings.Store.Kind == "memory" {
-		h.log.Warn().Msg("no key-value service is set: the host runs alone and its configuration ends with it")
+		h.log.Warn().Str("reason", "no key-value service is set; the configuration ends with the process").Msg("host_runs_alone")
 	}
 	if !h.members.Alone {
 		// The registration comes before the first read of the configuration.
--- a/cmd/replay.go
+++ b/cmd/replay.go
@@ -80,6 +80,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if len(file.Section("credentials").Keys()) == 0 {
+		return nil, fmt.Errorf("%s: a section [credentials] with workspace = token is missing", path)
+	}
 	tokens := map[api.WorkspaceName]string{}
 	for _, key := range file.Section("credentials").Keys() {
 		tokens[api.WorkspaceName(key.Name())] = key.String()
--- /dev/null
+++ b/internal/helper/tracing/tracing_test.go
@@ -0,0 +1,28 @@
+package tracing
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestOnlyValidTraceContextIsCarried guards against a malformed header of a caller
+// that reaches upstreams, and against a valid one that is dropped.
+func TestOnlyValidTraceContextIsCarried(t *testing.T) {
+	const traceID, parentID = "4bf92f3577b34da6a3ce929d0e0e4736", "00f067aa0ba902b7"
+	for parent, want := range map[string]bool{
+		"00-" + traceID + "-" + parentID + "-01":                  true,
+		"01-" + traceID + "-" + parentID + "-01-more":             true,
+		"00-" + traceID + "-" + parentID + "-01-more":             false,
+		"ff-" + traceID + "-" + parentID + "-01":                  false,
+		"00-00000000000000000000000000000000-" + parentID + "-01": false,
+		"00-" + traceID + "-0000000000000000-01":                  false,
+		"00-4BF92F3577B34DA6A3CE929D0E0E4736-" + parentID + "-01": false,
+		"00-" + traceID + "-" + parentID:                          false,
+		"":                                                        false,
+	} {
+		carried := Parent(With(context.Background(), parent))
+		assert.Equal(t, carried == parent && parent != "", want, "%q", parent)
+	}
+}
--- a/internal/service/upstream/sender.go
+++ b/internal/service/upstream/sender.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"redwingloft/internal/helper/tracing"
 	"redwingloft/pkg/api"
 )
 
@@ -252,6 +253,9 @@
 	if err != nil {
 		return &SendError{Reason: ReasonBuild, Cause: err}
 	}
+	if parent := tracing.Parent(ctx); parent != "" {
+		request.Header.Set(tracing.Header, parent)
+	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return r.failure(ctx, err, ReasonNoAnswer)
--- a/internal/service/upstream/sender_test.go
+++ b/internal/service/upstream/sender_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"redwingloft/internal/helper/tracing"
 	"redwingloft/pkg/api"
 	"redwingloft/standin/injection"
 )
@@ -227,3 +228,14 @@
 	}
 	assert.Equal(t, fresh, 1)
 }
+
+// TestTraceContextReachesTheUpstream guards against a caller's trace that ends at the host.
+func TestTraceContextReachesTheUpstream(t *testing.T) {
+	const parent = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01"
+	seen := make(chan string, 1)
+	f := newFake(t, func(_ http.ResponseWriter, r *http.Request) { seen <- r.Header.Get("traceparent") })
+	assert.NilError(t, f.do(tracing.With(t.Context(), parent), Attempt{}))
+	assert.Equal(t, <-seen, parent)
+	assert.NilError(t, f.do(t.Context(), Attempt{Exclusive: true}))
+	assert.Equal(t, <-seen, "")
+}
--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -2,6 +2,7 @@
 package caller
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -17,6 +18,7 @@
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/helper/timer"
+	"redwingloft/internal/helper/tracing"
 	"redwingloft/internal/service/request"
 	"redwingloft/pkg/api"
 )
@@ -36,7 +38,8 @@
 	// ended; nil is skipped.
 	Record func(arrived time.Time, entry trace.Entry)
 
-	pulse pulse
+	pulse    pulse
+	failures failureLog
 }
 
 // Routes returns the mux of the interface.
@@ -49,7 +52,7 @@
 	mux.HandleFunc("POST "+api.PathPipelines+"{pipeline}/run", h.run)
 	mux.HandleFunc(api.PathServices+"{service}/{call}", h.call)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		h.refuse(w, requestID(r), fault.New(api.KindNotFound, "no %s %s", r.Method, r.URL.Path))
+		h.refuse(w, r, request.Caller{ID: requestID(r)}, fault.New(api.KindNotFound, "no %s %s", r.Method, r.URL.Path))
 	})
 	return mux
 }
@@ -61,12 +64,12 @@
 func (h *Handler) run(w http.ResponseWriter, r *http.Request) {
 	caller, err := readCaller(r)
 	if err != nil {
-		h.refuse(w, caller.ID, err)
+		h.refuse(w, r, caller, err)
 		return
 	}
 	var body api.RunRequest
 	if err := h.readJSON(w, r, &body); err != nil {
-		h.refuse(w, caller.ID, err)
+		h.refuse(w, r, caller, err)
 		return
 	}
 	pipeline := api.PipelineName(r.PathValue("pipeline"))
@@ -77,39 +80,46 @@
 		h.stream(live, r, caller, pipeline, body)
 		return
 	}
-	answer, err := h.Service.RunPipeline(r.Context(), caller, pipeline, body, request.Stream{})
+	answer, err := h.Service.RunPipeline(traced(r), caller, pipeline, body, request.Stream{})
 	h.recordRun(arrived, caller, pipeline, body, answer, err)
 	if err != nil {
-		h.refuse(live, caller.ID, err)
+		h.refuse(live, r, caller, err)
 		return
 	}
+	h.logRun(caller, arrived, &answer.RunAnswer)
 	writeJSON(live, http.StatusOK, answer.RunAnswer)
 }
 
 func (h *Handler) call(w http.ResponseWriter, r *http.Request) {
 	caller, err := readCaller(r)
 	if err != nil {
-		h.refuse(w, caller.ID, err)
+		h.refuse(w, r, caller, err)
 		return
 	}
 	body, err := h.readBody(w, r)
 	if err != nil {
-		h.refuse(w, caller.ID, err)
+		h.refuse(w, r, caller, err)
 		return
 	}
 	service, name := api.ServiceName(r.PathValue("service")), api.CallName(r.PathValue("call"))
 	arrived := time.Now()
 	live, end := h.pulse.add(w)
 	defer end()
-	answer, err := h.Service.CallService(r.Context(), caller, service, name, r.Header.Get(api.HeaderIdempotencyKey), body)
+	answer, err := h.Service.CallService(traced(r), caller, service, name, r.Header.Get(api.HeaderIdempotencyKey), body)
 	h.recordCall(arrived, r, caller, body, answer, err)
 	if err != nil {
-		h.refuse(live, caller.ID, err)
+		h.refuse(live, r, caller, err)
 		return
 	}
+	h.logCall(caller, arrived, service, name, answer)
 	writeJSON(live, http.StatusOK, answer)
 }
 
+// traced returns the context of r with the trace context that the caller sent.
+func traced(r *http.Request) context.Context {
+	return tracing.With(r.Context(), r.Header.Get(tracing.Header))
+}
+
 func requestID(r *http.Request) api.RequestID {
 	if id := r.Header.Get(api.HeaderRequestID); id != "" && len(id) <= 128 {
 		return api.RequestID(id)
@@ -167,8 +177,8 @@
 }
 
 // refuse answers with the error and counts it.
-func (h *Handler) refuse(w http.ResponseWriter, id api.RequestID, err error) {
-	answer := h.failure(id, err)
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, caller request.Caller, err error) {
+	answer := h.failure(r, caller, err)
 	if answer.RetryAfterMs > 0 {
 		w.Header().Set("Retry-After", strconv.FormatInt((answer.RetryAfterMs+999)/1000, 10))
 	}
@@ -176,11 +186,10 @@
 }
 
 // failure translates, counts and logs an error.
-func (h *Handler) failure(id api.RequestID, err error) *api.Error {
-	answer := fault.ToAPI(err, id)
+func (h *Handler) failure(r *http.Request, caller request.Caller, err error) *api.Error {
+	answer := fault.ToAPI(err, caller.ID)
 	h.Metrics.Counter(api.Kinds[answer.Kind].Counter).Inc(1)
-	h.Log.Warn().Str("request_id", string(id)).Str("kind", string(answer.Kind)).
-		Str("run", string(answer.Run)).Err(err).Msg("request_refused")
+	h.logFailure(r, caller, answer, err)
 	return answer
 }
 
--- /dev/null
+++ b/internal/web/caller/log_test.go
@@ -0,0 +1,70 @@
+package caller
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/service/request"
+	"redwingloft/pkg/api"
+)
+
+// TestRefusedRequestsAreLoggedWithinTheRate guards against a refusal that can't be
+// traced to its request, and against an overload that floods the log.
+func TestRefusedRequestsAreLoggedWithinTheRate(t *testing.T) {
+	var out bytes.Buffer
+	h := newHandler()
+	h.Log = logging.New(&out, "info", "host-1")
+	const requests = 100 * failureBurst
+	for range requests {
+		r := httptest.NewRequest("POST", api.PathPipelines+"p/run", strings.NewReader("{}"))
+		r.Header.Set(api.HeaderRequestID, "id-1")
+		r.Header.Set(api.HeaderWorkspace, strings.Repeat("w", 5000))
+		serve(t, h, r)
+	}
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Assert(t, len(lines) >= failureBurst && len(lines) < requests, "%d lines", len(lines))
+	for _, part := range []string{
+		"level=warn event=request_refused host=host-1 request_id=id-1 workspace=www", " path=" + api.PathPipelines + "p/run ", " kind=host_isolated run=no ",
+	} {
+		assert.Assert(t, strings.Contains(lines[0], part), "%q", lines[0])
+	}
+	assert.Assert(t, len(lines[0]) < 1000, "%d bytes", len(lines[0]))
+}
+
+// TestLinesLeftOutAreCounted guards against refusals that vanish from the log unseen.
+func TestLinesLeftOutAreCounted(t *testing.T) {
+	var failures failureLog
+	now := time.Now()
+	written := 0
+	for range failureBurst + 7 {
+		if _, ok := failures.take(now); ok {
+			written++
+		}
+	}
+	assert.Equal(t, written, failureBurst)
+	left, ok := failures.take(now.Add(time.Second))
+	assert.Assert(t, ok)
+	assert.Equal(t, left, int64(7))
+}
+
+// TestAnsweredRequestsAreLoggedAtDebug guards against an answered request that no
+// line shows at level debug, and one that shows at level info.
+func TestAnsweredRequestsAreLoggedAtDebug(t *testing.T) {
+	var out bytes.Buffer
+	caller := request.Caller{ID: "id-1", Workspace: "w"}
+	h := &Handler{Log: logging.New(&out, "info", "host-1")}
+	h.logRun(caller, time.Now(), &api.RunAnswer{Pipeline: "plan", Version: "new", Tokens: 3})
+	assert.Equal(t, out.String(), "")
+	h.Log = logging.New(&out, "debug", "host-1")
+	h.logRun(caller, time.Now(), &api.RunAnswer{Pipeline: "plan", Version: "new", Tokens: 3})
+	h.logCall(caller, time.Now(), "desk", "book", &api.ServiceAnswer{Status: 200})
+	run, call, _ := strings.Cut(out.String(), "\n")
+	assert.Assert(t, strings.Contains(run, "level=debug event=request_answered host=host-1 request_id=id-1 workspace=w pipeline=plan version=new tokens=3 "), "%q", run)
+	assert.Assert(t, strings.Contains(call, "event=request_answered host=host-1 request_id=id-1 workspace=w service=desk call=book status=200 "), "%q", call)
+}
--- a/internal/web/caller/stream.go
+++ b/internal/web/caller/stream.go
@@ -38,7 +38,7 @@
 func (h *Handler) stream(w *liveWriter, r *http.Request, caller request.Caller, pipeline api.PipelineName, body api.RunRequest) {
 	arrived := time.Now()
 	events := &eventWriter{w: w}
-	answer, err := h.Service.RunPipeline(r.Context(), caller, pipeline, body, request.Stream{
+	answer, err := h.Service.RunPipeline(traced(r), caller, pipeline, body, request.Stream{
 		Accepted: func(event api.AcceptedEvent) error { return events.write(api.EventAccepted, 0, event) },
 		Token: func(number uint64, event api.TokenEvent) error {
 			return events.write(api.EventToken, number, event)
@@ -47,11 +47,12 @@
 	h.recordRun(arrived, caller, pipeline, body, answer, err)
 	switch {
 	case err != nil && !events.started:
-		h.refuse(w, caller.ID, err)
+		h.refuse(w, r, caller, err)
 	case err != nil:
 		// The caller may have left; there is nobody to tell.
-		_ = events.write(api.EventError, 0, h.failure(caller.ID, err))
+		_ = events.write(api.EventError, 0, h.failure(r, caller, err))
 	default:
+		h.logRun(caller, arrived, &answer.RunAnswer)
 		_ = events.write(api.EventDone, 0, answer.Done())
 	}
 }
