Correct the pages, the console and small faults found as a new user

Program: an unknown subcommand printed 'No help topic' and exited with 3 from within the library; call without a credential asked the host first and showed 'unauthorized'; host_was_paused showed the monotonic gap only, which was 46 ms in a pause of the whole machine that only the wall clock showed.

--- a/cmd/call.go
+++ b/cmd/call.go
@@ -38,6 +38,9 @@
 func runCall(ctx context.Context, c *cli.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Duration("deadline"))
 	defer cancel()
+	if c.String("token") == "" {
+		return errors.New("no credential is given; set REDWINGLOFT_TOKEN or --token")
+	}
 	caller := &client.Client{
 		Hosts:      []api.Address{api.Address(c.String("host"))},
 		Workspace:  api.WorkspaceName(c.String("workspace")),
--- a/cmd/config.go
+++ b/cmd/config.go
@@ -29,8 +29,9 @@
 
 func configCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "config",
-		Usage: "read, check and change the configuration",
+		Name:   "config",
+		Usage:  "read, check and change the configuration",
+		Action: group,
 		Commands: []*cli.Command{
 			configShowCommand(), configValidateCommand(), configDiffCommand(), configApplyCommand(), configHistoryCommand(),
 		},
--- a/cmd/drain.go
+++ b/cmd/drain.go
@@ -52,7 +52,7 @@
 // drain leaves the address lists, serves callers that still hold the address,
 // refuses new requests, waits for those in progress, and leaves the member document.
 func (h *host) drain(ctx context.Context) {
-	h.log.Info().Dur("serving_for", h.settings.Host.Drain).Msg("drain_started")
+	h.log.Info().Dur("serving_for_ms", h.settings.Host.Drain).Msg("drain_started")
 	h.members.Drain(ctx)
 	// Other hosts may have given out the address until they heard of the drain.
 	if !sleep(ctx, h.settings.Host.Drain+h.members.AnnounceTime()) {
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -225,9 +225,9 @@
 // start registers the host, loads the configuration and follows both.
 func (h *host) start(ctx context.Context) error {
 	h.log.Info().Str("id", string(h.settings.Host.ID)).Str("data_centre", string(h.settings.Host.DataCentre)).
-		Str("caller", h.settings.Caller.Listen).Str("peer", h.settings.Peer.Listen).
-		Str("operator", h.settings.Operator.Listen).Str("admin", h.settings.Admin.Listen).
-		Str("store", h.settings.Store.Kind).Str("version", version).Msg("host_started")
+		Str("caller_listen", h.settings.Caller.Listen).Str("operator_listen", h.settings.Operator.Listen).
+		Str("admin_listen", h.settings.Admin.Listen).Str("store", h.settings.Store.Kind).
+		Str("version", version).Msg("host_started")
 	if h.settings.Store.Kind == "memory" {
 		h.log.Warn().Str("reason", "no key-value service is set; the configuration ends with the process").Msg("host_runs_alone")
 	}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -1,13 +1,28 @@
 // Package cmd holds the subcommands of redwingloft, one file each.
 package cmd
 
-import "github.com/urfave/cli/v3"
+import (
+	"context"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+)
+
+// group is the action of a command that only has subcommands.
+func group(_ context.Context, c *cli.Command) error {
+	if name := c.Args().First(); name != "" {
+		return fmt.Errorf("unknown command %q; see %s --help", name, c.FullName())
+	}
+	return cli.ShowSubcommandHelp(c)
+}
 
 // New returns the root command.
 func New() *cli.Command {
 	return &cli.Command{
 		Name:  "redwingloft",
 		Usage: "serves multi-stage model pipelines",
+		// Without it, an unknown command prints "No help topic" and exits with 3.
+		Action: group,
 		Commands: []*cli.Command{
 			serveCommand(),
 			settingsCommand(),
--- a/cmd/settings.go
+++ b/cmd/settings.go
@@ -17,8 +17,9 @@
 
 func settingsCommand() *cli.Command {
 	return &cli.Command{
-		Name:  "settings",
-		Usage: "work with the settings file",
+		Name:   "settings",
+		Usage:  "work with the settings file",
+		Action: group,
 		Commands: []*cli.Command{{
 			Name:   "check",
 			Usage:  "check a settings file and list all its faults",
@@ -36,7 +37,7 @@
 		for _, fault := range faults.Faults {
 			fmt.Fprintln(c.Root().Writer, fault)
 		}
-		return fmt.Errorf("%s has %d faults", path, len(faults.Faults))
+		return fmt.Errorf("%s is not valid; faults: %d", path, len(faults.Faults))
 	}
 	if err != nil {
 		return err
--- a/internal/service/member/member.go
+++ b/internal/service/member/member.go
@@ -214,7 +214,8 @@
 	// A shorter gap can't outlast the evidence, which has to be younger than that anyway.
 	if last != nil && paused(*last, current, s.freshness()/2) {
 		s.Metrics.Counter("member.paused").Inc(1)
-		s.logger().Warn().Dur("gap", current.Sub(*last)).Msg("host_was_paused")
+		s.logger().Warn().Dur("gap_ms", current.Sub(*last)).
+			Dur("wall_clock_gap_ms", current.Round(0).Sub(last.Round(0))).Msg("host_was_paused")
 		s.forget()
 	}
 	s.settle()
--- a/internal/web/caller/log.go
+++ b/internal/web/caller/log.go
@@ -66,14 +66,14 @@
 func (h *Handler) logRun(caller request.Caller, arrived time.Time, answer *api.RunAnswer) {
 	h.Log.Debug().Str("request_id", string(caller.ID)).Str("workspace", string(caller.Workspace)).
 		Str("pipeline", string(answer.Pipeline)).Str("version", string(answer.Version)).
-		Int("tokens", answer.Tokens).Dur("duration", time.Since(arrived)).Msg("request_answered")
+		Int("tokens", answer.Tokens).Dur("duration_ms", time.Since(arrived)).Msg("request_answered")
 }
 
 // logCall writes a line for an answered call of a plain service.
 func (h *Handler) logCall(caller request.Caller, arrived time.Time, service api.ServiceName, call api.CallName, answer *api.ServiceAnswer) {
 	h.Log.Debug().Str("request_id", string(caller.ID)).Str("workspace", string(caller.Workspace)).
 		Str("service", string(service)).Str("call", string(call)).Int("status", answer.Status).
-		Bool("replayed", answer.Replayed).Dur("duration", time.Since(arrived)).Msg("request_answered")
+		Bool("replayed", answer.Replayed).Dur("duration_ms", time.Since(arrived)).Msg("request_answered")
 }
 
 // clip bounds the length of a logged value.
--- a/internal/web/console/console_test.go
+++ b/internal/web/console/console_test.go
@@ -87,7 +87,7 @@
 	assert.Equal(t, status, http.StatusOK)
 	for _, want := range []string{
 		"3</strong> hosts, 1 behind", "2</strong> upstreams, 1 not healthy", "not known", "draining", `class="state ejected"`,
-		"87.50 %", "1.25", "0.50", "refused.overloaded</code></th><td class=\"num\">7", "retry.dial_failed</code></th><td class=\"num\">3",
+		"87.50\u00a0%", ">1.2500<", ">0.5000<", "refused.overloaded</code></th><td class=\"num\">7", "retry.dial_failed</code></th><td class=\"num\">3",
 	} {
 		assert.Assert(t, strings.Contains(body, want), "%q is not in %s", want, body)
 	}
--- a/internal/web/console/pages.go
+++ b/internal/web/console/pages.go
@@ -88,15 +88,18 @@
 		}
 	}
 	for _, upstream := range view.Upstreams {
-		if upstream.State != "healthy" {
-			view.Unhealthy++
-		}
+		view.Unhealthy += 1 - healthRank(upstream)
 	}
+	// The upstreams that need attention come first.
+	slices.SortStableFunc(view.Upstreams, func(a, b UpstreamStatus) int {
+		return healthRank(a) - healthRank(b)
+	})
 	for name, value := range view.Counters {
 		switch {
+		case value == 0:
 		case strings.HasPrefix(name, "retry") || strings.HasPrefix(name, "hedge"):
 			view.Retries = append(view.Retries, counterView{name, value})
-		case value > 0 && (strings.HasPrefix(name, "refused.") || strings.HasPrefix(name, "failed.")):
+		case strings.HasPrefix(name, "refused.") || strings.HasPrefix(name, "failed."):
 			view.Refusals = append(view.Refusals, counterView{name, value})
 		}
 	}
@@ -106,6 +109,14 @@
 	h.page(r, http.StatusOK, "overview", "Overview", view)
 }
 
+// healthRank is 1 for a healthy upstream and 0 for others.
+func healthRank(upstream UpstreamStatus) int {
+	if upstream.State == "healthy" {
+		return 1
+	}
+	return 0
+}
+
 type versionRow struct {
 	document.Version
 	// Workspaces counts the workspaces that the version serves.
--- a/internal/web/console/render.go
+++ b/internal/web/console/render.go
@@ -32,9 +32,10 @@
 func parsePages() map[string]*template.Template {
 	functions := template.FuncMap{
 		"time":    func(t time.Time) string { return t.UTC().Format("2006-01-02 15:04:05 UTC") },
-		"percent": func(share float64) string { return fmt.Sprintf("%.2f %%", 100*share) },
-		"amount":  func(amount float64) string { return strconv.FormatFloat(amount, 'f', 2, 64) },
-		"number":  func(value float64) string { return strconv.FormatFloat(value, 'g', -1, 64) },
+		"percent": func(share float64) string { return fmt.Sprintf("%.2f\u00a0%%", 100*share) },
+		// The stages before the model cost some ten-thousandths of it.
+		"amount": func(amount float64) string { return strconv.FormatFloat(amount, 'f', 4, 64) },
+		"number": func(value float64) string { return strconv.FormatFloat(value, 'g', -1, 64) },
 	}
 	all := make(map[string]*template.Template, len(pageNames))
 	for _, name := range pageNames {
