--- a/internal/data/document/document.go
+++ b/internal/data/document/document.go
@@ -256,3 +256,18 @@
 	}
 	return copied
 }
+
+// DataCentres returns the data centres of the upstreams in the order of their first appearance.
+func (d *Document) DataCentres() []api.DataCentre {
+	var centres []api.DataCentre
+	seen := map[api.DataCentre]bool{}
+	for _, group := range d.Groups {
+		for _, upstream := range group.Upstreams {
+			if !seen[upstream.DataCentre] {
+				seen[upstream.DataCentre] = true
+				centres = append(centres, upstream.DataCentre)
+			}
+		}
+	}
+	return centres
+}
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -49,7 +49,7 @@
 		options.Topics = 200
 	}
 	g := &generator{options: options, random: rand.New(rand.NewPCG(options.Seed, 1))}
-	g.centres = dataCentres(options.Document)
+	g.centres = options.Document.DataCentres()
 	at := time.Duration(0)
 	for {
 		at += time.Duration(g.random.ExpFloat64() / g.rate(at) * float64(time.Second))
@@ -145,17 +145,3 @@
 		g.entries = append(g.entries, *entry)
 	}
 }
-
-func dataCentres(doc *document.Document) []api.DataCentre {
-	var centres []api.DataCentre
-	seen := map[api.DataCentre]bool{}
-	for _, group := range doc.Groups {
-		for _, upstream := range group.Upstreams {
-			if !seen[upstream.DataCentre] {
-				seen[upstream.DataCentre] = true
-				centres = append(centres, upstream.DataCentre)
-			}
-		}
-	}
-	return centres
-}
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -183,7 +183,7 @@
 	if err != nil {
 		return nil, err
 	}
-	centres := dataCentres(s.Options.Document)
+	centres := s.Options.Document.DataCentres()
 	host := &Host{
 		ID: api.HostID(id), DataCentre: centres[len(s.Hosts)%len(centres)],
 		Caller: free[0], Peer: free[1], Operator: free[2], Admin: free[3],
@@ -199,20 +199,6 @@
 	return host, nil
 }
 
-func dataCentres(doc *document.Document) []api.DataCentre {
-	var centres []api.DataCentre
-	seen := map[api.DataCentre]bool{}
-	for _, group := range doc.Groups {
-		for _, upstream := range group.Upstreams {
-			if !seen[upstream.DataCentre] {
-				seen[upstream.DataCentre] = true
-				centres = append(centres, upstream.DataCentre)
-			}
-		}
-	}
-	return centres
-}
-
 func (s *Site) settings(host *Host) string {
 	var seeds []string
 	for _, other := range s.Hosts {
