--- a/cmd/call.go
+++ b/cmd/call.go
@@ -21,8 +21,7 @@
 		ArgsUsage: "PIPELINE INPUT | SERVICE/CALL [BODY]",
 		Description: "Asks the given host which addresses to use, as every caller does. A call of a plain\n" +
 			"service is repeated under one idempotency key until it has an answer or the deadline passes.",
-		Flags: []cli.Flag{
-			hostFlag(),
+		Flags: callerFlags(
 			&cli.StringFlag{Name: "workspace", Usage: "`name` of the workspace", Required: true},
 			&cli.StringFlag{Name: "token", Usage: "credential of the workspace", Sources: cli.EnvVars("REDWINGLOFT_TOKEN")},
 			&cli.StringFlag{Name: "data-centre", Usage: "data centre of the caller"},
@@ -30,7 +29,7 @@
 			&cli.StringFlag{Name: "method", Usage: "HTTP method of a service call", Value: "POST"},
 			&cli.StringFlag{Name: "key", Usage: "idempotency key of a service call, a UUID version 7; empty makes one"},
 			&cli.BoolFlag{Name: "stream", Usage: "print the text of a pipeline as it arrives"},
-		},
+		),
 		Action: runCall,
 	}
 }
@@ -41,12 +40,11 @@
 	if c.String("token") == "" {
 		return errors.New("no credential is given; set REDWINGLOFT_TOKEN or --token")
 	}
-	caller := &client.Client{
-		Hosts:      []api.Address{api.Address(c.String("host"))},
-		Workspace:  api.WorkspaceName(c.String("workspace")),
-		Token:      c.String("token"),
-		DataCentre: api.DataCentre(c.String("data-centre")),
+	caller, err := newCaller(c)
+	if err != nil {
+		return err
 	}
+	caller.Workspace, caller.Token = api.WorkspaceName(c.String("workspace")), c.String("token")
 	defer caller.Close()
 	target, rest := c.Args().First(), c.Args().Get(1)
 	service, call, isService := strings.Cut(target, "/")
--- a/cmd/config.go
+++ b/cmd/config.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -73,15 +71,11 @@
 		return nil, errors.New("set --operator (or REDWINGLOFT_OPERATOR), and REDWINGLOFT_PASSWORD or --password-file")
 	}
 	if path := c.String("ca-file"); path != "" {
-		pool := x509.NewCertPool()
-		data, err := os.ReadFile(path)
+		trusted, err := readAuthority(path)
 		if err != nil {
-			return nil, fmt.Errorf("the CA file can't be read: %w", err)
-		}
-		if !pool.AppendCertsFromPEM(data) {
-			return nil, fmt.Errorf("%s holds no PEM certificate", path)
+			return nil, err
 		}
-		client.client.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+		client.client.Transport = &http.Transport{TLSClientConfig: trusted}
 	}
 	return client, nil
 }
--- a/cmd/replay.go
+++ b/cmd/replay.go
@@ -22,12 +22,11 @@
 		ArgsUsage: "TRACE",
 		Description: "Prints attainment and cost by stage. The exit code is 0 only where every stated\n" +
 			"outcome held.",
-		Flags: []cli.Flag{
-			&cli.StringSliceFlag{Name: "host", Usage: "caller `address` of an entry host; may be repeated", Value: []string{"127.0.0.1:8080"}},
+		Flags: callerFlags(
 			&cli.StringFlag{Name: "credentials", Usage: "INI `file` with a section [credentials] of workspace = token", Required: true},
 			&cli.FloatFlag{Name: "speed", Usage: "`factor` on the pace of the trace", Value: 1},
 			&cli.BoolFlag{Name: "json", Usage: "print JSON"},
-		},
+		),
 		Action: runReplay,
 	}
 }
@@ -36,11 +35,11 @@
 	if c.Args().Len() != 1 {
 		return errors.New("replay takes one trace")
 	}
-	options := replay.Options{Speed: c.Float("speed")}
-	for _, address := range c.StringSlice("host") {
-		options.Hosts = append(options.Hosts, api.Address(address))
+	caller, err := newCaller(c)
+	if err != nil {
+		return err
 	}
-	var err error
+	options := replay.Options{Speed: c.Float("speed"), Hosts: caller.Hosts, Scheme: caller.Scheme, TLS: caller.TLS}
 	if options.Trace, err = readTrace(c.Args().First()); err != nil {
 		return err
 	}
--- a/internal/service/replay/replay.go
+++ b/internal/service/replay/replay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"slices"
@@ -23,6 +24,9 @@
 	Trace *trace.Trace
 	// Hosts are addresses of some entry hosts.
 	Hosts []api.Address
+	// Scheme and TLS are those of the client.
+	Scheme string
+	TLS    *tls.Config
 	// Tokens maps each workspace to its credential.
 	Tokens map[api.WorkspaceName]string
 	// Speed multiplies the pace of the trace; 0 means 1.
@@ -112,7 +116,7 @@
 	id := identity{entry.Workspace, entry.DataCentre}
 	if p.clients[id] == nil {
 		p.clients[id] = &client.Client{
-			Hosts: p.options.Hosts, Workspace: entry.Workspace,
+			Hosts: p.options.Hosts, Scheme: p.options.Scheme, TLS: p.options.TLS, Workspace: entry.Workspace,
 			Token: p.options.Tokens[entry.Workspace], DataCentre: entry.DataCentre,
 		}
 	}
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -48,6 +49,8 @@
 	DataCentre api.DataCentre
 	// Scheme is "http" or "https"; empty means "http".
 	Scheme string
+	// TLS is used with the scheme "https" and without a Transport; nil means the defaults of the system.
+	TLS *tls.Config
 	// Transport sends the requests; nil means one with short dial time-outs.
 	Transport http.RoundTripper
 	// Silence is the time without a byte after which a connection counts as lost;
@@ -104,6 +107,7 @@
 				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 				MaxIdleConnsPerHost: 64,
 				IdleConnTimeout:     30 * time.Second,
+				TLSClientConfig:     c.TLS,
 			}
 		}
 	})
@@ -143,6 +147,14 @@
 	return c.order(known), nil
 }
 
+// List asks a host for the address list, whether or not the last one is still valid.
+func (c *Client) List(ctx context.Context) ([]api.HostAddress, error) {
+	c.mu.Lock()
+	known := c.list
+	c.mu.Unlock()
+	return c.fetch(ctx, known)
+}
+
 // fetch asks the known hosts and then the configured ones until one answers.
 func (c *Client) fetch(ctx context.Context, known []api.HostAddress) ([]api.HostAddress, error) {
 	candidates := c.order(known)
