Register again where the store has lost the member documents

Cause: a host judged its registration by its list in memory, so that after a loss of the store's data a commit named no members and a handover did not wait for them. The documents as read decide now. A store whose versions start anew stays outside: the hosts keep their list, and new hosts are known to them as unregistered.

--- a/internal/service/member/reader.go
+++ b/internal/service/member/reader.go
@@ -197,7 +197,7 @@
 func (s *Service) observe(start time.Duration, documents map[api.DataCentre]Versioned, revision api.Revision) {
 	s.mu.Lock()
 	s.adopt(documents)
-	s.reading.registered = s.isRegistered()
+	s.reading.registered = s.isRegistered() && (documents == nil || s.isIn(documents))
 	if s.reading.registered {
 		s.witness(evidence{at: start, revision: revision})
 		s.ask()
@@ -209,6 +209,18 @@
 	}
 }
 
+// isIn reports whether documents that were read name this host. The list in memory
+// may name it after the store has lost its data; the host then registers again, so
+// that the next commit knows of it.
+func (s *Service) isIn(documents map[api.DataCentre]Versioned) bool {
+	for _, member := range documents[s.Self.DataCentre].Members {
+		if member.Host == s.Self.Host {
+			return true
+		}
+	}
+	return false
+}
+
 // isRegistered reports whether the list holds this host without a mark. The caller holds mu.
 func (s *Service) isRegistered() bool {
 	if s.list == nil {
--- a/internal/service/member/remove_test.go
+++ b/internal/service/member/remove_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"redwingloft/internal/data/store"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/pkg/api"
 )
@@ -46,3 +47,20 @@
 	err = c.hosts[0].Remove(t.Context(), []api.HostID{"nobody"})
 	assert.Equal(t, fault.KindOf(err), api.KindNotFound)
 }
+
+// TestRegistersAgainAfterLoss guards against hosts that a commit does not know of
+// after the store has lost its member documents.
+func TestRegistersAgainAfterLoss(t *testing.T) {
+	c := newCluster(t, 3)
+	c.commit(true)
+	c.run(3 * time.Second)
+	_, err := c.kv.Txn(t.Context(), store.Txn{Deletes: []string{c.keys.Members("dc")}})
+	assert.NilError(t, err)
+	c.run(10 * time.Second)
+	documents, err := c.hosts[0].readDocuments(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, len(documents["dc"].Members), 3)
+	for _, host := range c.hosts {
+		assert.NilError(t, c.begin(host))
+	}
+}
