Compare weights, routing and recovery, and add standin bench

The comparisons did not cover the document weights, routing under a lagging load report, nor the time after a burst.

--- a/Makefile
+++ b/Makefile
@@ -27,4 +27,6 @@
 	$(BIN)/standin demo --binaries $(BIN)
 
 bench: build ## measure the policies and the slopes of docs/CAPACITY.md
-	$(BIN)/standin bench --binaries $(BIN)
+	go run ./internal/tool/slopes
+	$(BIN)/standin bench
+	$(BIN)/standin failures
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 	"time"
 
@@ -10,10 +11,14 @@
 	"redwingloft/internal/data/document"
 	"redwingloft/internal/data/trace"
 	"redwingloft/standin/demo"
+	"redwingloft/standin/experiment"
 	"redwingloft/standin/failure"
 	"redwingloft/standin/load"
 )
 
+// benchTimeout bounds a bench, whose runs take about 80 s.
+const benchTimeout = 120 * time.Second
+
 func demoCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "demo",
@@ -99,3 +104,26 @@
 		},
 	}
 }
+
+func benchCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "bench",
+		Usage: "compare the policies of the request path with their plain versions",
+		Flags: []cli.Flag{
+			&cli.UintFlag{Name: "seed", Usage: "seed of the arrivals", Value: 1},
+			&cli.BoolFlag{Name: "json", Usage: "print JSON in place of a table"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, benchTimeout)
+			defer cancel()
+			result, err := experiment.Run(ctx, experiment.Options{Seed: uint64(c.Uint("seed"))})
+			if err != nil {
+				return err
+			}
+			if c.Bool("json") {
+				return json.NewEncoder(c.Root().Writer).Encode(result)
+			}
+			return result.Print(c.Root().Writer)
+		},
+	}
+}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -31,6 +31,8 @@
 	StageTime time.Duration
 	// ReportLoad adds the load to each answer.
 	ReportLoad bool
+	// ReportLag is the age of the reported load.
+	ReportLag time.Duration
 	// CacheTokens is the size of the prefix cache; 0 means no cache.
 	CacheTokens int
 
@@ -41,6 +43,7 @@
 	tokens   atomic.Int64
 	canceled atomic.Int64
 	cache    prefixCache
+	reports  reports
 }
 
 // Stats are the counts of a server.
@@ -97,9 +100,10 @@
 			return
 		}
 		defer func() { <-s.slots }()
-		running := s.running.Add(1)
-		defer s.running.Add(-1)
+		s.reports.add(time.Now(), s.running.Add(1))
+		defer func() { s.reports.add(time.Now(), s.running.Add(-1)) }()
 		if s.ReportLoad {
+			running := s.reports.at(time.Now().Add(-s.ReportLag))
 			w.Header().Set("endpoint-load-metrics", fmt.Sprintf(`JSON {"application_utilization":%.3f}`, float64(running)/float64(s.Slots)))
 		}
 		next(w, r)
--- a/standin/experiment/experiment_test.go
+++ b/standin/experiment/experiment_test.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 	"time"
 
@@ -8,21 +10,32 @@
 )
 
 // TestRunAccountsForEveryRequest guards against a comparison that loses requests,
-// counts wrong answers as attained or lets its policy exceed the retry budget.
+// counts wrong answers as attained, lets its policy exceed the retry budget or is
+// left out of the table.
 func TestRunAccountsForEveryRequest(t *testing.T) {
 	result, err := Run(t.Context(), Options{Seed: 1, Duration: 300 * time.Millisecond})
 	assert.NilError(t, err)
-	for _, outcome := range []Outcome{
-		result.Retries.Plain, result.Retries.Policy, result.Hedges.Plain, result.Hedges.Policy,
-		result.Overload.Plain, result.Overload.Policy, result.Peak,
-	} {
-		assert.Assert(t, outcome.Requests > 0)
-		assert.Assert(t, outcome.Attained+outcome.Refused <= outcome.Requests)
-		assert.Equal(t, outcome.Wrong, 0)
+	assert.Assert(t, result.Peak.Requests > 0)
+	for _, c := range result.rows() {
+		assert.Equal(t, c.Plain.Requests, c.Policy.Requests, c.name)
+		for _, outcome := range []Outcome{c.Plain, c.Policy} {
+			assert.Assert(t, outcome.Requests > 0, c.name)
+			assert.Assert(t, outcome.Attained+outcome.Refused <= outcome.Requests, c.name)
+			assert.Equal(t, outcome.Wrong, 0, c.name)
+			inWindows := 0
+			for _, n := range outcome.windowRequests {
+				inWindows += n
+			}
+			assert.Equal(t, inWindows, outcome.Requests, c.name)
+		}
 	}
-	assert.Equal(t, result.Retries.Plain.Requests, result.Retries.Policy.Requests)
 	// A tenth of the first attempts and the reserve of the budget.
 	policy := result.Retries.Policy
 	extra := policy.attempts - policy.stages
 	assert.Assert(t, float64(extra) <= 0.1*float64(policy.stages)+10, "%d extra attempts of %d", extra, policy.stages)
+	var table bytes.Buffer
+	assert.NilError(t, result.Print(&table))
+	for _, c := range result.rows() {
+		assert.Assert(t, strings.Contains(table.String(), c.name+" "), c.name)
+	}
 }
--- /dev/null
+++ b/standin/experiment/scenario.go
@@ -0,0 +1,304 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"redwingloft/internal/data/document"
+	"redwingloft/internal/data/work"
+	"redwingloft/internal/helper/timer"
+	"redwingloft/internal/service/admission"
+	"redwingloft/internal/service/pipeline"
+	"redwingloft/internal/service/retry"
+	"redwingloft/internal/service/route"
+	"redwingloft/internal/service/upstream"
+	"redwingloft/pkg/api"
+	"redwingloft/standin/engine"
+	"redwingloft/standin/fleet"
+	"redwingloft/standin/injection"
+	"redwingloft/standin/site"
+)
+
+// scenario is one run.
+type scenario struct {
+	engines int
+	// hosts is the number of entry hosts, each with tables of its own; 0 means 1.
+	hosts int
+	// rate is the number of requests a second.
+	rate float64
+	// burst multiplies the rate in the second quarter of the run; 0 means 1.
+	burst    float64
+	deadline time.Duration
+	// topics is the number of long prompt prefixes that requests share; 0 means short prompts.
+	topics int
+	// reportLag is the age of the load reports of the engines.
+	reportLag time.Duration
+	// weights are those of the document; the zero value weighs attainment alone.
+	weights document.Weights
+	// fail puts the faults in force before the first request.
+	fail func(*fleet.Fleet, []document.Upstream) error
+	// plain turns off the policy under comparison.
+	noBudget, noHedge, noQueue, noAffinity bool
+	// roundRobin takes the engines in turn on each host.
+	roundRobin bool
+}
+
+const (
+	slots      = 4
+	maxTokens  = 10
+	stepTime   = 10 * time.Millisecond
+	stageTime  = 5 * time.Millisecond
+	smallShare = 0.1
+	// prefixTokens is the length of a shared prefix. prefillTime is for a thousand
+	// uncached tokens, so that a cached prefix saves four tenths of a request.
+	prefixTokens = 1000
+	prefillTime  = 100 * time.Millisecond
+	// cacheTokens is the size of the prefix cache of an engine, six prefixes.
+	cacheTokens = 6 * (prefixTokens + 50)
+)
+
+// capacity returns the requests a second that engines can finish: a full batch
+// slows each step by a tenth for each request.
+func capacity(engines int) float64 {
+	return float64(engines*slots) / answerTime().Seconds()
+}
+
+// uncachedCapacity is the capacity for long prompts without a prefix cache.
+func uncachedCapacity(engines int) float64 {
+	return float64(engines*slots) / (answerTime() + prefillTime*prefixTokens/1000).Seconds()
+}
+
+func answerTime() time.Duration { return maxTokens * (stepTime + stepTime*slots/10) }
+
+// lose lets the first n engines lose each answer after the work.
+func lose(n int) func(*fleet.Fleet, []document.Upstream) error {
+	return func(f *fleet.Fleet, engines []document.Upstream) error {
+		for i := range engines[:n] {
+			if err := f.Injector(string(engines[i].Address)).Set(injection.Fault{Mode: injection.ModeDropReply}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// delayOne lets one engine start each answer late.
+func delayOne(delay time.Duration) func(*fleet.Fleet, []document.Upstream) error {
+	return func(f *fleet.Fleet, engines []document.Upstream) error {
+		fault := injection.Fault{Mode: injection.ModeDelay, DelayMs: delay.Milliseconds()}
+		return f.Injector(string(engines[0].Address)).Set(fault)
+	}
+}
+
+// newDocument returns a two-stage pipeline on free loopback addresses.
+func (s scenario) newDocument() (*document.Document, error) {
+	addresses, err := site.FreeAddresses(s.engines + 2)
+	if err != nil {
+		return nil, err
+	}
+	group := func(name api.GroupName, kind document.GroupKind, slots int, addresses []string) document.Group {
+		g := document.Group{Name: name, Kind: kind, CostPerSecond: 1, CostPerThousandTokens: 1}
+		for i, address := range addresses {
+			g.Upstreams = append(g.Upstreams, document.Upstream{
+				ID: api.UpstreamID(fmt.Sprintf("%s-%d", name, i)), Address: api.Address(address), DataCentre: "dc", Slots: slots,
+			})
+		}
+		return g
+	}
+	weights := s.weights
+	if weights == (document.Weights{}) {
+		weights.Attainment = 1
+	}
+	return &document.Document{
+		Format: document.Format, Deployment: "experiment", Weights: weights,
+		Groups: []document.Group{
+			group("engines", document.GroupChat, slots, addresses[:s.engines]),
+			group("encoders", document.GroupEmbedding, 64, addresses[s.engines:]),
+		},
+		Pipelines: []document.Pipeline{{Name: "answer", Deadline: 5000, Versions: []document.Version{{Name: "one", Stages: []document.Stage{
+			{Name: "encode", Kind: document.StageEncode, Group: "encoders", Model: "encoder"},
+			{Name: "generate", Kind: document.StageGenerate, Group: "engines", Model: "engine", MaxTokens: maxTokens},
+		}}}}},
+	}, nil
+}
+
+// path is the request path of one entry host.
+type path struct {
+	snapshot *document.Snapshot
+	executor *pipeline.Executor
+	queue    *admission.Queue
+}
+
+// newPath returns a path whose health table is swept until ctx ends.
+func (s scenario) newPath(ctx context.Context, doc *document.Document) (*path, error) {
+	snapshot, err := document.Compile(doc, 1)
+	if err != nil {
+		return nil, err
+	}
+	table := &upstream.Table{}
+	table.Apply(snapshot)
+	sender := upstream.NewSender()
+	service := &timer.Service{}
+	(&upstream.Monitor{Table: table, Sender: sender}).Start(ctx, service)
+	go func() { _ = service.Run(ctx) }()
+	p := &path{snapshot: snapshot, executor: &pipeline.Executor{
+		Table: table, Router: s.newRouter(), Send: sender.Do, NoHedge: s.noHedge,
+	}}
+	if !s.noBudget {
+		p.executor.Budget = &retry.Budget{}
+	}
+	if !s.noQueue {
+		p.queue = &admission.Queue{
+			Snapshot: func() *document.Snapshot { return snapshot },
+			Hosts:    func() int { return max(s.hosts, 1) },
+		}
+	}
+	return p, nil
+}
+
+func (s scenario) newRouter() *route.Router {
+	router := &route.Router{}
+	if !s.noAffinity {
+		router.Prefixes = route.NewPrefixes(0)
+	}
+	if s.roundRobin {
+		// A choice draws twice. Two equal draws leave it no alternative.
+		var draws atomic.Int64
+		router.Random = func(n int) int { return int(draws.Add(1)/2) % n }
+	}
+	return router
+}
+
+func (s scenario) newPaths(ctx context.Context, doc *document.Document) ([]*path, error) {
+	var paths []*path
+	for range max(s.hosts, 1) {
+		p, err := s.newPath(ctx, doc)
+		if err != nil {
+			return nil, err
+		}
+		paths = append(paths, p)
+	}
+	return paths, nil
+}
+
+// rateAt returns the rate at a time of a run.
+func (s scenario) rateAt(at, duration time.Duration) float64 {
+	if s.burst > 0 && at >= duration/4 && at < duration/2 {
+		return s.rate * s.burst
+	}
+	return s.rate
+}
+
+// newItem draws the input of a request. Few topics are asked for often.
+func (s scenario) newItem(random *rand.Rand) work.Item {
+	item := work.Item{Input: fmt.Sprintf("question %d", random.IntN(1000))}
+	if s.topics > 0 {
+		drawn := random.Float64()
+		item.Passages = []work.Passage{{Text: prefix(int(drawn * drawn * float64(s.topics)))}}
+	}
+	return item
+}
+
+// prefix returns the text of a topic in words of one estimated token each.
+func prefix(topic int) string {
+	return strings.Repeat(fmt.Sprintf("%03d ", topic), prefixTokens)
+}
+
+// run sends Poisson arrivals for the duration and waits for the last answer.
+func (s scenario) run(ctx context.Context, options Options) (Outcome, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	doc, err := s.newDocument()
+	if err != nil {
+		return Outcome{}, err
+	}
+	f := &fleet.Fleet{Speed: fleet.Speed{
+		StepTime: stepTime, StageTime: stageTime, PrefillTime: prefillTime, CacheTokens: cacheTokens, ReportLag: s.reportLag,
+	}}
+	defer f.Stop()
+	if err := f.StartUpstreams(doc); err != nil {
+		return Outcome{}, err
+	}
+	if s.fail != nil {
+		if err := s.fail(f, doc.Groups[0].Upstreams); err != nil {
+			return Outcome{}, err
+		}
+	}
+	paths, err := s.newPaths(ctx, doc)
+	if err != nil {
+		return Outcome{}, err
+	}
+	return s.arrivals(ctx, options, paths)
+}
+
+func (s scenario) arrivals(ctx context.Context, options Options, paths []*path) (Outcome, error) {
+	random := rand.New(rand.NewPCG(options.Seed, options.Seed))
+	outcome := &Outcome{Stages: map[api.StageName]StageTotal{}}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	start := time.Now()
+	for at := time.Duration(0); at < options.Duration; {
+		small := random.Float64() < smallShare
+		item := s.newItem(random)
+		p := paths[random.IntN(len(paths))]
+		select {
+		case <-time.After(time.Until(start.Add(at))):
+		case <-ctx.Done():
+			all.Wait()
+			return Outcome{}, ctx.Err()
+		}
+		window := int(at / (options.Duration / windows))
+		all.Go(func() {
+			ended := p.send(ctx, s.deadline, item, small)
+			ended.window = min(window, windows-1)
+			mu.Lock()
+			defer mu.Unlock()
+			outcome.add(ended)
+		})
+		at += time.Duration(random.ExpFloat64() / s.rateAt(at, options.Duration) * float64(time.Second))
+	}
+	all.Wait()
+	outcome.finish(options.Duration)
+	return *outcome, nil
+}
+
+// ended is the end of one request.
+type ended struct {
+	small, refused, attained, wrong bool
+	// window is that of the arrival.
+	window int
+	stages []api.StageCost
+}
+
+func (p *path) send(ctx context.Context, deadline time.Duration, item work.Item, small bool) ended {
+	ctx, cancel := context.WithTimeout(ctx, deadline)
+	defer cancel()
+	workspace := api.WorkspaceName("large")
+	if small {
+		workspace = "small"
+	}
+	request := pipeline.Request{
+		Workspace: workspace, Pipeline: "answer", Snapshot: p.snapshot,
+		Version: p.snapshot.Version("answer", "one"), Item: item,
+	}
+	release := func(bool) {}
+	if p.queue != nil {
+		predicted := p.executor.Predict(&request)
+		var err error
+		release, err = p.queue.Enter(ctx, &admission.Ticket{
+			Workspace: workspace, Group: predicted.Group, Time: predicted.Time, Share: predicted.Share,
+		})
+		if err != nil {
+			return ended{small: small, refused: true}
+		}
+	}
+	result, err := p.executor.Run(ctx, request, pipeline.Observer{})
+	release(err == nil)
+	whole := result.Text == engine.Text(item.Input, maxTokens)
+	return ended{small: small, attained: err == nil && whole, wrong: err == nil && !whole, stages: result.Stages}
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -27,6 +27,8 @@
 	StageTime   time.Duration
 	ServiceTime time.Duration
 	CacheTokens int
+	// ReportLag is the age of the load that engines report.
+	ReportLag time.Duration
 }
 
 // Fleet runs stand-ins. The zero value is empty.
@@ -108,7 +110,7 @@
 	}
 	server := &engine.Server{
 		Slots: upstream.Slots, StepTime: f.Speed.StepTime, PrefillTime: f.Speed.PrefillTime,
-		StageTime: f.Speed.StageTime, ReportLoad: true, CacheTokens: f.Speed.CacheTokens,
+		StageTime: f.Speed.StageTime, ReportLoad: true, ReportLag: f.Speed.ReportLag, CacheTokens: f.Speed.CacheTokens,
 	}
 	f.engines[string(upstream.Address)] = server
 	return server.Routes()
--- a/standin/main.go
+++ b/standin/main.go
@@ -56,6 +56,7 @@
 			demoCommand(),
 			traceCommand(),
 			failuresCommand(),
+			benchCommand(),
 		},
 	}
 }
