--- a/standin/main.go
+++ b/standin/main.go
@@ -57,6 +57,7 @@
 			traceCommand(),
 			failuresCommand(),
 			footprintCommand(),
+			benchCommand(),
 		},
 	}
 }
