--- a/standin/commands.go
+++ b/standin/commands.go
@@ -20,14 +20,19 @@
 // benchTimeout bounds a bench, whose runs take about 80 s.
 const benchTimeout = 120 * time.Second
 
+// siteFlags name what the commands that run whole sites need.
+func siteFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "binaries", Usage: "`folder` of the programs", Value: "bin"},
+		&cli.StringFlag{Name: "deployments", Usage: "`folder` of the example deployments", Value: "deployments"},
+	}, more...)
+}
+
 func demoCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "run the example deployments on loopback against their recorded traces",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "binaries", Usage: "`folder` of the programs", Value: "bin"},
-			&cli.StringFlag{Name: "deployments", Usage: "`folder` of the example deployments", Value: "deployments"},
-		},
+		Flags: siteFlags(),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return demo.Run(ctx, demo.Options{
 				Binaries: c.String("binaries"), Folder: c.String("deployments"),
@@ -85,16 +90,14 @@
 	return &cli.Command{
 		Name:  "failures",
 		Usage: "measure attainment under single faults beside a run without one",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "binaries", Usage: "`folder` of the programs", Value: "bin"},
-			&cli.StringFlag{Name: "deployments", Usage: "`folder` of the example deployments", Value: "deployments"},
+		Flags: siteFlags(
 			&cli.StringFlag{Name: "deployment", Usage: "`name` of the deployment", Value: "greenhand"},
 			&cli.UintFlag{Name: "seed", Usage: "seed of the trace", Value: 1},
 			// 58 requests a second are 70% of what six engines with 8 slots and 580 ms an answer can do.
 			&cli.FloatFlag{Name: "rate", Usage: "mean requests a second", Value: 58},
 			&cli.DurationFlag{Name: "duration", Usage: "length of each run", Value: 12 * time.Second},
 			&cli.StringFlag{Name: "only", Usage: "`name` of the one fault to measure"},
-		},
+		),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			_, err := failure.Run(ctx, failure.Options{
 				Binaries: c.String("binaries"), Folder: c.String("deployments"), Deployment: c.String("deployment"),
@@ -110,13 +113,11 @@
 	return &cli.Command{
 		Name:  "footprint",
 		Usage: "measure memory, processor time and messages of idle entry hosts by the size of the document",
-		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "binaries", Usage: "`folder` of the programs", Value: "bin"},
-			&cli.StringFlag{Name: "deployments", Usage: "`folder` of the example deployments", Value: "deployments"},
+		Flags: siteFlags(
 			&cli.IntFlag{Name: "hosts", Usage: "entry hosts of each site", Value: 7},
 			&cli.DurationFlag{Name: "duration", Usage: "length of each measurement", Value: 10 * time.Second},
 			&cli.StringFlag{Name: "out", Usage: "JSON `file` to write"},
-		},
+		),
 		Action: runFootprint,
 	}
 }
