--- a/internal/service/order/order.go
+++ b/internal/service/order/order.go
@@ -56,8 +56,9 @@
 	// whether it was run: RunNo only where the upstream received nothing.
 	Send func(ctx context.Context, order Order, fencing store.Version) (Outcome, error)
 	// Forward passes writes of one shard to the aggregator host of the shard, which
-	// makes them with Claim and answers with one result for each. Nil or an error means that this host writes
-	// directly. Forward returns ErrNotForwarded where this host is the aggregator.
+	// makes them with Claim and answers with one result for each. Nil or an error
+	// means that this host writes directly. Forward returns ErrNotForwarded where
+	// this host is the aggregator.
 	Forward func(ctx context.Context, shard int, claims []Claim) ([]ClaimResult, error)
 	// HolderAlive reports whether a host may still be running; nil means that every host may.
 	HolderAlive func(api.HostID) bool
--- a/internal/service/request/start.go
+++ b/internal/service/request/start.go
@@ -40,10 +40,10 @@
 }
 
 // start waits until a ticket may start and returns the function that ends it with
-// the error of the request. Prepare
-// checks the request against the configuration in force and makes its ticket; it is
-// called again where the configuration changed while the ticket waited, so that the
-// request starts under the newest. Every error is certain: nothing was started.
+// the error of the request. Prepare checks the request against the configuration in
+// force and makes its ticket; it is called again where the configuration changed
+// while the ticket waited, so that the request starts under the newest. Every error
+// is certain: nothing was started.
 func (s *Service) start(ctx context.Context, prepare func() (*admission.Ticket, error)) (func(error), error) {
 	for {
 		ticket, err := prepare()
