--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,7 @@
 
 bench: build ## measure the policies and the slopes of docs/CAPACITY.md
 	go run ./internal/tool/slopes
+	$(BIN)/standin footprint --out docs/footprint.json
+	go run ./internal/tool/capacity
 	$(BIN)/standin bench
 	$(BIN)/standin failures
