Count the uncached prompt under both weights of the routing score

Cause: the attainment part of the score counted requests and not the time of their prompts, so that under a high attainment weight the router sent prompts to engines that had to read them anew. Ruled out earlier: a penalty for engines with a late first byte.

--- a/internal/service/route/route.go
+++ b/internal/service/route/route.go
@@ -33,8 +33,8 @@
 type Query struct {
 	// Avoid holds the instances that this stage has already tried.
 	Avoid []*upstream.Instance
-	// Weights balance predicted wait against uncached prompt cost. Both 0 means
-	// that only the wait counts.
+	// Weights balance the wait for slots against the uncached prompt, which counts
+	// under both. Both 0 means an attainment weight of 1.
 	Weights document.Weights
 	// Prefix is the chain of Prefix for the prompt; empty means no affinity.
 	Prefix Chain
@@ -147,7 +147,8 @@
 		uncached -= float64(blocks*blockTokens) * trust
 		score -= ownerBonus * trust
 	}
-	score += weights.Cost * uncached / promptUnit
+	// Uncached prompt tokens cost money and delay the first token, so both weights count.
+	score += (weights.Cost + weights.Attainment) * uncached / promptUnit
 	if c.query.DataCentre != "" && instance.DataCentre != c.query.DataCentre {
 		score += remotePenalty
 	}
