--- a/cmd/host.go
+++ b/cmd/host.go
@@ -99,13 +99,21 @@
 	}
 	h.members.Roster = h.roster
 	h.requests = newRequests(h, kv, keys, table)
-	if s.Trace.Record != "" {
-		if h.recorder, err = trace.NewRecorder(s.Trace.Record, strings.Trim(s.Store.Prefix, "/")); err != nil {
-			return nil, fmt.Errorf("[trace] record: %w", err)
-		}
-		h.recorder.Dropped = func() { h.metrics.Counter("trace.dropped").Inc(1) }
+	return h, h.startRecorder()
+}
+
+// startRecorder starts to record requests where the settings ask for it.
+func (h *host) startRecorder() error {
+	if h.settings.Trace.Record == "" {
+		return nil
 	}
-	return h, nil
+	recorder, err := trace.NewRecorder(h.settings.Trace.Record, strings.Trim(h.settings.Store.Prefix, "/"))
+	if err != nil {
+		return fmt.Errorf("[trace] record: %w", err)
+	}
+	recorder.Dropped = func() { h.metrics.Counter("trace.dropped").Inc(1) }
+	h.recorder = recorder
+	return nil
 }
 
 func newMonitor(h *host, table *upstream.Table) (*upstream.Monitor, error) {
