--- a/internal/tool/capacity/model.go
+++ b/internal/tool/capacity/model.go
@@ -6,6 +6,7 @@
 const (
 	hosts        = 350
 	centres      = 9
+	budget       = 5000.0 // bytes a second for control
 	requestRate  = 820.0
 	tokenRate    = 310_000.0
 	workspaces   = 5100
@@ -99,6 +100,11 @@
 	f.set("wire_small", "%.0f", wireSmall)
 	// Six peers, twice a second, asked and answered.
 	f.set("small_site", "%.0f", 6*2*2*wireSmall)
+	perMember := (wire - m.slope("internal/web/peer/BenchmarkWire/7", "bytes/op")) / (hosts - 7)
+	// The exchange may take what the other causes leave of the budget.
+	left := (budget - configuration - membership) * interval / (2 * peersPerRound)
+	f.set("per_member", "%.2f", perMember)
+	f.set("members_bound", "%.0f", hosts+(left-wire)/perMember)
 	f.set("small_interval", "%.0f", exchange*interval/0.5)
 	f.set("fresh_up", "%.3f", m.slope("internal/service/member/BenchmarkFreshness/down=false/interval=1s/freshness=5s/350", "fresh/host"))
 	f.set("fresh_down", "%.3f", m.slope("internal/service/member/BenchmarkFreshness/down=true/interval=1s/freshness=5s/350", "fresh/host"))
