Do not repeat a request that can't be built

Cause: a request whose encoding fails does so for every upstream, and was tried on several of them at the cost of the retry budget. The new test counts more than one attempt without the change.

--- a/internal/service/pipeline/executor_test.go
+++ b/internal/service/pipeline/executor_test.go
@@ -420,3 +420,17 @@
 		}
 	}
 }
+
+// TestUnbuildableRequestIsNotRepeated guards against retries, and their share of
+// the budget, for a request that fails before it is sent on every upstream alike.
+func TestUnbuildableRequestIsNotRepeated(t *testing.T) {
+	r := newRig(t, 4, []string{"127.0.0.1:1", "127.0.0.1:2"}, []string{"127.0.0.1:3"})
+	script := &scripted{answer: func(context.Context, api.GroupName, int, upstream.Attempt) error {
+		return &upstream.SendError{Reason: upstream.ReasonBuild, Cause: errors.New("the input can't be encoded")}
+	}}
+	r.Send = script.send
+	result, err := r.Run(t.Context(), r.request("x"), Observer{})
+	assert.Assert(t, err != nil)
+	assert.Equal(t, fault.RunOf(err), api.RunNo)
+	assert.Equal(t, result.Stages[0].Attempts, 1)
+}
--- a/internal/service/pipeline/fault.go
+++ b/internal/service/pipeline/fault.go
@@ -23,7 +23,11 @@
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		return retry.ReasonStatus, false
 	}
-	return retry.Reason(send.Reason), send.Reason != upstream.ReasonCanceled
+	switch send.Reason {
+	case upstream.ReasonCanceled, upstream.ReasonBuild:
+		return retry.Reason(send.Reason), false
+	}
+	return retry.Reason(send.Reason), true
 }
 
 // withRun adds what is known of the upstreams' work on the request.
