--- a/internal/data/store/keys.go
+++ b/internal/data/store/keys.go
@@ -29,9 +29,6 @@
 // HistoryPrefix is the prefix of all history keys, which sort by revision.
 func (k Keys) HistoryPrefix() string { return k.Prefix + "config/history/" }
 
-// Handover is the key of the last revision whose handover is complete.
-func (k Keys) Handover() string { return k.Prefix + "config/handover" }
-
 // Members is the key of the member document of a data centre.
 func (k Keys) Members(dataCentre api.DataCentre) string {
 	return k.MembersPrefix() + string(dataCentre)
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -50,13 +50,7 @@
 	return item, nil
 }
 
-// Names returns the registered names in order.
-func (r *Registry[T]) Names() []string {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return r.names()
-}
-
+// names returns the registered names in order.
 func (r *Registry[T]) names() []string {
 	names := make([]string, 0, len(r.items))
 	for name := range r.items {
