--- /dev/null
+++ b/cmd/entry.go
@@ -0,0 +1,71 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/oklog/run"
+	"github.com/urfave/cli/v3"
+
+	"redwingloft/internal/data/settings"
+	"redwingloft/internal/helper/logging"
+)
+
+const (
+	// collectAt is the growth of the heap at which it is collected. Hosts of the platform
+	// have little memory and pay for its peak; their live heap is a few megabytes.
+	collectAt = 50
+	// memoryShare is the part of the memory limit that the collector aims for.
+	memoryShare = 0.7
+	megabyte    = 1 << 20
+	// logLines bounds the lines that wait to be written; more are dropped and counted.
+	logLines = 2048
+)
+
+// settingsVariable names the settings file that the platform places.
+const settingsVariable = "REDWINGLOFT_SETTINGS"
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:   "entry",
+		Usage:  "run an entry host on the users' platform",
+		Flags:  []cli.Flag{&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "path of the INI `file`", Sources: cli.EnvVars(settingsVariable)}},
+		Action: entry,
+	}
+}
+
+func entry(ctx context.Context, c *cli.Command) error {
+	path := c.String("settings")
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(collectAt)
+	if s.Host.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.Host.MemoryLimit) * megabyte))
+	}
+	out := logging.NewQueue(os.Stdout, logLines)
+	e, err := newEntryHost(s, path, logging.New(out, s.Log.Level, string(s.Host.ID)))
+	if err != nil {
+		return err
+	}
+	e.metrics.Func("log.dropped", out.Dropped)
+	var group run.Group
+	e.addTo(ctx, &group)
+	err = group.Run()
+	if errors.Is(err, errStopped) {
+		e.log.Info().Msg("stopped")
+		err = nil
+	}
+	return errors.Join(err, flush(out))
+}
+
+func flush(out *logging.Queue) error {
+	if err := out.Close(); err != nil {
+		return fmt.Errorf("write the log: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/entry_host.go
@@ -0,0 +1,287 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/data/settings"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/clock"
+	"redwingloft/internal/helper/dial"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/helper/timer"
+	"redwingloft/internal/kernel"
+	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/forward"
+	"redwingloft/internal/service/stage"
+	"redwingloft/internal/web/admin"
+	web "redwingloft/internal/web/entry"
+	"redwingloft/pkg/api"
+	"redwingloft/platform"
+)
+
+const (
+	// upstreamDialTimeout bounds a connection to an upstream. Within a region it takes a
+	// few milliseconds; a lost packet is sent again only after a second, so that a new
+	// attempt is faster.
+	upstreamDialTimeout = 250 * time.Millisecond
+	// peerDialTimeout and peerPing find another host that went silent before the caller's
+	// response-time objective is lost.
+	peerDialTimeout = 300 * time.Millisecond
+	peerPing        = 500 * time.Millisecond
+	// relayTimeout bounds the question to another host for a newer state.
+	relayTimeout = 600 * time.Millisecond
+	// sweepPeriod spaces the care for idle connections and unused state.
+	sweepPeriod = time.Second
+	// entryHeaderBytes bounds request heads; routing documents allow less.
+	entryHeaderBytes = 64 << 10
+	// entryHeaderTimeout bounds the arrival of a request head.
+	entryHeaderTimeout = 10 * time.Second
+)
+
+// entryHost assembles the parts of an entry host on the platform.
+type entryHost struct {
+	settings  *settings.Settings
+	path      string
+	log       *log.Logger
+	timer     *timer.Service
+	metrics   *metric.Set
+	directory *directory.Service
+	pool      *forward.Pool
+	health    *forward.HealthTable
+	codec     forward.Codec
+	peers     *http.Client
+	callers   *web.Callers
+	idle      *web.Idle
+
+	schedulersMu sync.Mutex
+	schedulers   map[int]*stage.Scheduler
+
+	// draining is set by the first signal, refusing when new requests are refused.
+	draining atomic.Bool
+	refusing atomic.Bool
+	// stopRegistration ends the renewal of the host's entry.
+	stopRegistration func()
+}
+
+func newEntryHost(s *settings.Settings, path string, logger *log.Logger) (*entryHost, error) {
+	factory, err := kernel.Stores.Get(s.Store.Kind)
+	if err != nil {
+		return nil, fmt.Errorf("[store] kind: %w", err)
+	}
+	kv, err := factory(kernel.StoreOptions{Endpoints: s.Store.Endpoints, Timeout: s.Store.Timeout, WatchWait: s.Store.WatchWait})
+	if err != nil {
+		return nil, err
+	}
+	e := &entryHost{
+		settings: s, path: path, log: logger, timer: &timer.Service{}, metrics: metric.New(),
+		pool: &forward.Pool{Dial: dial.New(upstreamDialTimeout)}, health: &forward.HealthTable{},
+		codec: forward.Codec{
+			WriteHead: platform.WriteHead, DecodeReply: platform.DecodeReply, AnswerHeader: platform.AnswerHeader, WriteCall: platform.WriteCall,
+		},
+		peers: newPeerClient(), schedulers: map[int]*stage.Scheduler{}, stopRegistration: func() {},
+	}
+	e.directory = e.newDirectory(kv)
+	e.callers = &web.Callers{
+		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
+	}
+	e.idle = &web.Idle{Limit: e.idleLimit}
+	return e, nil
+}
+
+func (e *entryHost) newDirectory(kv store.Store) *directory.Service {
+	s := e.settings
+	fetch := web.FetchState(e.peers)
+	return &directory.Service{
+		Store: store.WithCause(kv, store.CauseMember, e.metrics), Timer: e.timer, Log: e.log, Metrics: e.metrics, Clock: clock.Now,
+		Decoder: directory.Decoder{
+			DocumentKey: platform.KeyDocument, Document: platform.DecodeDocument,
+			UpstreamPrefix: platform.PrefixUpstream, Upstream: platform.DecodeUpstream, HostPrefix: s.Store.Prefix + "hosts/",
+		},
+		Fetch: func(ctx context.Context, peer api.Address, version store.Version) (*directory.Dump, error) {
+			ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+			defer cancel()
+			return fetch(ctx, peer, version)
+		},
+		Seeds: s.Peer.Seeds,
+		Self: fleet.Host{
+			ID: s.Host.ID, DataCentre: s.Host.DataCentre, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise, Started: time.Now().UnixMilli(),
+		},
+		Changed: e.changed,
+	}
+}
+
+func (e *entryHost) newService() *forward.Service {
+	client := &stage.Client{
+		Self: e.settings.Host.ID, View: e.directory.View, HTTP: e.peers, Log: e.log, Metrics: e.metrics, Local: e.scheduler,
+	}
+	return &forward.Service{
+		View: e.directory.View, Pool: e.pool, Codec: e.codec, Health: e.health, Budget: e.newBudget(e.hosts), Log: e.log, Metrics: e.metrics,
+		DataCentre: e.settings.Host.DataCentre, Prepare: client.Prepare, Refusing: e.refusal,
+	}
+}
+
+// newBudget returns a budget of repeats whose slack is shared by the given number of hosts.
+func (e *entryHost) newBudget(sharers func() int) *forward.Budget {
+	r := e.settings.Retry
+	return &forward.Budget{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window, Hosts: sharers}
+}
+
+func (e *entryHost) hosts() int { return len(e.directory.View().Hosts) }
+
+// scheduler returns this host's scheduler of a group of upstreams.
+func (e *entryHost) scheduler(group int) *stage.Scheduler {
+	e.schedulersMu.Lock()
+	defer e.schedulersMu.Unlock()
+	if found := e.schedulers[group]; found != nil {
+		return found
+	}
+	made := &stage.Scheduler{
+		Pool: e.pool, Forward: &e.codec, Log: e.log, Metrics: e.metrics, View: e.directory.View,
+		Budget:    e.newBudget(func() int { return stage.Groups(e.directory.View()) }),
+		Upstreams: func(view *directory.View) []*fleet.Upstream { return stage.InGroup(view, group) },
+		Codec: stage.Codec{
+			RunPath: platform.PathStageRun, FreePath: platform.PathStageFree,
+			EncodeItems: platform.EncodeItems, DecodeResults: platform.DecodeResults, EncodeFree: platform.EncodeFree,
+		},
+	}
+	e.schedulers[group] = made
+	return made
+}
+
+// changed tells the schedulers of a new view.
+func (e *entryHost) changed(*directory.View) {
+	e.schedulersMu.Lock()
+	defer e.schedulersMu.Unlock()
+	for _, scheduler := range e.schedulers {
+		go scheduler.Changed()
+	}
+}
+
+func (e *entryHost) sweepSchedulers(now time.Time) {
+	e.schedulersMu.Lock()
+	defer e.schedulersMu.Unlock()
+	for _, scheduler := range e.schedulers {
+		scheduler.Sweep(now)
+	}
+}
+
+func (e *entryHost) idleLimit() time.Duration {
+	if snapshot := e.directory.View().Snapshot; snapshot != nil {
+		return snapshot.Limits.IdleTimeout
+	}
+	return 0
+}
+
+// ready returns why the host takes no requests, or nil.
+func (e *entryHost) ready() error {
+	if e.draining.Load() {
+		return errors.New("the host is draining")
+	}
+	if e.directory.View().Snapshot == nil {
+		return errors.New("no routing document is known")
+	}
+	return nil
+}
+
+// refusal returns why new requests are refused, or nil.
+func (e *entryHost) refusal() error {
+	if !e.refusing.Load() {
+		return nil
+	}
+	return fault.RetryAfter(fault.New(api.KindDraining, "the host is leaving"), handoverWait)
+}
+
+// newPeerClient returns the client for other hosts. One connection carries all calls
+// to a host, and pings find out when it went silent.
+func newPeerClient() *http.Client {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dial.New(peerDialTimeout), Protocols: protocols, DisableCompression: true,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: peerPing, PingTimeout: peerPing},
+	}}
+}
+
+// addTo adds the parts that run for the life of the process.
+func (e *entryHost) addTo(ctx context.Context, group *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	group.Add(func() error { return e.timer.Run(ctx) }, func(error) { cancel() })
+	group.Add(func() error { return e.follow(ctx) }, func(error) { cancel() })
+	e.addListener(group, e.settings.Caller.Listen, e.newCallerServer())
+	e.addListener(group, e.settings.Peer.Listen, e.newPeerServer())
+	directory := &web.Directory{
+		View: e.directory.View, Self: e.settings.Caller.Advertise, Validity: e.settings.Caller.AddressValidity, Ready: e.ready,
+	}
+	e.addListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)))
+	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)))
+	handler := &admin.Handler{Metrics: e.metrics, Ready: e.ready}
+	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()))
+	group.Add(e.signals(ctx))
+}
+
+// follow starts the parts that are driven by the timer, and follows the store.
+func (e *entryHost) follow(ctx context.Context) error {
+	e.log.Info().Str("data_centre", string(e.settings.Host.DataCentre)).Str("caller_listen", e.settings.Caller.Listen).
+		Str("peer_listen", e.settings.Peer.Listen).Str("admin_listen", e.settings.Admin.Listen).Str("store", e.settings.Store.Kind).
+		Str("version", version).Msg("host_started")
+	e.timer.Every(sweepPeriod, e.pool.Sweep)
+	e.timer.Every(sweepPeriod, e.idle.Sweep)
+	e.timer.Every(sweepPeriod, func(time.Time) { e.health.Sweep(clock.Now()) })
+	e.timer.Every(stage.FreePeriod, e.sweepSchedulers)
+	e.stopRegistration = e.directory.Register(ctx)
+	return e.directory.Run(ctx)
+}
+
+func (e *entryHost) newCallerServer() *http.Server {
+	server := e.newServer(e.callers)
+	server.ConnState = e.idle.Track
+	server.MaxHeaderBytes = entryHeaderBytes
+	return server
+}
+
+func (e *entryHost) newPeerServer() *http.Server {
+	peers := &web.Peers{Scheduler: e.scheduler, Dump: e.directory.Dump}
+	server := e.newServer(peers.Routes())
+	server.Protocols = &http.Protocols{}
+	server.Protocols.SetUnencryptedHTTP2(true)
+	server.Protocols.SetHTTP1(true)
+	return server
+}
+
+func (e *entryHost) newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: entryHeaderTimeout}
+}
+
+// addListener adds a server to the group; an empty address turns it off.
+func (e *entryHost) addListener(group *run.Group, address string, server *http.Server) {
+	if address == "" {
+		return
+	}
+	group.Add(func() error {
+		listener, err := dial.Listen(context.Background(), address)
+		if err != nil {
+			return fmt.Errorf("listener %s: %w", address, err)
+		}
+		return fmt.Errorf("listener %s: %w", address, server.Serve(listener))
+	}, func(error) { closeServer(server) })
+}
+
+// closeServer ends a server whose requests were finished by the drain.
+func closeServer(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout/4)
+	defer cancel()
+	// The process ends next; an error changes nothing.
+	_ = server.Shutdown(ctx)
+	_ = server.Close()
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -25,6 +25,7 @@
 		Action: group,
 		Commands: []*cli.Command{
 			serveCommand(),
+			entryCommand(),
 			settingsCommand(),
 			configCommand(),
 			hostsCommand(),
--- a/internal/data/settings/host.go
+++ b/internal/data/settings/host.go
@@ -15,13 +15,16 @@
 	Drain time.Duration
 	// Shutdown bounds the wait for requests in progress after Drain.
 	Shutdown time.Duration
+	// MemoryLimit is the memory of the process in megabytes; 0 means that no limit is known.
+	MemoryLimit int
 }
 
 func loadHost(s *section) Host {
 	return Host{
-		ID:         api.HostID(s.text("id", "")),
-		DataCentre: api.DataCentre(s.text("data_centre", "local")),
-		Drain:      s.duration("drain", 10*time.Second, 0, 10*time.Minute),
-		Shutdown:   s.duration("shutdown", 30*time.Second, time.Second, time.Hour),
+		ID:          api.HostID(s.text("id", "")),
+		DataCentre:  api.DataCentre(s.text("data_centre", "local")),
+		Drain:       s.duration("drain", 10*time.Second, 0, 10*time.Minute),
+		Shutdown:    s.duration("shutdown", 30*time.Second, time.Second, time.Hour),
+		MemoryLimit: s.number("memory_limit", 0, 0, 1<<20),
 	}
 }
--- a/internal/data/settings/platform.go
+++ b/internal/data/settings/platform.go
@@ -10,6 +10,8 @@
 	// Prefix separates deployments that share a service.
 	Prefix  string
 	Timeout time.Duration
+	// WatchWait bounds the wait of one call of a watch, where watches are such calls.
+	WatchWait time.Duration
 	// Retention is how long order records are kept.
 	Retention time.Duration
 }
@@ -20,6 +22,7 @@
 		Endpoints: s.list("endpoints"),
 		Prefix:    s.text("prefix", "redwingloft/"),
 		Timeout:   s.duration("timeout", time.Second, 10*time.Millisecond, time.Minute),
+		WatchWait: s.duration("watch_wait", 10*time.Second, 100*time.Millisecond, time.Minute),
 		Retention: s.duration("retention", 24*time.Hour, time.Hour, 31*24*time.Hour),
 	}
 	if st.Kind != "memory" && len(st.Endpoints) == 0 {
--- a/internal/data/settings/reader.go
+++ b/internal/data/settings/reader.go
@@ -125,6 +125,17 @@
 	return fallback
 }
 
+// fraction returns a number between 0 and 1.
+func (s *section) fraction(key string, fallback float64) float64 {
+	text := s.text(key, strconv.FormatFloat(fallback, 'g', -1, 64))
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(value >= 0 && value <= 1) {
+		s.faultf(key, "%q is not a number between 0 and 1", text)
+		return fallback
+	}
+	return value
+}
+
 // address returns an "ip:port"; an empty value is allowed where fallback is empty.
 func (s *section) address(key, fallback string) string {
 	value := s.text(key, fallback)
--- a/internal/data/settings/settings.go
+++ b/internal/data/settings/settings.go
@@ -20,6 +20,9 @@
 	Document Document
 	Log      Log
 	Trace    Trace
+	// Directory and Retry are used by the entry command only.
+	Directory Directory
+	Retry     Retry
 }
 
 // Load reads and checks a file. All faults are reported at once in a FaultsError.
@@ -52,15 +55,17 @@
 
 func (l *loader) settings() *Settings {
 	return &Settings{
-		Host:     loadHost(l.section("host")),
-		Caller:   loadCaller(l.section("caller")),
-		Peer:     loadPeer(l.section("peer")),
-		Operator: loadOperator(l.section("operator")),
-		Admin:    loadAdmin(l.section("admin")),
-		Store:    loadStore(l.section("store")),
-		HostList: loadHostList(l.section("host_list")),
-		Document: loadDocument(l.section("document")),
-		Log:      loadLog(l.section("log")),
-		Trace:    loadTrace(l.section("trace")),
+		Host:      loadHost(l.section("host")),
+		Caller:    loadCaller(l.section("caller")),
+		Peer:      loadPeer(l.section("peer")),
+		Operator:  loadOperator(l.section("operator")),
+		Admin:     loadAdmin(l.section("admin")),
+		Store:     loadStore(l.section("store")),
+		HostList:  loadHostList(l.section("host_list")),
+		Document:  loadDocument(l.section("document")),
+		Log:       loadLog(l.section("log")),
+		Trace:     loadTrace(l.section("trace")),
+		Directory: loadDirectory(l.section("directory")),
+		Retry:     loadRetry(l.section("retry")),
 	}
 }
--- a/internal/data/store/counted.go
+++ b/internal/data/store/counted.go
@@ -47,6 +47,12 @@
 	return c.Store.List(ctx, prefix, from, limit)
 }
 
+// ReadAll counts and passes on.
+func (c *Counted) ReadAll(ctx context.Context, prefix string) ([]Entry, Version, error) {
+	c.count(c.Cause)
+	return c.Store.ReadAll(ctx, prefix)
+}
+
 // Txn counts and passes on.
 func (c *Counted) Txn(ctx context.Context, txn Txn) (TxnResult, error) {
 	c.count(c.Cause)
--- a/internal/data/store/store.go
+++ b/internal/data/store/store.go
@@ -87,13 +87,17 @@
 	// List returns the entries under prefix in key order, at most limit of them
 	// (0 means all), starting at key from where it is not empty.
 	List(ctx context.Context, prefix, from string, limit int) ([]Entry, error)
+	// ReadAll returns all entries under prefix with a revision: a watch from the
+	// revision after it misses no change of them.
+	ReadAll(ctx context.Context, prefix string) ([]Entry, Version, error)
 	Txn(ctx context.Context, txn Txn) (TxnResult, error)
 	// Grant makes a lease that ends ttl after its last keep-alive.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	KeepAlive(ctx context.Context, lease LeaseID) error
 	Revoke(ctx context.Context, lease LeaseID) error
 	// Watch calls f with the changes under prefix from revision from on, in order,
-	// until ctx ends or the watch breaks; it always returns an error.
+	// until ctx ends or the watch breaks; it always returns an error. Where the service
+	// confirms that there is no change, f is called without events.
 	Watch(ctx context.Context, prefix string, from Version, f func([]Event)) error
 }
 
--- a/internal/helper/fault/fault.go
+++ b/internal/helper/fault/fault.go
@@ -48,6 +48,20 @@
 	return err.WithProperty(retryAfter, wait)
 }
 
+// RetryAfter returns err, an error of this package, with a suggested wait before a repeat.
+func RetryAfter(err error, wait time.Duration) error {
+	if found := typed(err); found != nil {
+		return found.WithProperty(retryAfter, wait)
+	}
+	return err
+}
+
+// Wait returns the suggested wait of err; 0 means that none is suggested.
+func Wait(err error) time.Duration {
+	wait, _ := property[time.Duration](err, retryAfter)
+	return wait
+}
+
 // WithFaults returns err with the faults of a refused document.
 func WithFaults(err *errorx.Error, faults []api.Fault) *errorx.Error {
 	return err.WithProperty(faultsProp, faults)
@@ -111,6 +125,19 @@
 	return answer
 }
 
+// FromAPI returns the error that another host answered with.
+func FromAPI(answer *api.Error) error {
+	made, known := types[answer.Kind]
+	if !known {
+		made = types[api.KindInternal]
+	}
+	err := WithRun(made.New("%s", answer.Message), answer.Run)
+	if answer.RetryAfterMs > 0 {
+		err = WithRetryAfter(err, time.Duration(answer.RetryAfterMs)*time.Millisecond)
+	}
+	return err
+}
+
 func message(err error) string {
 	if found := typed(err); found != nil && found.Message() != "" {
 		return found.Message()
--- a/internal/helper/timer/timer.go
+++ b/internal/helper/timer/timer.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// resolution is the step at which the service looks for subscriptions that are due.
-const resolution = 10 * time.Millisecond
+// idleWait is how long the service sleeps while nothing is subscribed.
+const idleWait = time.Hour
 
 // Service calls subscribers at their periods. The zero value uses the system clock.
 type Service struct {
@@ -19,6 +19,8 @@
 
 	mu            sync.Mutex
 	subscriptions map[*subscription]struct{}
+	// added wakes Run for a subscription that is due before the others; it holds one signal.
+	added chan struct{}
 }
 
 type subscription struct {
@@ -48,6 +50,7 @@
 		s.subscriptions = map[*subscription]struct{}{}
 	}
 	s.subscriptions[sub] = struct{}{}
+	s.wake()
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -55,18 +58,55 @@
 	}
 }
 
-// Run drives the subscriptions until ctx ends.
+// wake makes Run look at the subscriptions again. The caller holds mu.
+func (s *Service) wake() {
+	select {
+	case s.signal() <- struct{}{}:
+	default:
+	}
+}
+
+// signal returns the channel that wakes Run. The caller holds mu.
+func (s *Service) signal() chan struct{} {
+	if s.added == nil {
+		s.added = make(chan struct{}, 1)
+	}
+	return s.added
+}
+
+// Run drives the subscriptions until ctx ends. It sleeps until the next one is due,
+// so that an idle host is not woken.
 func (s *Service) Run(ctx context.Context) error {
-	ticker := time.NewTicker(resolution)
-	defer ticker.Stop()
+	sleep := time.NewTimer(0)
+	defer sleep.Stop()
+	s.mu.Lock()
+	added := s.signal()
+	s.mu.Unlock()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-ticker.C:
-			s.Tick()
+		case <-added:
+		case <-sleep.C:
+		}
+		s.Tick()
+		sleep.Reset(s.untilNext())
+	}
+}
+
+// untilNext returns the time until the next subscription is due.
+func (s *Service) untilNext() time.Duration {
+	now := s.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wait := idleWait
+	for sub := range s.subscriptions {
+		// A running subscription wakes the service at its end.
+		if !sub.running {
+			wait = min(wait, sub.due.Sub(now))
 		}
 	}
+	return max(wait, 0)
 }
 
 // Tick starts every subscription that is due. Tests call it after advancing their clock.
@@ -88,6 +128,7 @@
 	defer func() {
 		s.mu.Lock()
 		sub.running = false
+		s.wake()
 		s.mu.Unlock()
 	}()
 	sub.call(now)
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -66,6 +66,9 @@
 	Endpoints []string
 	// Timeout bounds each call except watches.
 	Timeout time.Duration
+	// WatchWait bounds the wait of one call of a watch, where watches are such calls; 0
+	// means the longest that the service accepts.
+	WatchWait time.Duration
 }
 
 // StoreFactory makes a client of a key-value service.
--- a/internal/plugin/etcd/decode.go
+++ b/internal/plugin/etcd/decode.go
@@ -49,6 +49,18 @@
 	return entries, nil
 }
 
+// decodeRevision returns the revision of the service at a reply.
+func decodeRevision(body []byte) (store.Version, error) {
+	var reply rangeReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return 0, malformed(err)
+	}
+	if reply.Header.Revision <= 0 {
+		return 0, malformed(errNoVersion)
+	}
+	return store.Version(reply.Header.Revision), nil
+}
+
 func decodeRange(body []byte) ([]store.Entry, error) {
 	var reply rangeReply
 	if err := json.Unmarshal(body, &reply); err != nil {
--- a/internal/plugin/etcd/etcd.go
+++ b/internal/plugin/etcd/etcd.go
@@ -97,6 +97,20 @@
 	return entries, readError(err)
 }
 
+// ReadAll returns the entries under prefix and the revision at which they were read.
+func (c *Client) ReadAll(ctx context.Context, prefix string) ([]store.Entry, store.Version, error) {
+	body, err := c.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
+	if err != nil {
+		return nil, 0, readError(err)
+	}
+	entries, err := decodeRange(body)
+	if err != nil {
+		return nil, 0, readError(err)
+	}
+	version, err := decodeRevision(body)
+	return entries, version, readError(err)
+}
+
 // Txn applies txn where all its compares hold.
 func (c *Client) Txn(ctx context.Context, txn store.Txn) (store.TxnResult, error) {
 	body, err := c.call(ctx, "/v3/kv/txn", newTxnRequest(txn))
--- a/internal/plugin/memory/memory.go
+++ b/internal/plugin/memory/memory.go
@@ -109,6 +109,15 @@
 	return list, nil
 }
 
+// ReadAll returns the entries under prefix and the version at which they were read.
+func (s *Store) ReadAll(ctx context.Context, prefix string) ([]store.Entry, store.Version, error) {
+	s.mu.Lock()
+	version := s.version
+	s.mu.Unlock()
+	entries, err := s.List(ctx, prefix, "", 0)
+	return entries, version, err
+}
+
 // Txn applies txn where all its compares hold.
 func (s *Store) Txn(_ context.Context, txn store.Txn) (store.TxnResult, error) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/service/directory/register.go
@@ -0,0 +1,89 @@
+package directory
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"redwingloft/internal/data/store"
+)
+
+const (
+	// RegistrationLife is the life of a registration without renewal. A host that is gone
+	// leaves the address list after it.
+	RegistrationLife = 3 * time.Second
+	// renewPeriod leaves room for two lost renewals.
+	renewPeriod = time.Second
+)
+
+// registration is the state of the host's entry in the store.
+type registration struct {
+	lease store.LeaseID
+	// written is the version of the entry's last write; 0 while it is not written.
+	written store.Version
+}
+
+// Register keeps the host registered until the returned function is called.
+func (s *Service) Register(ctx context.Context) (cancel func()) {
+	var current registration
+	renew := func(time.Time) {
+		if err := s.renew(ctx, &current); err != nil && ctx.Err() == nil {
+			s.Metrics.Counter("directory.register_failures").Inc(1)
+			s.Log.Debug().Err(err).Msg("registration_failed")
+		}
+	}
+	renew(s.now())
+	return s.Timer.Every(renewPeriod, renew)
+}
+
+// renew extends the lease, and writes the entry anew where the lease has ended.
+func (s *Service) renew(ctx context.Context, current *registration) error {
+	if current.lease != 0 {
+		err := s.Store.KeepAlive(ctx, current.lease)
+		switch {
+		case store.IsErrLeaseNotFound(err):
+			current.lease = 0
+			s.Log.Info().Msg("registration_lapsed")
+		case err != nil:
+			return err
+		}
+	}
+	if current.lease == 0 {
+		lease, err := s.Store.Grant(ctx, RegistrationLife)
+		if err != nil {
+			return err
+		}
+		current.lease, current.written = lease, 0
+	}
+	if current.written != 0 {
+		return nil
+	}
+	version, err := s.writeSelf(ctx, current.lease)
+	if store.IsErrLeaseNotFound(err) {
+		current.lease = 0
+	}
+	current.written = version
+	return err
+}
+
+// writeSelf writes the host's entry. It has one writer, so that a write whose reply
+// is lost can be made again.
+func (s *Service) writeSelf(ctx context.Context, lease store.LeaseID) (store.Version, error) {
+	value, err := json.Marshal(s.Self)
+	if err != nil {
+		return 0, err
+	}
+	result, err := s.Store.Txn(ctx, store.Txn{Puts: []store.Put{{Key: s.selfKey(), Value: value, Lease: lease}}})
+	if err != nil {
+		return 0, err
+	}
+	return result.Version, nil
+}
+
+func (s *Service) selfKey() string { return s.Decoder.HostPrefix + string(s.Self.ID) }
+
+// Leave removes the host's entry.
+func (s *Service) Leave(ctx context.Context) error {
+	_, err := s.Store.Txn(ctx, store.Txn{Deletes: []string{s.selfKey()}})
+	return err
+}
--- /dev/null
+++ b/internal/service/directory/relay.go
@@ -0,0 +1,77 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"redwingloft/pkg/api"
+)
+
+// relay asks another host for a newer state while the store can't be reached.
+func (s *Service) relay(ctx context.Context) {
+	connected, since := s.Connected()
+	if s.Fetch == nil || connected || s.now().Sub(since) < relayAge {
+		return
+	}
+	peer := s.pickPeer()
+	if peer == "" {
+		return
+	}
+	dump, err := s.Fetch(ctx, peer, s.View().Version)
+	if err != nil {
+		s.Metrics.Counter("directory.relay_failures").Inc(1)
+		s.Log.Debug().Str("peer", string(peer)).Err(err).Msg("relay_failed")
+		return
+	}
+	if dump != nil {
+		s.take(peer, dump)
+	}
+}
+
+// pickPeer returns the address of a random other host, or of a seed where none is known.
+func (s *Service) pickPeer() api.Address {
+	var peers []api.Address
+	for _, host := range s.View().Hosts {
+		if host.ID != s.Self.ID && !host.Draining {
+			peers = append(peers, host.Peer)
+		}
+	}
+	if len(peers) == 0 {
+		for _, seed := range s.seeds() {
+			if seed != s.Self.Peer {
+				peers = append(peers, seed)
+			}
+		}
+	}
+	if len(peers) == 0 {
+		return ""
+	}
+	return peers[rand.IntN(len(peers))]
+}
+
+// take applies the state of another host where it is newer.
+func (s *Service) take(peer api.Address, dump *Dump) {
+	s.mu.Lock()
+	if dump.Version <= s.state.Version() {
+		s.mu.Unlock()
+		return
+	}
+	s.Log.Info().Str("peer", string(peer)).Int64("version", int64(dump.Version)).Int64("before", int64(s.state.Version())).Msg("state_relayed")
+	s.Metrics.Counter("directory.relayed").Inc(1)
+	now := s.now()
+	s.state.Replace(dump.Entries, dump.Version, now, s.lapse(now))
+	s.publish()
+}
+
+// SetSeeds replaces the addresses of hosts that may be asked before any host is known.
+func (s *Service) SetSeeds(seeds []api.Address) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Seeds = seeds
+}
+
+func (s *Service) seeds() []api.Address {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Seeds
+}
--- /dev/null
+++ b/internal/service/stage/client.go
@@ -0,0 +1,322 @@
+package stage
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/clock"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/helper/hashing"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/forward"
+	"redwingloft/pkg/api"
+)
+
+const (
+	// hostsPerGroup is the number of hosts that one scheduler gathers for. At 48 requests
+	// a second on seven hosts a scheduler used a few hundredths of a core.
+	hostsPerGroup = 16
+	// minGroupUpstreams is the least number of upstreams of a service in one group, so
+	// that the loss of one is borne by the others.
+	minGroupUpstreams = 4
+	// avoidTime is how long a host that failed as a scheduler is passed over.
+	avoidTime = 2 * time.Second
+	// maxSubmits bounds the hosts that a job is given to.
+	maxSubmits = 3
+	// releasePeriod gathers the results that are released at another host.
+	releasePeriod = 100 * time.Millisecond
+	// releaseTime bounds a call that releases results.
+	releaseTime = time.Second
+	// maxReplyBytes bounds the reply of another host.
+	maxReplyBytes = 1 << 20
+	// resultMargin is kept of the time left for the engine.
+	resultMargin = 50 * time.Millisecond
+)
+
+// Paths of the calls between hosts.
+const (
+	PathJobs    = "/v1/stage/jobs"
+	PathRelease = "/v1/stage/release"
+)
+
+// Groups returns the number of groups into which the upstreams of stages are divided.
+func Groups(view *directory.View) int {
+	groups := (len(view.Hosts) + hostsPerGroup - 1) / hostsPerGroup
+	if view.Snapshot == nil {
+		return 1
+	}
+	for _, service := range view.Snapshot.StageServices() {
+		if count := len(view.Ready(service)); count > 0 {
+			groups = min(groups, count/minGroupUpstreams)
+		}
+	}
+	return max(groups, 1)
+}
+
+// InGroup returns the upstreams of a group: of each service every n-th.
+func InGroup(view *directory.View, group int) []*fleet.Upstream {
+	var list []*fleet.Upstream
+	if view.Snapshot == nil {
+		return nil
+	}
+	groups := Groups(view)
+	for _, service := range view.Snapshot.StageServices() {
+		for i, upstream := range view.Ready(service) {
+			if i%groups == group {
+				list = append(list, upstream)
+			}
+		}
+	}
+	return list
+}
+
+// Ranked returns the hosts that may gather for a group, the first choice first. All
+// hosts that know the same hosts agree. Draining hosts come last.
+func Ranked(hosts []fleet.Host, group int) []fleet.Host {
+	ranked := append([]fleet.Host(nil), hosts...)
+	key := hashing.Of("stage/" + strconv.Itoa(group))
+	score := func(h fleet.Host) uint64 { return hashing.Score(key, hashing.Of(string(h.ID))) }
+	sort.Slice(ranked, func(i, j int) bool {
+		if ranked[i].Draining != ranked[j].Draining {
+			return ranked[j].Draining
+		}
+		return score(ranked[i]) > score(ranked[j])
+	})
+	return ranked
+}
+
+// Message is a job as one host gives it to another. Times are durations, since the
+// clocks of hosts differ.
+type Message struct {
+	Request    api.RequestID  `json:"request"`
+	Key        string         `json:"key"`
+	AimMs      int64          `json:"aim_ms"`
+	DeadlineMs int64          `json:"deadline_ms"`
+	Rank       int            `json:"rank"`
+	Home       api.DataCentre `json:"home,omitempty"`
+	Group      int            `json:"group"`
+	Stages     []Spec         `json:"stages"`
+}
+
+// Reply is the outcome of a job as one host gives it to another.
+type Reply struct {
+	Results []fleet.ResultRef `json:"results,omitempty"`
+	Home    api.DataCentre    `json:"home,omitempty"`
+	Error   *api.Error        `json:"error,omitempty"`
+}
+
+// ReleaseMessage lists results that are no longer needed.
+type ReleaseMessage struct {
+	Group   int               `json:"group"`
+	Results []fleet.ResultRef `json:"results"`
+}
+
+// Job returns the job of a message that arrived at now.
+func (m *Message) Job(now time.Time) Job {
+	return Job{
+		Request: m.Request, Key: m.Key, Rank: m.Rank, Home: m.Home, Stages: m.Stages,
+		Aim:      now.Add(time.Duration(m.AimMs) * time.Millisecond),
+		Deadline: now.Add(time.Duration(m.DeadlineMs) * time.Millisecond),
+	}
+}
+
+// Client gives the jobs of a host to the schedulers of their groups. Set the exported
+// fields before use.
+type Client struct {
+	Self    api.HostID
+	View    func() *directory.View
+	HTTP    *http.Client
+	Log     *log.Logger
+	Metrics *metric.Set
+	// Local returns this host's scheduler of a group.
+	Local func(group int) *Scheduler
+
+	mu sync.Mutex
+	// avoid maps hosts that failed to when they may be asked again.
+	avoid map[api.HostID]time.Time
+	// releases holds the results to release by host.
+	releases map[releaseKey][]fleet.ResultRef
+}
+
+type releaseKey struct {
+	peer  api.Address
+	group int
+}
+
+// Prepare runs the stages of a request.
+func (c *Client) Prepare(ctx context.Context, work *forward.Work) (*forward.Prepared, error) {
+	group := int(hashing.Of(string(work.Request.ID)) % uint64(Groups(c.View())))
+	var last error
+	for range maxSubmits {
+		host := c.pick(group)
+		message := newMessage(work, group, clock.Now())
+		if message.DeadlineMs <= 0 {
+			return nil, errLate
+		}
+		outcome, err := c.submit(ctx, host, message)
+		if err == nil {
+			return c.prepared(host, group, outcome), nil
+		}
+		if !isPeerFailure(err) || ctx.Err() != nil {
+			return nil, err
+		}
+		last = err
+		c.passOver(host, work.Request.ID, err)
+	}
+	return nil, fault.Wrap(api.KindNoUpstream, last, "no host could run the stages")
+}
+
+func newMessage(work *forward.Work, group int, now time.Time) *Message {
+	m := &Message{
+		Request: work.Request.ID, Key: work.Request.ItemKey, Rank: work.Rank, Group: group,
+		DeadlineMs: (work.Deadline.Sub(now) - resultMargin).Milliseconds(),
+		AimMs:      work.Request.Received.Add(work.Route.Objective).Sub(now).Milliseconds(),
+	}
+	for i, stage := range work.Route.Stages {
+		m.Stages = append(m.Stages, Spec{
+			Service: stage.Service, After: stage.After, ResultBytes: stage.ResultBytes, Items: work.Request.Items[i],
+		})
+	}
+	return m
+}
+
+// pick returns the host that gathers for a group; the zero host is this one.
+func (c *Client) pick(group int) fleet.Host {
+	now := clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, host := range Ranked(c.View().Hosts, group) {
+		if host.ID == c.Self {
+			return fleet.Host{}
+		}
+		if now.Before(c.avoid[host.ID]) {
+			continue
+		}
+		return host
+	}
+	return fleet.Host{}
+}
+
+// passOver notes that a host failed as a scheduler.
+func (c *Client) passOver(host fleet.Host, request api.RequestID, err error) {
+	c.Metrics.Counter("stage.host_failures").Inc(1)
+	c.Log.Warn().Str("dependency", "scheduler").Str("peer", string(host.ID)).Str("request", string(request)).Err(err).Msg("dependency_lost")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.avoid == nil {
+		c.avoid = map[api.HostID]time.Time{}
+	}
+	c.avoid[host.ID] = clock.Now().Add(avoidTime)
+}
+
+// peerError is a failure of another host, after which its job may be given to the next.
+type peerError struct{ cause error }
+
+func (e *peerError) Error() string { return fmt.Sprintf("the other host failed: %v", e.cause) }
+
+func (e *peerError) Unwrap() error { return e.cause }
+
+func isPeerFailure(err error) bool {
+	var failed *peerError
+	return errors.As(err, &failed)
+}
+
+func (c *Client) submit(ctx context.Context, host fleet.Host, message *Message) (Outcome, error) {
+	if host.ID == "" {
+		return c.Local(message.Group).Submit(ctx, message.Job(clock.Now()))
+	}
+	var reply Reply
+	if err := c.post(ctx, host.Peer, PathJobs, message, &reply); err != nil {
+		return Outcome{}, err
+	}
+	if reply.Error != nil {
+		return Outcome{}, fault.FromAPI(reply.Error)
+	}
+	return Outcome{Results: reply.Results, Home: reply.Home}, nil
+}
+
+// post sends a message to another host.
+func (c *Client) post(ctx context.Context, peer api.Address, path string, message, reply any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return fault.Wrap(api.KindInternal, err, "encode a message")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(peer)+path, bytes.NewReader(body))
+	if err != nil {
+		return fault.Wrap(api.KindInternal, err, "address a message")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.HTTP.Do(request)
+	if err != nil {
+		return &peerError{err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return &peerError{err}
+	}
+	if response.StatusCode != http.StatusOK {
+		return &peerError{fmt.Errorf("status %d", response.StatusCode)}
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return &peerError{err}
+	}
+	return nil
+}
+
+// prepared returns the outcome with the call that releases it.
+func (c *Client) prepared(host fleet.Host, group int, outcome Outcome) *forward.Prepared {
+	var once sync.Once
+	release := func() {
+		once.Do(func() { c.release(host, group, outcome.Results) })
+	}
+	return &forward.Prepared{Inputs: outcome.Results, Home: outcome.Home, Release: release}
+}
+
+func (c *Client) release(host fleet.Host, group int, results []fleet.ResultRef) {
+	if host.ID == "" {
+		c.Local(group).Release(results)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.releases == nil {
+		c.releases = map[releaseKey][]fleet.ResultRef{}
+	}
+	key := releaseKey{host.Peer, group}
+	if len(c.releases[key]) == 0 {
+		time.AfterFunc(releasePeriod, func() { c.flush(key) })
+	}
+	c.releases[key] = append(c.releases[key], results...)
+}
+
+// flush sends the results that are released at a host. A lost message costs room until
+// the results end by themselves.
+func (c *Client) flush(key releaseKey) {
+	c.mu.Lock()
+	results := c.releases[key]
+	delete(c.releases, key)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+	defer cancel()
+	if err := c.post(ctx, key.peer, PathRelease, ReleaseMessage{key.group, results}, nil); err != nil {
+		c.Metrics.Counter("stage.release_failures").Inc(1)
+		c.Log.Debug().Str("peer", string(key.peer)).Int("results", len(results)).Err(err).Msg("release_failed")
+	}
+}
--- /dev/null
+++ b/internal/service/stage/job.go
@@ -0,0 +1,177 @@
+// Package stage runs the preparatory stages of requests. One host gathers the items of
+// many requests for a group of upstreams, so that each call carries many of them; every
+// host knows from the list of hosts which one that is.
+package stage
+
+import (
+	"time"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/pkg/api"
+)
+
+// Job is the stage work of one request.
+type Job struct {
+	Request api.RequestID
+	// Key names the content that items of first stages are made from.
+	Key string
+	// Aim is when the results should be ready, Deadline when they are of no use any more.
+	Aim      time.Time
+	Deadline time.Time
+	// Rank is the urgency, 0 first.
+	Rank int
+	// Home is the data centre of the likely consumer; empty where none is known.
+	Home   api.DataCentre
+	Stages []Spec
+}
+
+// Spec is one stage of a job.
+type Spec struct {
+	Service     api.ServiceName `json:"service"`
+	After       []int           `json:"after,omitempty"`
+	ResultBytes int64           `json:"result_bytes"`
+	// Items is the number of items; 0 omits the stage.
+	Items int `json:"items"`
+}
+
+// Outcome is what a finished job yields.
+type Outcome struct {
+	// Results holds the results of the stages that no other stage follows, in order.
+	Results []fleet.ResultRef
+	// Home is the data centre that holds most of their bytes; empty where there is none.
+	Home api.DataCentre
+}
+
+// phase is the state of an item.
+type phase string
+
+// The phases.
+const (
+	// phaseBlocked items wait for the results of other stages.
+	phaseBlocked phase = "blocked"
+	phaseQueued  phase = "queued"
+	phaseRunning phase = "running"
+	phaseDone    phase = "done"
+)
+
+// item is one item of a job.
+type item struct {
+	job   *jobState
+	stage int
+	index int
+	phase phase
+	// result is set in phaseDone.
+	result fleet.ResultRef
+	maker  *worker
+	// tries counts the calls that the item was part of.
+	tries int
+	// running counts the calls that the item is part of now; more than one after a hedge.
+	running int
+}
+
+// stageState is one stage of a job in progress.
+type stageState struct {
+	Spec
+	items []*item
+	// left counts the items that are not done.
+	left int
+	// consumers holds the indexes of the stages that need this one and are not omitted.
+	consumers []int
+}
+
+// jobState is a job in progress.
+type jobState struct {
+	Job
+	stages []stageState
+	// left counts the items of all stages that are not done.
+	left int
+	// finished is called once.
+	finished func(Outcome, error)
+	ended    bool
+	began    time.Time
+}
+
+// newJob returns the state of a job whose first items are queued.
+func newJob(job Job, now time.Time, finished func(Outcome, error)) *jobState {
+	j := &jobState{Job: job, finished: finished, began: now, stages: make([]stageState, len(job.Stages))}
+	for i, spec := range job.Stages {
+		j.stages[i] = stageState{Spec: spec, left: spec.Items}
+		j.left += spec.Items
+		for index := range spec.Items {
+			j.stages[i].items = append(j.stages[i].items, &item{job: j, stage: i, index: index, phase: phaseBlocked})
+		}
+	}
+	for i, spec := range job.Stages {
+		for _, before := range spec.After {
+			if spec.Items > 0 && before >= 0 && before < len(j.stages) {
+				j.stages[before].consumers = append(j.stages[before].consumers, i)
+			}
+		}
+	}
+	return j
+}
+
+// ready reports whether all stages that a stage needs are done.
+func (j *jobState) ready(stage int) bool {
+	for _, before := range j.stages[stage].After {
+		if j.stages[before].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// terminal reports whether no stage of the route follows a stage.
+func (j *jobState) terminal(stage int) bool {
+	for _, spec := range j.Stages {
+		for _, before := range spec.After {
+			if before == stage {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// consumed reports whether all stages that need a stage are done.
+func (j *jobState) consumed(stage int) bool {
+	for _, consumer := range j.stages[stage].consumers {
+		if j.stages[consumer].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// inputs returns the results that an item of a stage needs.
+func (j *jobState) inputs(stage int) []fleet.ResultRef {
+	var results []fleet.ResultRef
+	for _, before := range j.stages[stage].After {
+		for _, made := range j.stages[before].items {
+			results = append(results, made.result)
+		}
+	}
+	return results
+}
+
+// outcome returns the results of a job whose items are all done.
+func (j *jobState) outcome() Outcome {
+	var o Outcome
+	bytes := map[api.DataCentre]int64{}
+	for i := range j.stages {
+		if !j.terminal(i) {
+			continue
+		}
+		for _, made := range j.stages[i].items {
+			o.Results = append(o.Results, made.result)
+			bytes[made.maker.upstream.DataCentre] += j.stages[i].ResultBytes
+		}
+	}
+	var most int64
+	for centre, size := range bytes {
+		if size > most || (size == most && centre < o.Home) {
+			o.Home, most = centre, size
+		}
+	}
+	return o
+}
--- /dev/null
+++ b/internal/service/stage/scheduler.go
@@ -0,0 +1,307 @@
+package stage
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/clock"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/forward"
+	"redwingloft/pkg/api"
+)
+
+const (
+	// maxCallTime bounds one call, queued calls of other hosts before it included.
+	maxCallTime = 8 * time.Second
+	// freeTime bounds a call that frees results.
+	freeTime = time.Second
+	// freePeriod spaces the calls that free results at upstreams without other calls.
+	freePeriod = 250 * time.Millisecond
+	// wakeSlack is added to the end of a cooldown, so that the upstream is usable at the wake.
+	wakeSlack = time.Millisecond
+	// admissionShare is the part of the time left that the foreseen wait may take. A
+	// request that is not expected to be ready by then is refused at once.
+	admissionShare = 0.95
+)
+
+var (
+	errLate   = fault.New(api.KindDeadlineUnreachable, "the stages could not be run in time")
+	errFailed = fault.New(api.KindNoUpstream, "a stage failed too often")
+)
+
+// Codec translates stage calls.
+type Codec struct {
+	RunPath       string
+	FreePath      string
+	EncodeItems   func(items []fleet.Item) ([]byte, error)
+	DecodeResults func(data []byte, count int) ([]fleet.ItemResult, error)
+	EncodeFree    func(results []fleet.ResultRef) ([]byte, error)
+}
+
+// Scheduler gathers the items of many requests and calls the upstreams. Set the
+// exported fields before use.
+type Scheduler struct {
+	Pool    *forward.Pool
+	Forward *forward.Codec
+	Codec   Codec
+	Budget  *forward.Budget
+	Log     *log.Logger
+	Metrics *metric.Set
+	// Upstreams returns the upstreams that belong to this scheduler.
+	Upstreams func(*directory.View) []*fleet.Upstream
+	View      func() *directory.View
+
+	mu   sync.Mutex
+	plan *plan
+	// used is the view that the plan knows.
+	used *directory.View
+	// wakeAt is the time of the next wake-up for an upstream in cooldown; zero where there is none.
+	wakeAt time.Time
+}
+
+// Submit runs a job and returns its outcome. The end of ctx drops what has not begun.
+func (s *Scheduler) Submit(ctx context.Context, job Job) (Outcome, error) {
+	type ended struct {
+		outcome Outcome
+		err     error
+	}
+	done := make(chan ended, 1)
+	now := clock.Now()
+	s.mu.Lock()
+	s.refresh()
+	if err := s.admit(&job, now); err != nil {
+		s.mu.Unlock()
+		return Outcome{}, err
+	}
+	if old := s.plan.jobs[job.Request]; old != nil {
+		s.plan.fail(old, fault.New(api.KindCallerGone, "the job was submitted anew"))
+	}
+	for _, spec := range job.Stages {
+		for range spec.Items {
+			s.Budget.First(spec.Service, now)
+		}
+	}
+	state := s.plan.submit(job, now, func(o Outcome, err error) { done <- ended{o, err} })
+	calls := s.plan.dispatch(now)
+	s.mu.Unlock()
+	s.launch(calls)
+	select {
+	case end := <-done:
+		s.Metrics.Histogram("stage.job").Update(clock.Now().Sub(now).Milliseconds())
+		return end.outcome, end.err
+	case <-ctx.Done():
+		s.mu.Lock()
+		s.plan.end(state, nil)
+		s.mu.Unlock()
+		return Outcome{}, ctx.Err()
+	}
+}
+
+// admit refuses a job whose stages can't be done before its deadline. The caller holds mu.
+func (s *Scheduler) admit(job *Job, now time.Time) error {
+	wait, served := s.plan.wait(job, now)
+	if !served {
+		return fault.RetryAfter(fault.New(api.KindNoUpstream, "no upstream of a stage is ready"), freePeriod)
+	}
+	left := job.Deadline.Sub(now)
+	if float64(wait) <= admissionShare*float64(left) {
+		return nil
+	}
+	s.Metrics.Counter("stage.refused").Inc(1)
+	err := fault.New(api.KindDeadlineUnreachable, "the stages need %s, %s are left", wait.Round(time.Millisecond), left.Round(time.Millisecond))
+	return fault.RetryAfter(err, wait-left+freePeriod)
+}
+
+// refresh takes the newest view into the plan. The caller holds mu.
+func (s *Scheduler) refresh() {
+	view := s.View()
+	if s.plan == nil {
+		s.plan = newPlan()
+	}
+	if view == s.used || view.Snapshot == nil {
+		return
+	}
+	s.used = view
+	s.plan.setUpstreams(s.Upstreams(view), view.Snapshot.Services)
+}
+
+// Changed takes a new view where jobs are in progress.
+func (s *Scheduler) Changed() {
+	s.mu.Lock()
+	if s.plan == nil || len(s.plan.jobs) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	s.refresh()
+	calls := s.plan.dispatch(clock.Now())
+	s.mu.Unlock()
+	s.launch(calls)
+}
+
+// Release notes that results are no longer needed.
+func (s *Scheduler) Release(results []fleet.ResultRef) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.plan == nil {
+		return
+	}
+	for _, w := range s.plan.workers {
+		for _, result := range results {
+			s.plan.release(w, result)
+		}
+	}
+}
+
+// launch makes calls.
+func (s *Scheduler) launch(calls []*Call) {
+	for _, call := range calls {
+		go s.run(call)
+	}
+}
+
+// run makes one call and applies its end.
+func (s *Scheduler) run(call *Call) {
+	if len(call.Free) > 0 {
+		go s.free(call.Upstream(), call.Free)
+	}
+	straggler := time.AfterFunc(call.Straggles(), func() { s.hedge(call) })
+	results, failure, err := s.call(call)
+	straggler.Stop()
+	now := clock.Now()
+	took := now.Sub(call.Began)
+	s.Metrics.Counter("stage.calls").Inc(1)
+	s.Metrics.Histogram("stage.items").Update(int64(len(call.Items)))
+	s.Metrics.Histogram("stage.call").Update(took.Milliseconds())
+	s.mu.Lock()
+	s.refresh()
+	s.plan.complete(call, results, failure, now, s.mayRetry)
+	calls := s.plan.dispatch(now)
+	s.wakeLater(now)
+	s.mu.Unlock()
+	if failure != FailureNone {
+		s.Metrics.Counter("stage.failures." + string(failure)).Inc(1)
+		s.Log.Info().Str("upstream", string(call.Upstream().ID)).Str("request", string(call.Items[0].Request)).Int("items", len(call.Items)).
+			Str("failure", string(failure)).Int64("took_ms", took.Milliseconds()).Err(err).Msg("stage_call_failed")
+	}
+	s.launch(calls)
+}
+
+// call sends the items and reads the results.
+func (s *Scheduler) call(call *Call) ([]fleet.ItemResult, Failure, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxCallTime)
+	defer cancel()
+	body, err := s.Codec.EncodeItems(call.Items)
+	if err != nil {
+		return nil, FailureLost, err
+	}
+	answer, err := s.Pool.Call(ctx, s.Forward, call.Upstream(), s.Codec.RunPath, body, false)
+	switch {
+	case err != nil && forward.NotSent(err):
+		return nil, FailureUnreachable, err
+	case err != nil:
+		return nil, FailureLost, err
+	case answer.Reply.OtherUpstream:
+		return nil, FailureMoved, nil
+	case answer.Reply.NotRun:
+		return nil, FailureFull, nil
+	case answer.Status != http.StatusOK:
+		return nil, FailureLost, fault.New(api.KindStageFailed, "the upstream answered %d", answer.Status)
+	}
+	results, err := s.Codec.DecodeResults(answer.Body, len(call.Items))
+	if err != nil {
+		return nil, FailureLost, err
+	}
+	return results, FailureNone, nil
+}
+
+func (s *Scheduler) mayRetry(service api.ServiceName, count int) bool {
+	s.Metrics.Counter("stage.repeats").Inc(int64(count))
+	return s.Budget.Take(service, count, clock.Now())
+}
+
+// hedge gives the items of a call that straggles to other upstreams too.
+func (s *Scheduler) hedge(call *Call) {
+	s.mu.Lock()
+	count := s.plan.hedge(call, s.mayRetry)
+	calls := s.plan.dispatch(clock.Now())
+	s.mu.Unlock()
+	s.Log.Info().Str("upstream", string(call.Upstream().ID)).Str("request", string(call.Items[0].Request)).Int("items", len(call.Items)).
+		Int("repeated", count).Int64("expected_ms", call.Expected.Milliseconds()).Msg("stage_call_straggles")
+	s.launch(calls)
+}
+
+// wakeLater dispatches again at the end of the next cooldown. The caller holds mu.
+func (s *Scheduler) wakeLater(now time.Time) {
+	var next time.Time
+	for _, w := range s.plan.workers {
+		if !w.gone && now.Before(w.until) && (next.IsZero() || w.until.Before(next)) {
+			next = w.until
+		}
+	}
+	if next.IsZero() || (now.Before(s.wakeAt) && !next.Before(s.wakeAt)) {
+		return
+	}
+	s.wakeAt = next
+	time.AfterFunc(next.Sub(now)+wakeSlack, s.wake)
+}
+
+func (s *Scheduler) wake() {
+	s.mu.Lock()
+	now := clock.Now()
+	s.refresh()
+	calls := s.plan.dispatch(now)
+	s.wakeLater(now)
+	s.mu.Unlock()
+	s.launch(calls)
+}
+
+// Sweep frees released results at upstreams that get no other call, and looks for
+// upstreams that may be probed.
+func (s *Scheduler) Sweep(time.Time) {
+	s.mu.Lock()
+	if s.plan == nil {
+		s.mu.Unlock()
+		return
+	}
+	type batch struct {
+		upstream *fleet.Upstream
+		results  []fleet.ResultRef
+	}
+	var batches []batch
+	for _, w := range s.plan.workers {
+		if len(w.freeing) > 0 && !w.gone {
+			batches = append(batches, batch{w.upstream, w.freeing})
+			w.freeing = nil
+		}
+	}
+	calls := s.plan.dispatch(clock.Now())
+	s.mu.Unlock()
+	for _, b := range batches {
+		go s.free(b.upstream, b.results)
+	}
+	s.launch(calls)
+}
+
+// FreePeriod is the time between two calls of Sweep.
+const FreePeriod = freePeriod
+
+// free frees results at their upstream. A lost call costs room until the results end by themselves.
+func (s *Scheduler) free(upstream *fleet.Upstream, results []fleet.ResultRef) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTime)
+	defer cancel()
+	body, err := s.Codec.EncodeFree(results)
+	if err == nil {
+		_, err = s.Pool.Call(ctx, s.Forward, upstream, s.Codec.FreePath, body, true)
+	}
+	if err != nil {
+		s.Metrics.Counter("stage.free_failures").Inc(1)
+		s.Log.Debug().Str("upstream", string(upstream.ID)).Int("results", len(results)).Err(err).Msg("results_not_freed")
+	}
+}
--- /dev/null
+++ b/internal/service/stage/worker.go
@@ -0,0 +1,124 @@
+package stage
+
+import (
+	"time"
+
+	"redwingloft/internal/data/fleet"
+)
+
+const (
+	// speedWeight is the weight of one more call in the speed of an upstream.
+	speedWeight = 0.35
+	// slowSpeed is the speed from which an upstream counts as slow: its items are only
+	// worth their wait where the others have a longer backlog.
+	slowSpeed = 2.0
+	// probeAfter is when a slow upstream gets a call again, to see whether it recovered.
+	probeAfter = 2 * time.Second
+	// firstCooldown and lastCooldown bound how long an upstream that failed is left alone.
+	firstCooldown = 300 * time.Millisecond
+	lastCooldown  = 3 * time.Second
+	// fullCooldown is how long an upstream that was full is left alone: a call of another
+	// host runs there.
+	fullCooldown = 80 * time.Millisecond
+	// lifeMargin is taken off the life of a result for the way to its consumer.
+	lifeMargin = 700 * time.Millisecond
+)
+
+// worker is an upstream that runs stages, with what the scheduler knows of it.
+type worker struct {
+	upstream *fleet.Upstream
+	limits   *fleet.Batching
+	// calls are the running calls.
+	calls map[*Call]struct{}
+	// speed is the mean of the real durations of calls over the expected ones; 1 at first.
+	speed float64
+	// lastCall is when the last call began.
+	lastCall time.Time
+	// until is the end of the cooldown after a failure.
+	until    time.Time
+	failures int
+	// held maps the results at the upstream to their size and end.
+	held map[fleet.ResultRef]heldResult
+	// heldBytes is the sum over held, reserved that of the running calls.
+	heldBytes int64
+	reserved  int64
+	// freeing holds results that may be freed at the upstream with the next call.
+	freeing []fleet.ResultRef
+	gone    bool
+}
+
+type heldResult struct {
+	bytes int64
+	until time.Time
+}
+
+func newWorker(upstream *fleet.Upstream, limits *fleet.Batching) *worker {
+	return &worker{
+		upstream: upstream, limits: limits, calls: map[*Call]struct{}{}, speed: 1, held: map[fleet.ResultRef]heldResult{},
+	}
+}
+
+// expected returns the duration of a call of count items.
+func (w *worker) expected(count int) time.Duration {
+	return time.Duration(w.speed * float64(w.limits.CallTime+time.Duration(count)*w.limits.ItemTime))
+}
+
+// idle reports whether the upstream can take a call now.
+func (w *worker) idle(now time.Time) bool {
+	return !w.gone && len(w.calls) < w.limits.Concurrent && !now.Before(w.until)
+}
+
+// usable reports whether the upstream counts towards the capacity.
+func (w *worker) usable(now time.Time) bool { return !w.gone && !now.Before(w.until) }
+
+// rate returns the items per second at full calls.
+func (w *worker) rate() float64 {
+	return float64(w.limits.Concurrent*w.limits.MaxItems) / w.expected(w.limits.MaxItems).Seconds()
+}
+
+// room returns the bytes that are free for results.
+func (w *worker) room(now time.Time) int64 {
+	for result, held := range w.held {
+		if !now.Before(held.until) {
+			w.forget(result)
+		}
+	}
+	return w.limits.ResultBytes - w.heldBytes - w.reserved
+}
+
+func (w *worker) hold(result fleet.ResultRef, bytes int64, now time.Time) {
+	w.held[result] = heldResult{bytes, now.Add(w.limits.ResultLife)}
+	w.heldBytes += bytes
+}
+
+// forget removes a result from the account.
+func (w *worker) forget(result fleet.ResultRef) bool {
+	held, found := w.held[result]
+	if found {
+		delete(w.held, result)
+		w.heldBytes -= held.bytes
+	}
+	return found
+}
+
+// lives reports whether a result is kept long enough to be used.
+func (w *worker) lives(result fleet.ResultRef, now time.Time) bool {
+	held, found := w.held[result]
+	return found && !w.gone && now.Add(lifeMargin).Before(held.until)
+}
+
+// measured notes the duration of a call.
+func (w *worker) measured(call *Call, took time.Duration) {
+	nominal := w.limits.CallTime + time.Duration(len(call.items))*w.limits.ItemTime
+	if nominal <= 0 {
+		return
+	}
+	w.speed += speedWeight * (float64(took)/float64(nominal) - w.speed)
+	w.failures = 0
+}
+
+// failed notes a call without an answer.
+func (w *worker) failed(now time.Time) {
+	w.until = now.Add(min(firstCooldown<<min(w.failures, 8), lastCooldown))
+	w.failures++
+}
