--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -44,8 +44,8 @@
 	Prefix  string
 	Decoder Decoder
 	Timer   *timer.Service
-	Log      *log.Logger
-	Metrics  *metric.Set
+	Log     *log.Logger
+	Metrics *metric.Set
 	// Clock returns the current time, suspended time included; nil means time.Now.
 	Clock func() time.Time
 	// Fetch asks another host for a state newer than version; it returns nil entries
--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -76,7 +76,7 @@
 
 // start sends an attempt and reads the head of its answer. The end of ctx closes the connection.
 func (p *Pool) start(ctx context.Context, codec *Codec, a *fleet.Attempt, reuse bool) (*exchange, error) {
-	c, err := p.Open(ctx, a.Upstream, reuse)
+	c, err := p.open(ctx, a.Upstream, reuse)
 	if err != nil {
 		return nil, &attemptError{SentNothing, err}
 	}
@@ -181,7 +181,7 @@
 // status and body. Its answer names no request, so that a late extra answer on a kept
 // connection could be taken for it: only calls whose answers do not matter may reuse one.
 func (p *Pool) Call(ctx context.Context, codec *Codec, upstream *fleet.Upstream, path string, body []byte, reuse bool) (*CallAnswer, error) {
-	c, err := p.Open(ctx, upstream, reuse)
+	c, err := p.open(ctx, upstream, reuse)
 	if err != nil {
 		return nil, &attemptError{SentNothing, err}
 	}
--- a/internal/service/forward/pool.go
+++ b/internal/service/forward/pool.go
@@ -56,8 +56,8 @@
 	used bool
 }
 
-// Open returns a connection to an upstream, an idle one only where reuse is true.
-func (p *Pool) Open(ctx context.Context, upstream *fleet.Upstream, reuse bool) (*conn, error) {
+// open returns a connection to an upstream, an idle one only where reuse is true.
+func (p *Pool) open(ctx context.Context, upstream *fleet.Upstream, reuse bool) (*conn, error) {
 	if reuse {
 		if kept := p.take(endpointOf(upstream)); kept != nil {
 			return kept, nil
