Forecast the stages of new jobs; count room until the upstream was told

Results that were released counted as free before the upstream knew; inputs ended while their consumer waited; new jobs were admitted by the present queue of each stage alone. Change: released results keep their room until the call that frees them is answered; inputs that end soon are made again first; a new job is admitted where all known work leaves it time; late jobs go last; large results are made in the data centre of the engine that the prompt's prefix names.

--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -66,6 +66,22 @@
 	})
 }
 
+// PrefixHome returns the data centre of the engine that a request's prefix names, as
+// far as it can be reached; empty where there is none.
+func PrefixHome(candidates []Candidate, request *fleet.Request, now time.Time) api.DataCentre {
+	prefix, _ := sharedPrefix(request)
+	owner := ownerOf(candidates, prefix)
+	if owner == nil {
+		return ""
+	}
+	for i := range candidates {
+		if candidates[i].Upstream == owner && now.Before(candidates[i].Health.Until) {
+			return ""
+		}
+	}
+	return owner.DataCentre
+}
+
 // sharedPrefix returns the id of the longest prefix that other requests share, and its tokens. The last part belongs to the request itself.
 func sharedPrefix(request *fleet.Request) (string, int) {
 	if len(request.Prompt) < 2 {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -33,6 +33,8 @@
 	Snapshot *fleet.Snapshot
 	// Rank is the urgency, 0 first.
 	Rank int
+	// Home is the data centre of the engine that the prompt's prefix names.
+	Home api.DataCentre
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 }
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -85,6 +85,7 @@
 	}
 	prepared, err := c.Prepare(ctx, &Work{
 		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Deadline: c.deadline,
+		Home: PrefixHome(c.candidates(), c.request, clock.Now()),
 	})
 	c.prepared = clock.Now().Sub(c.request.Received)
 	return prepared, err
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -181,7 +181,7 @@
 
 func newMessage(work *forward.Work, group int, now time.Time) *Message {
 	m := &Message{
-		Request: work.Request.ID, Key: work.Request.ItemKey, Rank: work.Rank, Group: group,
+		Request: work.Request.ID, Key: work.Request.ItemKey, Rank: work.Rank, Group: group, Home: work.Home,
 		DeadlineMs: (work.Deadline.Sub(now) - resultMargin).Milliseconds(),
 		AimMs:      work.Request.Received.Add(work.Route.Objective).Sub(now).Milliseconds(),
 	}
--- a/internal/service/stage/job.go
+++ b/internal/service/stage/job.go
@@ -60,6 +60,8 @@
 	stage int
 	index int
 	phase phase
+	// queued is when the item was queued last.
+	queued time.Time
 	// result is set in phaseDone.
 	result fleet.ResultRef
 	maker  *worker
@@ -154,6 +156,18 @@
 	return results
 }
 
+// inputsLive reports whether the inputs of a stage live until a call that begins now has fetched them.
+func (j *jobState) inputsLive(stage int, now time.Time) bool {
+	for _, before := range j.stages[stage].After {
+		for _, made := range j.stages[before].items {
+			if made.phase != phaseDone || !made.maker.lives(made.result, now) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // outcome returns the results of a job whose items are all done.
 func (j *jobState) outcome() Outcome {
 	var o Outcome
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -12,9 +12,14 @@
 const (
 	// maxTries bounds the calls that one item may be part of.
 	maxTries = 4
-	// lastChance is the time before the latest useful start from which a late item goes
-	// before those that can still make their aim, so that it is served at all.
-	lastChance = 400 * time.Millisecond
+	// largeResult is the size from which a result is made in the data centre of its
+	// consumer where that costs no more than homeWait.
+	largeResult = 256 << 10
+	// homeWait is how long an item with a large result waits for an upstream there.
+	homeWait = 150 * time.Millisecond
+	// lateShare is the part of the time left that the forecast of a late job may take.
+	// New jobs that can make their aim go before it, so that the forecast is a lower bound.
+	lateShare = 0.5
 	// consumerTime is the time that an engine needs from the results to the first event.
 	consumerTime = 250 * time.Millisecond
 	// stragglerFactor and stragglerSlack bound a call, as a multiple of its expected
@@ -27,9 +32,7 @@
 type Call struct {
 	Worker *worker
 	Items  []fleet.Item
-	// Free holds results that are freed with the call.
-	Free  []fleet.ResultRef
-	Began time.Time
+	Began  time.Time
 	// Expected is the expected duration.
 	Expected time.Duration
 
@@ -56,11 +59,13 @@
 	jobs    map[api.RequestID]*jobState
 	queues  map[api.ServiceName][]*item
 	workers map[fleet.Incarnation]*worker
+	// retry reports whether one more item of a service may be sent again, and takes it from the budget.
+	retry func(api.ServiceName) bool
 }
 
-func newPlan() *plan {
+func newPlan(retry func(api.ServiceName) bool) *plan {
 	return &plan{
-		jobs: map[api.RequestID]*jobState{}, queues: map[api.ServiceName][]*item{}, workers: map[fleet.Incarnation]*worker{},
+		retry: retry, jobs: map[api.RequestID]*jobState{}, queues: map[api.ServiceName][]*item{}, workers: map[fleet.Incarnation]*worker{},
 	}
 }
 
@@ -96,26 +101,26 @@
 func (p *plan) submit(job Job, now time.Time, finished func(Outcome, error)) *jobState {
 	j := newJob(job, now, finished)
 	p.jobs[job.Request] = j
-	p.unblock(j)
+	p.unblock(j, now)
 	return j
 }
 
 // unblock queues the items of the stages whose inputs are all made.
-func (p *plan) unblock(j *jobState) {
+func (p *plan) unblock(j *jobState, now time.Time) {
 	for i := range j.stages {
 		if !j.ready(i) {
 			continue
 		}
 		for _, it := range j.stages[i].items {
 			if it.phase == phaseBlocked {
-				p.enqueue(it)
+				p.enqueue(it, now)
 			}
 		}
 	}
 }
 
-func (p *plan) enqueue(it *item) {
-	it.phase = phaseQueued
+func (p *plan) enqueue(it *item, now time.Time) {
+	it.phase, it.queued = phaseQueued, now
 	service := it.job.stages[it.stage].Service
 	p.queues[service] = append(p.queues[service], it)
 }
@@ -140,8 +145,40 @@
 
 // release notes that a result is no longer needed.
 func (p *plan) release(w *worker, result fleet.ResultRef) {
-	if w != nil && w.forget(result) && !w.gone {
-		w.freeing = append(w.freeing, result)
+	if w != nil {
+		w.release(result)
+	}
+}
+
+// Free is one call that frees results.
+type Free struct {
+	Worker  *worker
+	Results []fleet.ResultRef
+}
+
+// frees returns the calls that free results now: at crowded upstreams at once, at the
+// others where all is true.
+func (p *plan) frees(all bool) []*Free {
+	var list []*Free
+	for _, w := range p.workers {
+		if len(w.freeing) == 0 || w.telling || (!all && !w.crowded()) {
+			continue
+		}
+		list = append(list, &Free{w, w.freeing})
+		w.freeing, w.telling = nil, true
+	}
+	return list
+}
+
+// freed notes the end of a call that frees results. After a lost call they take room
+// until they end by themselves.
+func (p *plan) freed(f *Free, told bool) {
+	f.Worker.telling = false
+	if !told {
+		return
+	}
+	for _, result := range f.Results {
+		f.Worker.forget(result)
 	}
 }
 
@@ -173,8 +210,8 @@
 	return sum / time.Duration(count)
 }
 
-// urgency orders items: first those that can still make their aim and those whose last
-// chance has come, then the late ones.
+// urgency orders items: first those that can still make their aim, then the late ones.
+// A late job that went before would make another one late too.
 type urgency struct {
 	late bool
 	rank int
@@ -185,11 +222,8 @@
 	j := it.job
 	tail := p.tail(j, it.stage)
 	aim, last := j.Aim.Add(-tail), j.Deadline.Add(-tail)
-	switch {
-	case !now.After(aim):
+	if !now.After(aim) {
 		return urgency{false, j.Rank, aim}
-	case !now.Before(last.Add(-lastChance)):
-		return urgency{false, j.Rank, last}
 	}
 	return urgency{true, j.Rank, last}
 }
@@ -219,24 +253,37 @@
 			continue
 		}
 		queue = p.sorted(queue, now)
-		for _, w := range idle {
-			if len(queue) == 0 {
-				break
-			}
-			if p.tooSlow(w, len(queue), now) {
-				continue
-			}
-			var call *Call
-			call, queue = p.fill(w, queue, now)
-			if call != nil {
-				calls = append(calls, call)
+		p.queues[service] = nil
+		// Inputs that are made again may come from the same service.
+		queue = p.alive(queue, now)
+		p.queues[service] = append(queue, p.queues[service]...)
+		for _, home := range []bool{true, false} {
+			for _, w := range idle {
+				if len(p.queues[service]) == 0 || !w.idle(now) || p.tooSlow(w, len(queue), now) {
+					continue
+				}
+				if call := p.fill(w, service, home, now); call != nil {
+					calls = append(calls, call)
+				}
 			}
 		}
-		p.queues[service] = queue
 	}
 	return calls
 }
 
+// alive returns the items whose inputs live long enough; the inputs of the others are made again.
+func (p *plan) alive(queue []*item, now time.Time) []*item {
+	kept := queue[:0]
+	for _, it := range queue {
+		if it.job.inputsLive(it.stage, now) {
+			kept = append(kept, it)
+		} else {
+			p.remake(it, false, now)
+		}
+	}
+	return slices.DeleteFunc(kept, func(it *item) bool { return it.job.ended || it.phase != phaseQueued })
+}
+
 // idleWorkers returns the upstreams of a service that can take a call, the fastest first.
 func (p *plan) idleWorkers(service api.ServiceName, now time.Time) []*worker {
 	var idle []*worker
@@ -290,19 +337,25 @@
 	return items
 }
 
-// fill takes items for one call and returns the rest of the queue. The call is nil
-// where the upstream has no room for any result.
-func (p *plan) fill(w *worker, queue []*item, now time.Time) (*Call, []*item) {
+// fill takes items of a queue for one call. Where home is true, the call begins with an
+// item whose large result belongs to the data centre of the upstream; else it takes
+// whatever waits, except items that have not yet waited long for such an upstream. It
+// returns nil where there is none, or no room for a result.
+func (p *plan) fill(w *worker, service api.ServiceName, home bool, now time.Time) *Call {
 	call := &Call{Worker: w, Began: now}
 	room := w.room(now)
 	limit := w.limits.MaxItems
 	if w.speed >= slowSpeed && now.Sub(w.lastCall) >= probeAfter {
 		limit = 1
 	}
+	queue := p.queues[service]
+	if home && !slices.ContainsFunc(queue, func(it *item) bool { return it.wants(w) }) {
+		return nil
+	}
 	rest := make([]*item, 0, len(queue))
 	for _, it := range queue {
 		bytes := it.job.stages[it.stage].ResultBytes
-		if len(call.items) == limit || call.reserved+bytes > room {
+		if len(call.items) == limit || call.reserved+bytes > room || p.waitsForHome(it, w, service, now) {
 			rest = append(rest, it)
 			continue
 		}
@@ -310,8 +363,9 @@
 		call.reserved += bytes
 	}
 	if len(call.items) == 0 {
-		return nil, queue
+		return nil
 	}
+	p.queues[service] = rest
 	for _, it := range call.items {
 		it.phase = phaseRunning
 		it.tries++
@@ -321,12 +375,34 @@
 	w.calls[call] = struct{}{}
 	w.reserved += call.reserved
 	w.lastCall = now
-	call.Free, w.freeing = w.freeing, nil
 	call.Expected = w.expected(len(call.items))
-	return call, rest
+	return call
+}
+
+// wants reports whether a large result of the item belongs to the data centre of an upstream.
+func (it *item) wants(w *worker) bool {
+	return it.job.Home == w.upstream.DataCentre && it.job.stages[it.stage].ResultBytes >= largeResult
+}
+
+// waitsForHome reports whether an item is better kept for an upstream in the data
+// centre of its consumer: it has a large result, time, and there is such an upstream.
+func (p *plan) waitsForHome(it *item, w *worker, service api.ServiceName, now time.Time) bool {
+	j := it.job
+	if j.Home == "" || it.wants(w) || j.stages[it.stage].ResultBytes < largeResult || now.Sub(it.queued) >= homeWait {
+		return false
+	}
+	if now.Add(homeWait + p.tail(j, it.stage)).After(j.Aim) {
+		return false
+	}
+	for _, other := range p.workers {
+		if other.upstream.Service == service && it.wants(other) && other.usable(now) && other.speed < slowSpeed {
+			return true
+		}
+	}
+	return false
 }
 
-// wire returns an item as it is sent. An input that will not live to the call is made again first.
+// wire returns an item as it is sent.
 func (p *plan) wire(it *item, now time.Time) fleet.Item {
 	j := it.job
 	sent := fleet.Item{
@@ -357,9 +433,8 @@
 	FailureMoved Failure = "moved"
 )
 
-// complete applies the end of a call. Retry tells whether count more items of a service
-// may be sent again. It returns the jobs that ended.
-func (p *plan) complete(call *Call, results []fleet.ItemResult, failure Failure, now time.Time, retry func(api.ServiceName, int) bool) {
+// complete applies the end of a call.
+func (p *plan) complete(call *Call, results []fleet.ItemResult, failure Failure, now time.Time) {
 	w := call.Worker
 	delete(w.calls, call)
 	w.reserved -= call.reserved
@@ -377,15 +452,15 @@
 	for i, it := range call.items {
 		it.running--
 		if failure != FailureNone {
-			p.again(it, failure != FailureFull, retry)
+			p.again(it, failure != FailureFull, now)
 			continue
 		}
-		p.apply(it, w, results[i], now, retry)
+		p.apply(it, w, results[i], now)
 	}
 }
 
 // apply takes the result of one item.
-func (p *plan) apply(it *item, w *worker, result fleet.ItemResult, now time.Time, retry func(api.ServiceName, int) bool) {
+func (p *plan) apply(it *item, w *worker, result fleet.ItemResult, now time.Time) {
 	j := it.job
 	if result.Failure == "" {
 		w.hold(result.Result, j.stages[it.stage].ResultBytes, now)
@@ -397,7 +472,7 @@
 		it.phase, it.result, it.maker = phaseDone, result.Result, w
 		j.stages[it.stage].left--
 		j.left--
-		p.advance(j, it.stage)
+		p.advance(j, it.stage, now)
 		return
 	}
 	if j.ended || it.phase == phaseDone || it.running > 0 {
@@ -407,9 +482,9 @@
 	case fleet.FailureLate:
 		p.fail(j, errLate)
 	case fleet.FailureInputGone:
-		p.remake(it, retry)
+		p.remake(it, true, now)
 	default:
-		p.again(it, true, retry)
+		p.again(it, true, now)
 	}
 }
 
@@ -423,13 +498,13 @@
 }
 
 // advance goes on after an item of a stage was made.
-func (p *plan) advance(j *jobState, stage int) {
+func (p *plan) advance(j *jobState, stage int, now time.Time) {
 	if j.stages[stage].left > 0 {
 		return
 	}
-	p.unblock(j)
+	p.unblock(j, now)
 	p.releaseConsumed(j, stage)
-	if j.left > 0 {
+	if j.left > 0 || p.remakeLast(j, now) {
 		return
 	}
 	outcome := j.outcome()
@@ -441,6 +516,25 @@
 	j.finished(outcome, nil)
 }
 
+// remakeLast makes the results of a finished job again that end before its engine can
+// fetch them, and reports whether there were any.
+func (p *plan) remakeLast(j *jobState, now time.Time) bool {
+	for i := range j.stages {
+		if !j.terminal(i) {
+			continue
+		}
+		for _, it := range j.stages[i].items {
+			if !it.maker.lives(it.result, now) {
+				p.unmake(it)
+			}
+		}
+	}
+	if !j.ended && j.left > 0 {
+		p.unblock(j, now)
+	}
+	return j.ended || j.left > 0
+}
+
 // releaseConsumed releases the results that only finished stages needed.
 func (p *plan) releaseConsumed(j *jobState, stage int) {
 	for _, before := range j.stages[stage].After {
@@ -454,39 +548,42 @@
 }
 
 // again queues an item once more, or fails its job.
-func (p *plan) again(it *item, counted bool, retry func(api.ServiceName, int) bool) {
+func (p *plan) again(it *item, counted bool, now time.Time) {
 	if it.job.ended || it.phase != phaseRunning || it.running > 0 {
 		return
 	}
 	service := it.job.stages[it.stage].Service
-	if counted && (it.tries >= maxTries || !retry(service, 1)) {
+	if counted && (it.tries >= maxTries || !p.retry(service)) {
 		p.fail(it.job, errFailed)
 		return
 	}
-	p.enqueue(it)
+	p.enqueue(it, now)
 }
 
-// remake makes the inputs of an item again.
-func (p *plan) remake(it *item, retry func(api.ServiceName, int) bool) {
+// remake makes the inputs of an item again: those that end soon, or all of them where
+// one is gone, since nobody says which.
+func (p *plan) remake(it *item, gone bool, now time.Time) {
 	j := it.job
 	it.phase = phaseBlocked
 	for _, before := range j.stages[it.stage].After {
 		for _, made := range j.stages[before].items {
-			p.unmake(made, retry)
+			if made.phase == phaseDone && (gone || !made.maker.lives(made.result, now)) {
+				p.unmake(made)
+			}
 		}
 	}
 	if !j.ended {
-		p.unblock(j)
+		p.unblock(j, now)
 	}
 }
 
 // unmake takes the result of an item back.
-func (p *plan) unmake(it *item, retry func(api.ServiceName, int) bool) {
+func (p *plan) unmake(it *item) {
 	j := it.job
 	if j.ended || it.phase != phaseDone {
 		return
 	}
-	if it.tries >= maxTries || !retry(j.stages[it.stage].Service, 1) {
+	if it.tries >= maxTries || !p.retry(j.stages[it.stage].Service) {
 		p.fail(j, errFailed)
 		return
 	}
@@ -512,7 +609,7 @@
 }
 
 // hedge queues the items of a call that straggles once more and returns how many.
-func (p *plan) hedge(call *Call, retry func(api.ServiceName, int) bool) int {
+func (p *plan) hedge(call *Call, now time.Time) int {
 	if _, running := call.Worker.calls[call]; !running || call.hedged {
 		return 0
 	}
@@ -520,44 +617,86 @@
 	call.Worker.speed = max(call.Worker.speed, slowSpeed)
 	count := 0
 	for _, it := range call.items {
-		if it.job.ended || it.phase != phaseRunning || it.tries >= maxTries || !retry(it.job.stages[it.stage].Service, 1) {
+		if it.job.ended || it.phase != phaseRunning || it.tries >= maxTries || !p.retry(it.job.stages[it.stage].Service) {
 			continue
 		}
-		p.enqueue(it)
+		p.enqueue(it, now)
 		count++
 	}
 	return count
 }
 
-// wait returns the time until the stages of a new job would be done: for each stage the
-// backlog before it at the rate of its upstreams, and its call. Capacity is false where
-// a service has no upstream.
-func (p *plan) wait(job *Job, now time.Time) (time.Duration, bool) {
-	done := make([]time.Duration, len(job.Stages))
-	var total time.Duration
+// forecast is the expected time until the stages of a new job are done.
+type forecast struct {
+	// onTime counts the work that goes before the job while it can make its aim, late
+	// all work that is known.
+	onTime, late time.Duration
+	// served is false where a service has no upstream.
+	served bool
+}
+
+// forecast returns when a new job would be done: for each stage the work before it at
+// the rate of its upstreams, and its call. Work of stages whose turn has not come counts
+// too, since it meets the new job there.
+func (p *plan) forecast(job *Job, now time.Time) forecast {
+	f := forecast{served: true}
+	onTime, late := make([]time.Duration, len(job.Stages)), make([]time.Duration, len(job.Stages))
 	for i, spec := range job.Stages {
 		if spec.Items == 0 {
 			continue
 		}
-		var start time.Duration
-		for _, before := range spec.After {
-			if before < len(done) {
-				start = max(start, done[before])
-			}
-		}
-		backlog, served := p.backlog(spec.Service, now)
+		rate, served := p.rate(spec.Service, now)
 		if !served {
-			return 0, false
+			return forecast{}
 		}
-		// Later stages meet a backlog that shrinks while the earlier ones run.
-		done[i] = start + max(backlog-start, 0) + p.callTime(spec.Service)
-		total = max(total, done[i])
+		before, all := p.ahead(spec.Service, job, now)
+		var start, lateStart time.Duration
+		for _, needed := range spec.After {
+			start, lateStart = max(start, onTime[needed]), max(lateStart, late[needed])
+		}
+		call := p.callTime(spec.Service)
+		onTime[i] = max(start, timeFor(before, rate)) + call
+		late[i] = max(lateStart, timeFor(all, rate)) + call
+		f.onTime, f.late = max(f.onTime, onTime[i]), max(f.late, late[i])
 	}
-	return total, true
+	return f
 }
 
-// backlog returns the time in which the upstreams of a service work off their queue.
-func (p *plan) backlog(service api.ServiceName, now time.Time) (time.Duration, bool) {
+// accepts reports whether a new job is worth beginning: it can make its aim, or it can
+// be done well within its deadline by what others leave.
+func (f forecast) accepts(job *Job, now time.Time) bool {
+	if !now.Add(f.onTime + consumerTime).After(job.Aim) {
+		return true
+	}
+	return float64(f.late) <= lateShare*float64(job.Deadline.Sub(now))
+}
+
+func timeFor(items int, rate float64) time.Duration {
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(items) / rate * float64(time.Second))
+}
+
+// ahead returns the items of a service that go before a new job which can make its aim, and all that are not done.
+func (p *plan) ahead(service api.ServiceName, job *Job, now time.Time) (before, all int) {
+	for _, j := range p.jobs {
+		for i := range j.stages {
+			if j.stages[i].Service != service {
+				continue
+			}
+			all += j.stages[i].left
+			if j.Rank <= job.Rank && !now.After(j.Aim) {
+				before += j.stages[i].left
+			}
+		}
+	}
+	return before, all
+}
+
+// rate returns the items per second of the upstreams of a service at full calls, and
+// whether there is an upstream at all.
+func (p *plan) rate(service api.ServiceName, now time.Time) (float64, bool) {
 	var rate float64
 	served := false
 	for _, w := range p.workers {
@@ -569,8 +708,5 @@
 			rate += w.rate()
 		}
 	}
-	if rate == 0 {
-		return 0, served
-	}
-	return time.Duration(float64(len(p.queues[service])) / rate * float64(time.Second)), true
+	return rate, served
 }
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -26,9 +26,10 @@
 	freePeriod = 250 * time.Millisecond
 	// wakeSlack is added to the end of a cooldown, so that the upstream is usable at the wake.
 	wakeSlack = time.Millisecond
-	// admissionShare is the part of the time left that the foreseen wait may take. A
-	// request that is not expected to be ready by then is refused at once.
-	admissionShare = 0.95
+	// minRetryAfter and maxRetryAfter bound when refused callers may come back. They wait
+	// a third of their time at most.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 3 * time.Second
 )
 
 var (
@@ -104,26 +105,29 @@
 	}
 }
 
-// admit refuses a job whose stages can't be done before its deadline. The caller holds mu.
+// admit refuses a job that can't be done in time. The caller holds mu.
 func (s *Scheduler) admit(job *Job, now time.Time) error {
-	wait, served := s.plan.wait(job, now)
-	if !served {
-		return fault.RetryAfter(fault.New(api.KindNoUpstream, "no upstream of a stage is ready"), freePeriod)
+	f := s.plan.forecast(job, now)
+	if !f.served {
+		return fault.RetryAfter(fault.New(api.KindNoUpstream, "no upstream of a stage is ready"), minRetryAfter)
 	}
-	left := job.Deadline.Sub(now)
-	if float64(wait) <= admissionShare*float64(left) {
+	if f.accepts(job, now) {
 		return nil
 	}
 	s.Metrics.Counter("stage.refused").Inc(1)
-	err := fault.New(api.KindDeadlineUnreachable, "the stages need %s, %s are left", wait.Round(time.Millisecond), left.Round(time.Millisecond))
-	return fault.RetryAfter(err, wait-left+freePeriod)
+	s.Log.Info().Str("request", string(job.Request)).Int("rank", job.Rank).Int("jobs", len(s.plan.jobs)).
+		Int64("on_time_ms", f.onTime.Milliseconds()).Int64("late_ms", f.late.Milliseconds()).
+		Int64("aim_ms", job.Aim.Sub(now).Milliseconds()).Int64("left_ms", job.Deadline.Sub(now).Milliseconds()).Msg("job_refused")
+	err := fault.New(api.KindDeadlineUnreachable, "the stages need %s, %s are left", f.late.Round(time.Millisecond), job.Deadline.Sub(now).Round(time.Millisecond))
+	wait := f.late - time.Duration(lateShare*float64(job.Deadline.Sub(now)))
+	return fault.RetryAfter(err, min(max(wait, minRetryAfter), maxRetryAfter))
 }
 
 // refresh takes the newest view into the plan. The caller holds mu.
 func (s *Scheduler) refresh() {
 	view := s.View()
 	if s.plan == nil {
-		s.plan = newPlan()
+		s.plan = newPlan(s.mayRetry)
 	}
 	if view == s.used || view.Snapshot == nil {
 		return
@@ -148,15 +152,18 @@
 // Release notes that results are no longer needed.
 func (s *Scheduler) Release(results []fleet.ResultRef) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.plan == nil {
+		s.mu.Unlock()
 		return
 	}
 	for _, w := range s.plan.workers {
 		for _, result := range results {
-			s.plan.release(w, result)
+			w.release(result)
 		}
 	}
+	frees := s.plan.frees(false)
+	s.mu.Unlock()
+	s.launchFrees(frees)
 }
 
 // launch makes calls.
@@ -168,9 +175,6 @@
 
 // run makes one call and applies its end.
 func (s *Scheduler) run(call *Call) {
-	if len(call.Free) > 0 {
-		go s.free(call.Upstream(), call.Free)
-	}
 	straggler := time.AfterFunc(call.Straggles(), func() { s.hedge(call) })
 	results, failure, err := s.call(call)
 	straggler.Stop()
@@ -181,10 +185,13 @@
 	s.Metrics.Histogram("stage.call").Update(took.Milliseconds())
 	s.mu.Lock()
 	s.refresh()
-	s.plan.complete(call, results, failure, now, s.mayRetry)
+	s.plan.complete(call, results, failure, now)
 	calls := s.plan.dispatch(now)
 	s.wakeLater(now)
+	frees := s.plan.frees(false)
 	s.mu.Unlock()
+	s.launchFrees(frees)
+	s.reportItems(call, results)
 	if failure != FailureNone {
 		s.Metrics.Counter("stage.failures." + string(failure)).Inc(1)
 		s.Log.Info().Str("upstream", string(call.Upstream().ID)).Str("request", string(call.Items[0].Request)).Int("items", len(call.Items)).
@@ -193,6 +200,18 @@
 	s.launch(calls)
 }
 
+// reportItems logs the items of a call that have no result.
+func (s *Scheduler) reportItems(call *Call, results []fleet.ItemResult) {
+	for i, result := range results {
+		if result.Failure == "" {
+			continue
+		}
+		s.Metrics.Counter("stage.item_failures." + string(result.Failure)).Inc(1)
+		s.Log.Info().Str("request", string(call.Items[i].Request)).Int("stage", call.Items[i].Stage).Int("index", call.Items[i].Index).
+			Str("service", string(call.Upstream().Service)).Str("upstream", string(call.Upstream().ID)).Str("failure", string(result.Failure)).Msg("item_failed")
+	}
+}
+
 // call sends the items and reads the results.
 func (s *Scheduler) call(call *Call) ([]fleet.ItemResult, Failure, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), maxCallTime)
@@ -221,15 +240,19 @@
 	return results, FailureNone, nil
 }
 
-func (s *Scheduler) mayRetry(service api.ServiceName, count int) bool {
-	s.Metrics.Counter("stage.repeats").Inc(int64(count))
-	return s.Budget.Take(service, count, clock.Now())
+func (s *Scheduler) mayRetry(service api.ServiceName) bool {
+	if !s.Budget.Take(service, 1, clock.Now()) {
+		s.Metrics.Counter("stage.repeats_refused").Inc(1)
+		return false
+	}
+	s.Metrics.Counter("stage.repeats").Inc(1)
+	return true
 }
 
 // hedge gives the items of a call that straggles to other upstreams too.
 func (s *Scheduler) hedge(call *Call) {
 	s.mu.Lock()
-	count := s.plan.hedge(call, s.mayRetry)
+	count := s.plan.hedge(call, clock.Now())
 	calls := s.plan.dispatch(clock.Now())
 	s.mu.Unlock()
 	s.Log.Info().Str("upstream", string(call.Upstream().ID)).Str("request", string(call.Items[0].Request)).Int("items", len(call.Items)).
@@ -270,38 +293,41 @@
 		s.mu.Unlock()
 		return
 	}
-	type batch struct {
-		upstream *fleet.Upstream
-		results  []fleet.ResultRef
-	}
-	var batches []batch
-	for _, w := range s.plan.workers {
-		if len(w.freeing) > 0 && !w.gone {
-			batches = append(batches, batch{w.upstream, w.freeing})
-			w.freeing = nil
-		}
-	}
+	frees := s.plan.frees(true)
 	calls := s.plan.dispatch(clock.Now())
 	s.mu.Unlock()
-	for _, b := range batches {
-		go s.free(b.upstream, b.results)
-	}
+	s.launchFrees(frees)
 	s.launch(calls)
 }
 
 // FreePeriod is the time between two calls of Sweep.
 const FreePeriod = freePeriod
 
-// free frees results at their upstream. A lost call costs room until the results end by themselves.
-func (s *Scheduler) free(upstream *fleet.Upstream, results []fleet.ResultRef) {
+func (s *Scheduler) launchFrees(frees []*Free) {
+	for _, f := range frees {
+		go s.free(f)
+	}
+}
+
+// free frees results at their upstream.
+func (s *Scheduler) free(f *Free) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTime)
 	defer cancel()
-	body, err := s.Codec.EncodeFree(results)
+	upstream := f.Worker.upstream
+	body, err := s.Codec.EncodeFree(f.Results)
 	if err == nil {
 		_, err = s.Pool.Call(ctx, s.Forward, upstream, s.Codec.FreePath, body, true)
 	}
 	if err != nil {
 		s.Metrics.Counter("stage.free_failures").Inc(1)
-		s.Log.Debug().Str("upstream", string(upstream.ID)).Int("results", len(results)).Err(err).Msg("results_not_freed")
+		s.Log.Debug().Str("upstream", string(upstream.ID)).Int("results", len(f.Results)).Err(err).Msg("results_not_freed")
 	}
+	s.mu.Lock()
+	s.plan.freed(f, err == nil)
+	// The room may be what waiting items lack.
+	calls := s.plan.dispatch(clock.Now())
+	frees := s.plan.frees(false)
+	s.mu.Unlock()
+	s.launch(calls)
+	s.launchFrees(frees)
 }
--- a/internal/service/stage/worker.go
+++ b/internal/service/stage/worker.go
@@ -21,7 +21,9 @@
 	// host runs there.
 	fullCooldown = 80 * time.Millisecond
 	// lifeMargin is taken off the life of a result for the way to its consumer.
-	lifeMargin = 700 * time.Millisecond
+	lifeMargin = 500 * time.Millisecond
+	// crowdedShare is the part of the room from which results are freed without delay.
+	crowdedShare = 0.4
 )
 
 // worker is an upstream that runs stages, with what the scheduler knows of it.
@@ -42,14 +44,18 @@
 	// heldBytes is the sum over held, reserved that of the running calls.
 	heldBytes int64
 	reserved  int64
-	// freeing holds results that may be freed at the upstream with the next call.
+	// freeing holds results that nobody needs. They take room until the upstream was told.
 	freeing []fleet.ResultRef
+	// telling is true while a call that frees results is under way.
+	telling bool
 	gone    bool
 }
 
 type heldResult struct {
 	bytes int64
 	until time.Time
+	// released results wait in freeing or for the answer of the call that frees them.
+	released bool
 }
 
 func newWorker(upstream *fleet.Upstream, limits *fleet.Batching) *worker {
@@ -87,24 +93,39 @@
 }
 
 func (w *worker) hold(result fleet.ResultRef, bytes int64, now time.Time) {
-	w.held[result] = heldResult{bytes, now.Add(w.limits.ResultLife)}
+	w.held[result] = heldResult{bytes: bytes, until: now.Add(w.limits.ResultLife)}
 	w.heldBytes += bytes
 }
 
 // forget removes a result from the account.
-func (w *worker) forget(result fleet.ResultRef) bool {
-	held, found := w.held[result]
-	if found {
+func (w *worker) forget(result fleet.ResultRef) {
+	if held, found := w.held[result]; found {
 		delete(w.held, result)
 		w.heldBytes -= held.bytes
 	}
-	return found
+}
+
+// release notes that nobody needs a result.
+func (w *worker) release(result fleet.ResultRef) {
+	held, found := w.held[result]
+	if !found || held.released {
+		return
+	}
+	held.released = true
+	w.held[result] = held
+	w.freeing = append(w.freeing, result)
+}
+
+// crowded reports whether results take so much room that the upstream is told at once
+// of those that nobody needs.
+func (w *worker) crowded() bool {
+	return float64(w.heldBytes+w.reserved) > crowdedShare*float64(w.limits.ResultBytes)
 }
 
 // lives reports whether a result is kept long enough to be used.
 func (w *worker) lives(result fleet.ResultRef, now time.Time) bool {
 	held, found := w.held[result]
-	return found && !w.gone && now.Add(lifeMargin).Before(held.until)
+	return found && !held.released && now.Add(lifeMargin).Before(held.until)
 }
 
 // measured notes the duration of a call.
