--- /dev/null
+++ b/internal/service/directory/follow_test.go
@@ -0,0 +1,145 @@
+package directory
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/helper/timer"
+	"redwingloft/internal/kernel"
+	"redwingloft/pkg/api"
+	wire "redwingloft/platform"
+	"redwingloft/standin/platform"
+)
+
+// bound is the time after which a test that waits for a change fails.
+const bound = 10 * time.Second
+
+// testWait is the wait of a watch call; the entry host of the platform uses 1.5 s.
+const testWait = 300 * time.Millisecond
+
+func startStore(t *testing.T) (*platform.Store, *wire.Store) {
+	t.Helper()
+	standin := platform.NewStore()
+	server := httptest.NewServer(standin)
+	t.Cleanup(server.Close)
+	client, err := wire.NewStore(kernel.StoreOptions{
+		Endpoints: []string{strings.TrimPrefix(server.URL, "http://")}, Timeout: time.Second, WatchWait: testWait,
+	})
+	assert.NilError(t, err)
+	return standin, client
+}
+
+func startService(t *testing.T, kv store.Store, change func(*Service)) *Service {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	service := &Service{
+		Store: kv, Decoder: testDecoder(), Timer: &timer.Service{}, Log: logging.Discard(), Metrics: metric.New(),
+		Self: fleet.Host{ID: "self", Caller: "127.0.0.1:1", Peer: "127.0.0.1:2"},
+	}
+	if change != nil {
+		change(service)
+	}
+	done := make(chan struct{}, 2)
+	go func() { _ = service.Timer.Run(ctx); done <- struct{}{} }()
+	go func() { _ = service.Run(ctx); done <- struct{}{} }()
+	t.Cleanup(func() { cancel(); <-done; <-done })
+	return service
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(bound); !holds(); time.Sleep(5 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), what)
+	}
+}
+
+func write(t *testing.T, s *platform.Store, entries ...store.Entry) store.Version {
+	t.Helper()
+	txn := store.Txn{}
+	for _, e := range entries {
+		txn.Puts = append(txn.Puts, store.Put{Key: e.Key, Value: e.Value})
+	}
+	result, err := s.Inner.Txn(context.Background(), txn)
+	assert.NilError(t, err)
+	return result.Version
+}
+
+// TestSilentWatch guards against a host that misses changes for as long as a watch
+// waits, after the store no longer feeds it and has dropped its history.
+func TestSilentWatch(t *testing.T) {
+	kv, client := startStore(t)
+	write(t, kv, documentEntry(1, 0))
+	service := startService(t, client, nil)
+	eventually(t, "the first document", func() bool { return service.View().Snapshot != nil })
+	kv.Mute.Store(true)
+	time.Sleep(testWait)
+	version := write(t, kv, documentEntry(2, 0))
+	kv.DropHistory(version)
+	kv.Mute.Store(false)
+	began := time.Now()
+	eventually(t, "the document written in the gap", func() bool { return service.View().Snapshot.Revision == 2 })
+	assert.Assert(t, time.Since(began) < testWait+time.Second)
+}
+
+// TestOutageKeepsView guards against a host that forgets routes and upstreams while the store is down.
+func TestOutageKeepsView(t *testing.T) {
+	kv, client := startStore(t)
+	write(t, kv, documentEntry(1, 0), upstreamEntry("a", fleet.StateReady, 1, 0))
+	service := startService(t, client, nil)
+	eventually(t, "the first view", func() bool { return len(service.View().Ready("s")) == 1 })
+	kv.Down.Store(true)
+	eventually(t, "the loss", func() bool { connected, _ := service.Connected(); return !connected })
+	assert.Equal(t, len(service.View().Ready("s")), 1)
+	kv.Down.Store(false)
+	write(t, kv, documentEntry(2, 0))
+	eventually(t, "the return", func() bool { return service.View().Snapshot.Revision == 2 })
+}
+
+// TestStateFromOtherHost guards against a host that the store turns away and that
+// therefore serves revoked credentials and leaving upstreams.
+func TestStateFromOtherHost(t *testing.T) {
+	kv, client := startStore(t)
+	write(t, kv, documentEntry(1, 0))
+	good := startService(t, client, nil)
+	eventually(t, "the first document", func() bool { return good.View().Snapshot != nil })
+	downKV, downClient := startStore(t)
+	downKV.Down.Store(true)
+	turnedAway := startService(t, downClient, func(s *Service) {
+		s.Seeds = []api.Address{"127.0.0.1:9"}
+		s.Fetch = func(_ context.Context, _ api.Address, version store.Version) (*Dump, error) { return good.Dump(version), nil }
+	})
+	eventually(t, "the document of the other host", func() bool { s := turnedAway.View().Snapshot; return s != nil && s.Revision == 1 })
+	write(t, kv, documentEntry(3, 0))
+	eventually(t, "the newer document", func() bool { return turnedAway.View().Snapshot.Revision == 3 })
+}
+
+// TestRegistrationReturns guards against a host that stays off the address list after
+// its lease has ended or a write was lost.
+func TestRegistrationReturns(t *testing.T) {
+	kv, client := startStore(t)
+	service := startService(t, client, nil)
+	kv.LoseWrites.Store(true)
+	ctx := context.Background()
+	cancel := service.Register(ctx)
+	defer cancel()
+	kv.LoseWrites.Store(false)
+	listed := func() bool {
+		entry, err := kv.Inner.Get(ctx, "host/self")
+		return err == nil && entry != nil
+	}
+	eventually(t, "the registration", listed)
+	_, err := kv.Inner.Txn(ctx, store.Txn{Deletes: []string{"host/self"}})
+	assert.NilError(t, err)
+	eventually(t, "the registration after its entry was lost", listed)
+	assert.NilError(t, service.Leave(ctx))
+	assert.Assert(t, !listed())
+}
--- a/internal/service/directory/register.go
+++ b/internal/service/directory/register.go
@@ -55,7 +55,7 @@
 		}
 		current.lease, current.written = lease, 0
 	}
-	if current.written != 0 {
+	if current.written != 0 && s.listed(current.written) {
 		return nil
 	}
 	version, err := s.writeSelf(ctx, current.lease)
@@ -66,6 +66,21 @@
 	return err
 }
 
+// listed reports whether the host's entry is in the store, as far as the view tells
+// that has reached the version of its write.
+func (s *Service) listed(written store.Version) bool {
+	view := s.View()
+	if view.Version < written {
+		return true
+	}
+	for _, host := range view.Hosts {
+		if host.ID == s.Self.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // writeSelf writes the host's entry. It has one writer, so that a write whose reply
 // is lost can be made again.
 func (s *Service) writeSelf(ctx context.Context, lease store.LeaseID) (store.Version, error) {
--- /dev/null
+++ b/internal/service/forward/stream_test.go
@@ -0,0 +1,160 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/clock"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/pkg/api"
+	wire "redwingloft/platform"
+	"redwingloft/standin/platform"
+)
+
+func events(first, last int) string {
+	var text strings.Builder
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&text, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return text.String()
+}
+
+// resuming answers with events 1 to 3 and breaks off; a resumed request gets the rest.
+func resuming(w *bufio.Writer, run platform.Run) bool {
+	id, last := run.Header.Get(wire.HeaderRequestID), run.Header.Get(wire.HeaderLastEvent)
+	if last == "" {
+		platform.Events(w, id, 1, 3, false, 0)
+		return false
+	}
+	var from int
+	fmt.Sscan(last, &from)
+	platform.Events(w, id, from+1, 6, true, 0)
+	return true
+}
+
+// TestStreamIsResumed guards against a gap, a doubled event or a second header where a
+// resumable stream goes on at another engine.
+func TestStreamIsResumed(t *testing.T) {
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2}, resuming, resuming)
+	recorder, err := f.serve(t, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, recorder.Body.String(), events(1, 6))
+	assert.Equal(t, f.totalRuns(), 2)
+}
+
+// TestStreamIsNotRepeated guards against a second run of a stream that may not be
+// resumed, and against an answer that looks complete.
+func TestStreamIsNotRepeated(t *testing.T) {
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, MaxAttempts: 2}, resuming, resuming)
+	recorder, err := f.serve(t, nil)
+	assert.Assert(t, IsAborted(err))
+	assert.Equal(t, recorder.Body.String(), events(1, 3))
+	assert.Equal(t, f.totalRuns(), 1)
+}
+
+// TestCutEventIsNotPassedOn guards against a part of an event that reaches the caller.
+func TestCutEventIsNotPassedOn(t *testing.T) {
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming}, func(w *bufio.Writer, run platform.Run) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 1\r\n\r\nid: 1\ndata: whole\n\nid: 2\ndata: cu", wire.HeaderRequestID,
+			run.Header.Get(wire.HeaderRequestID), wire.HeaderDigest)
+		return false
+	})
+	recorder, err := f.serve(t, nil)
+	assert.Assert(t, IsAborted(err))
+	assert.Equal(t, recorder.Body.String(), "id: 1\ndata: whole\n\n")
+}
+
+// TestResumedStreamMustFollow guards against events of two runs that are joined with a gap.
+func TestResumedStreamMustFollow(t *testing.T) {
+	skipping := func(w *bufio.Writer, run platform.Run) bool {
+		id := run.Header.Get(wire.HeaderRequestID)
+		if run.Header.Get(wire.HeaderLastEvent) == "" {
+			platform.Events(w, id, 1, 3, false, 0)
+			return false
+		}
+		platform.Events(w, id, 5, 6, true, 0)
+		return true
+	}
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2}, skipping, skipping)
+	recorder, err := f.serve(t, nil)
+	assert.Assert(t, IsAborted(err))
+	assert.Equal(t, recorder.Body.String(), events(1, 3))
+}
+
+// TestSilentEngineIsLeft guards against a resumable stream that waits for an engine
+// that took the request and says nothing.
+func TestSilentEngineIsLeft(t *testing.T) {
+	var calls atomic.Int64
+	handle := func(w *bufio.Writer, run platform.Run) bool {
+		if calls.Add(1) == 1 {
+			time.Sleep(2 * firstEventLimit)
+			return false
+		}
+		platform.Events(w, run.Header.Get(wire.HeaderRequestID), 1, 2, true, 0)
+		return true
+	}
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2}, handle, handle)
+	recorder, err := f.serve(t, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, recorder.Body.String(), events(1, 2))
+}
+
+// TestCallerLeaves guards against an engine that goes on with a stream whose caller has left.
+func TestCallerLeaves(t *testing.T) {
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming}, func(w *bufio.Writer, run platform.Run) bool {
+		platform.Events(w, run.Header.Get(wire.HeaderRequestID), 1, 1000, true, 5*time.Millisecond)
+		return true
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(100*time.Millisecond, cancel)
+	request := &fleet.Request{ID: "id-1", Method: "POST", Target: "/p/x", Path: "/p/x", Host: "h", Credential: "secret", Received: clock.Now()}
+	err := f.Serve(ctx, request, httptest.NewRecorder())
+	assert.Assert(t, err != nil)
+	deadline := time.Now().Add(time.Second)
+	for f.upstreams[0].Open() > 0 && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, f.upstreams[0].Open(), 0)
+}
+
+// TestStreamEndsAtRouteTimeout guards against a caller that is kept longer than the route allows.
+func TestStreamEndsAtRouteTimeout(t *testing.T) {
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, Timeout: 200 * time.Millisecond}, func(*bufio.Writer, platform.Run) bool {
+		time.Sleep(time.Second)
+		return false
+	})
+	began := time.Now()
+	_, err := f.serve(t, nil)
+	assert.Equal(t, fault.KindOf(err), api.KindDeadlineExceeded)
+	assert.Assert(t, time.Since(began) < 700*time.Millisecond)
+}
+
+// TestInputsAreMadeAgain guards against a request that fails because a result of its stages ended before the engine fetched it.
+func TestInputsAreMadeAgain(t *testing.T) {
+	var calls atomic.Int64
+	handle := func(w *bufio.Writer, run platform.Run) bool {
+		id := run.Header.Get(wire.HeaderRequestID)
+		if calls.Add(1) == 1 {
+			fmt.Fprintf(w, "HTTP/1.1 409 Conflict\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", wire.HeaderRequestID, id, wire.HeaderNotRun)
+			return true
+		}
+		platform.Events(w, id, 1, 2, true, 0)
+		return true
+	}
+	route := fleet.Route{Kind: fleet.KindStreaming, Stages: []fleet.Stage{{Service: "stage"}}}
+	f := newFixture(t, route, handle, handle)
+	recorder, err := f.serve(t, func(r *fleet.Request) { r.Items = []int{1} })
+	assert.NilError(t, err)
+	assert.Equal(t, recorder.Body.String(), events(1, 2))
+	assert.Equal(t, f.prepared, 2)
+	assert.Equal(t, f.upstreams[0].Entry.Service, api.ServiceName("svc"))
+}
--- /dev/null
+++ b/internal/web/entry/entry_test.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/dial"
+	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/forward"
+	"redwingloft/pkg/api"
+	wire "redwingloft/platform"
+	"redwingloft/standin/platform"
+)
+
+// viewOf returns a view with hosts, a public route and an upstream of its service.
+func viewOf(upstream fleet.Upstream, limit int64, hosts ...string) *directory.View {
+	state := directory.State{Decoder: directory.Decoder{
+		DocumentKey: "document", UpstreamPrefix: "upstream/", HostPrefix: "host/",
+		Document: func([]byte) (*fleet.Document, error) {
+			return &fleet.Document{Revision: 1, Limits: fleet.Limits{MaxBodyBytes: limit}, Routes: []fleet.Route{{
+				Host: "h", PathPrefix: "/", Kind: fleet.KindNonIdempotent, Services: []fleet.Share{{Service: "s"}}, MaxAttempts: 1, Public: true,
+			}}}, nil
+		},
+		Upstream: func(string, []byte) (*fleet.Upstream, error) { return &upstream, nil },
+	}}
+	entries := []store.Entry{{Key: "document", Version: 1}, {Key: "upstream/u", Version: 2}}
+	for i, host := range hosts {
+		entries = append(entries, store.Entry{Key: "host/" + host, Version: store.Version(i + 3), Value: []byte(host)})
+	}
+	state.Replace(entries, 50, time.Now(), time.Time{})
+	return state.View()
+}
+
+func startCallers(t *testing.T, limit int64, handle func(*bufio.Writer, platform.Run) bool) (*platform.Upstream, *Callers, *httptest.Server) {
+	t.Helper()
+	upstream := &platform.Upstream{Handle: handle, Entry: fleet.Upstream{ID: "u", Service: "s", State: fleet.StateReady, Slots: 1}}
+	assert.NilError(t, upstream.Start())
+	t.Cleanup(upstream.Close)
+	view := viewOf(upstream.Entry, limit)
+	get := func() *directory.View { return view }
+	callers := &Callers{
+		View: get, Log: logging.Discard(), Metrics: metric.New(), Closing: func() bool { return false },
+		Service: &forward.Service{
+			View: get, Pool: &forward.Pool{Dial: dial.New(time.Second)}, Health: &forward.HealthTable{}, Log: logging.Discard(), Metrics: metric.New(),
+			Codec:  forward.Codec{WriteHead: wire.WriteHead, DecodeReply: wire.DecodeReply, AnswerHeader: wire.AnswerHeader, WriteCall: wire.WriteCall},
+			Budget: &forward.Budget{Ratio: 1, Slack: 10, Window: time.Second},
+		},
+	}
+	server := httptest.NewServer(callers)
+	t.Cleanup(server.Close)
+	return upstream, callers, server
+}
+
+func echo(w *bufio.Writer, run platform.Run) bool {
+	platform.Answer(w, run.Header.Get(wire.HeaderRequestID), 200, string(run.Body))
+	return true
+}
+
+// raw sends bytes on a connection of its own and returns what comes back.
+func raw(t *testing.T, server *httptest.Server, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, text)
+	assert.NilError(t, err)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	data, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	return string(data)
+}
+
+// TestBodiesOfBothForms guards against a body with a length or in chunks that reaches the upstream changed.
+func TestBodiesOfBothForms(t *testing.T) {
+	_, _, server := startCallers(t, 0, echo)
+	head := "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nRedwingloft-Attempt-Id: "
+	answer := raw(t, server, head+"a\r\nContent-Length: 5\r\n\r\nhello")
+	assert.Assert(t, strings.HasSuffix(answer, "\r\n\r\nhello"), answer)
+	answer = raw(t, server, head+"b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n")
+	assert.Assert(t, strings.HasSuffix(answer, "\r\n\r\nhello"), answer)
+}
+
+// TestSmuggledRequest guards against a second request inside a body that runs as one of its own.
+func TestSmuggledRequest(t *testing.T) {
+	upstream, _, server := startCallers(t, 0, echo)
+	inner := "POST /inner HTTP/1.1\r\nHost: h\r\nRedwingloft-Attempt-Id: forged\r\nContent-Length: 0\r\n\r\n"
+	raw(t, server, fmt.Sprintf("POST /outer HTTP/1.1\r\nHost: h\r\nConnection: close\r\nRedwingloft-Attempt-Id: a\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner))
+	raw(t, server, "POST /both HTTP/1.1\r\nHost: h\r\nConnection: close\r\nRedwingloft-Attempt-Id: b\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+inner)
+	for _, run := range upstream.Runs() {
+		assert.Assert(t, run.Path != "/inner")
+	}
+}
+
+// TestBodyLimits guards against a body over the limit that reaches an upstream, and a cut one that runs.
+func TestBodyLimits(t *testing.T) {
+	upstream, _, server := startCallers(t, 10, echo)
+	head := "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nRedwingloft-Attempt-Id: a\r\n"
+	assert.Assert(t, strings.Contains(raw(t, server, head+"Content-Length: 11\r\n\r\nhello world"), "413"))
+	assert.Assert(t, strings.Contains(raw(t, server, head+"Transfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n"), "413"))
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(c, head+"Content-Length: 9\r\n\r\nhell")
+	assert.NilError(t, err)
+	assert.NilError(t, c.Close())
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, len(upstream.Runs()), 0)
+}
+
+// TestBrokenAnswerLooksBroken guards against a stream that was cut and ends for the caller as if it were complete.
+func TestBrokenAnswerLooksBroken(t *testing.T) {
+	upstream, callers, server := startCallers(t, 0, func(w *bufio.Writer, run platform.Run) bool {
+		platform.Events(w, run.Header.Get(wire.HeaderRequestID), 1, 2, false, 0)
+		return false
+	})
+	view := viewOf(upstream.Entry, 0)
+	route := view.Snapshot.Match("h", "/x")
+	route.Kind = fleet.KindStreaming
+	callers.Service.View = func() *directory.View { return view }
+	request, err := http.NewRequest(http.MethodPost, server.URL+"/x", nil)
+	assert.NilError(t, err)
+	request.Host = "h"
+	request.Header.Set(wire.HeaderRequestID, "a")
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	_, err = io.ReadAll(response.Body)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// TestAddressList guards against a list with draining hosts, and one that is empty
+// although this host serves.
+func TestAddressList(t *testing.T) {
+	host := func(id, centre string, draining bool) string {
+		return fmt.Sprintf(`{"id":%q,"data_centre":%q,"caller":%q,"draining":%t}`, id, centre, id, draining)
+	}
+	view := viewOf(fleet.Upstream{}, 0, host("far:1", "b", false), host("near:1", "a", false), host("gone:1", "a", true))
+	assert.DeepEqual(t, ListFor(view, "a", "near:1", true), []api.Address{"near:1", "far:1"})
+	assert.DeepEqual(t, ListFor(view, "a", "near:1", false), []api.Address{"far:1"})
+	assert.DeepEqual(t, ListFor(&directory.View{}, "a", "self:1", true), []api.Address{"self:1"})
+
+	d := &Directory{View: func() *directory.View { return view }, Self: "near:1", Validity: 1500 * time.Millisecond, Ready: func() error { return nil }}
+	recorder := httptest.NewRecorder()
+	d.Addresses(recorder, httptest.NewRequest(http.MethodGet, wire.PathAddresses+"?name=h&zone=b&region=r", nil))
+	assert.Equal(t, recorder.Body.String(), `{"addresses":["far:1","near:1"],"ttlS":1.5}`)
+	d.Ready = func() error { return context.Canceled }
+	recorder = httptest.NewRecorder()
+	d.Readiness(recorder, httptest.NewRequest(http.MethodGet, wire.PathReady, nil))
+	assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
+}
