--- a/cmd/entry_drain.go
+++ b/cmd/entry_drain.go
@@ -18,7 +18,7 @@
 	// within the grace of the platform.
 	acceptFor = 3 * time.Second
 	// exitMargin is kept of the grace for the end of the process.
-	exitMargin = 400 * time.Millisecond
+	exitMargin = 600 * time.Millisecond
 	// handoverWait is when callers that a leaving host refused may come to another one.
 	handoverWait = 10 * time.Millisecond
 	// reloadPeriod spaces the looks at the settings file, which may change without a signal.
@@ -93,7 +93,7 @@
 		if age >= acceptFor {
 			e.refusing.Store(true)
 		}
-		if age >= minServe && e.callers.InProgress.Load() == 0 {
+		if age >= minServe && e.inProgress() == 0 {
 			break
 		}
 		if !sleep(ctx, drainPoll) {
@@ -103,6 +103,11 @@
 	e.log.Info().Int64("in_progress", e.callers.InProgress.Load()).Int64("after_ms", time.Since(began).Milliseconds()).Msg("drain_ended")
 }
 
+// inProgress returns the requests of callers and the jobs of other hosts.
+func (e *entryHost) inProgress() int64 {
+	return e.callers.InProgress.Load() + e.jobs.InProgress.Load()
+}
+
 // leave removes the host's entry, so that other hosts list it no more.
 func (e *entryHost) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -43,6 +43,9 @@
 	relayTimeout = 600 * time.Millisecond
 	// sweepPeriod spaces the care for idle connections and unused state.
 	sweepPeriod = time.Second
+	// lastBytes bounds the end of each listener. The margin before the end of the
+	// platform's grace holds all of them.
+	lastBytes = 60 * time.Millisecond
 	// entryHeaderBytes bounds request heads; routing documents allow less.
 	entryHeaderBytes = 64 << 10
 	// entryHeaderTimeout bounds the arrival of a request head.
@@ -62,6 +65,7 @@
 	codec     forward.Codec
 	peers     *http.Client
 	callers   *web.Callers
+	jobs      *web.Peers
 	idle      *web.Idle
 
 	schedulersMu sync.Mutex
@@ -95,6 +99,7 @@
 	e.callers = &web.Callers{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
 	}
+	e.jobs = &web.Peers{Scheduler: e.scheduler, Dump: e.directory.Dump}
 	e.idle = &web.Idle{Limit: e.idleLimit}
 	return e, nil
 }
@@ -251,8 +256,7 @@
 }
 
 func (e *entryHost) newPeerServer() *http.Server {
-	peers := &web.Peers{Scheduler: e.scheduler, Dump: e.directory.Dump}
-	server := e.newServer(peers.Routes())
+	server := e.newServer(e.jobs.Routes())
 	server.Protocols = &http.Protocols{}
 	server.Protocols.SetUnencryptedHTTP2(true)
 	server.Protocols.SetHTTP1(true)
@@ -277,9 +281,10 @@
 	}, func(error) { closeServer(server) })
 }
 
-// closeServer ends a server whose requests were finished by the drain.
+// closeServer ends a server whose requests were finished by the drain. Answers whose
+// last bytes are on their way get a moment.
 func closeServer(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout/4)
+	ctx, cancel := context.WithTimeout(context.Background(), lastBytes)
 	defer cancel()
 	// The process ends next; an error changes nothing.
 	_ = server.Shutdown(ctx)
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -440,7 +440,9 @@
 	w.reserved -= call.reserved
 	switch failure {
 	case FailureNone:
-		w.measured(call, now.Sub(call.Began))
+		if worked(results) {
+			w.measured(call, now.Sub(call.Began))
+		}
 	case FailureFull:
 		w.until = now.Add(fullCooldown)
 	case FailureUnreachable, FailureMoved:
@@ -449,6 +451,15 @@
 	default:
 		w.failed(now)
 	}
+	roomless := 0
+	for i := range results {
+		if results[i].Failure == fleet.FailureNoRoom {
+			roomless++
+		}
+	}
+	if failure == FailureNone {
+		w.roomless(roomless, len(results), now)
+	}
 	for i, it := range call.items {
 		it.running--
 		if failure != FailureNone {
@@ -459,6 +470,12 @@
 	}
 }
 
+// worked reports whether a call made a result: one that found no room for any ends at
+// once, and its duration tells nothing of the upstream.
+func worked(results []fleet.ItemResult) bool {
+	return slices.ContainsFunc(results, func(r fleet.ItemResult) bool { return r.Failure == "" })
+}
+
 // apply takes the result of one item.
 func (p *plan) apply(it *item, w *worker, result fleet.ItemResult, now time.Time) {
 	j := it.job
--- a/internal/service/stage/plan_test.go
+++ b/internal/service/stage/plan_test.go
@@ -225,6 +225,25 @@
 	assert.Equal(t, len(b.dispatchNow(nil)), 1)
 }
 
+// TestNoRoomLeavesMargin guards against an upstream that is called again and again at
+// once although its results are larger than stated.
+func TestNoRoomLeavesMargin(t *testing.T) {
+	service := batching("s", 8)
+	service.Batching.ResultBytes = 1000
+	b := newBench(service)
+	u := b.add("s", "a")
+	b.offer(b.job("r", 0, 5*time.Second, 9*time.Second, Spec{Service: "s", Items: 2, ResultBytes: 100}))
+	calls := b.dispatchNow(nil)
+	full := []fleet.ItemResult{{Failure: fleet.FailureNoRoom}, {Failure: fleet.FailureNoRoom}}
+	b.now = b.now.Add(5 * time.Millisecond)
+	b.complete(calls[0], full, FailureNone, b.now)
+	assert.Equal(t, len(b.dispatchNow(nil)), 0)
+	assert.Equal(t, b.worker(u).speed, 1.0, "the short call counted as fast")
+	assert.Equal(t, b.worker(u).room(b.now), int64(900))
+	b.now = b.now.Add(fullCooldown)
+	assert.Equal(t, len(b.dispatchNow(nil)), 1)
+}
+
 // TestLostCallIsRepeatedElsewhere guards against a job that ends with the upstream that ran its items.
 func TestLostCallIsRepeatedElsewhere(t *testing.T) {
 	b := newBench(batching("s", 8))
--- a/internal/service/stage/worker.go
+++ b/internal/service/stage/worker.go
@@ -22,6 +22,11 @@
 	fullCooldown = 80 * time.Millisecond
 	// lifeMargin is taken off the life of a result for the way to its consumer.
 	lifeMargin = 500 * time.Millisecond
+	// marginStep widens the margin of the room after a result that found none, marginDecay
+	// narrows it with each call whose results all found room.
+	marginStep  = 0.1
+	marginDecay = 0.97
+	maxMargin   = 0.5
 	// crowdedShare is the part of the room from which results are freed without delay.
 	crowdedShare = 0.4
 )
@@ -48,7 +53,9 @@
 	freeing []fleet.ResultRef
 	// telling is true while a call that frees results is under way.
 	telling bool
-	gone    bool
+	// margin is the share of the room that is kept free, since sizes of results are approximate.
+	margin float64
+	gone   bool
 }
 
 type heldResult struct {
@@ -89,7 +96,19 @@
 			w.forget(result)
 		}
 	}
-	return w.limits.ResultBytes - w.heldBytes - w.reserved
+	return int64((1-w.margin)*float64(w.limits.ResultBytes)) - w.heldBytes - w.reserved
+}
+
+// roomless notes a call in which count of total items found no room.
+func (w *worker) roomless(count, total int, now time.Time) {
+	if count == 0 {
+		w.margin *= marginDecay
+		return
+	}
+	w.margin = min(w.margin+marginStep, maxMargin)
+	if count == total {
+		w.until = now.Add(fullCooldown)
+	}
 }
 
 func (w *worker) hold(result fleet.ResultRef, bytes int64, now time.Time) {
--- a/internal/web/entry/peers.go
+++ b/internal/web/entry/peers.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/helper/clock"
@@ -32,6 +33,8 @@
 	Scheduler func(group int) *stage.Scheduler
 	// Dump returns the state where it is newer than a version, or nil.
 	Dump func(version store.Version) *directory.Dump
+	// InProgress counts the jobs of other hosts.
+	InProgress atomic.Int64
 }
 
 // Routes returns the mux of the interface.
@@ -57,6 +60,8 @@
 	if !decode(w, r, &message) {
 		return
 	}
+	p.InProgress.Add(1)
+	defer p.InProgress.Add(-1)
 	job := message.Job(clock.Now())
 	outcome, err := p.Scheduler(message.Group).Submit(r.Context(), job)
 	if r.Context().Err() != nil {
