Finish begun stages first, end hopeless jobs at once, keep large transfers in one data centre

Ruled out: a job that the plan forgot (a line for each abandoned job shows its phases; every one was queued).

--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -33,7 +33,7 @@
 	expirePeriod = 100 * time.Millisecond
 	// settleTime is the pause after a change before the next watch call, so that changes
 	// in quick succession cost one call.
-	settleTime = 60 * time.Millisecond
+	settleTime = 250 * time.Millisecond
 )
 
 // Service follows the store. Set the exported fields before Run.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -35,7 +35,7 @@
 	Rank int
 	// Home is the data centre of the engine that the prompt's prefix names.
 	Home api.DataCentre
-	// Deadline is when the caller stops waiting.
+	// Deadline is when the caller stops waiting for the first event.
 	Deadline time.Time
 }
 
@@ -79,6 +79,24 @@
 	budgeted bool
 }
 
+// firstEvent returns when the caller of a stream stops waiting for its first event.
+func (c *call) firstEvent() time.Time {
+	patience := max(minPatience, patienceObjectives*c.route.Objective, patienceGaps*c.route.MaxGap)
+	until := c.request.Received.Add(patience)
+	if until.Before(c.deadline) {
+		return until
+	}
+	return c.deadline
+}
+
+const (
+	// minPatience, patienceObjectives and patienceGaps tell when callers of the platform
+	// leave a stream that sends nothing: after the longest of the three.
+	minPatience        = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
+)
+
 // longestWait bounds requests that name no deadline on routes without a time-out.
 const longestWait = 10 * time.Minute
 
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -84,7 +84,7 @@
 		return nil, fault.New(api.KindBadRequest, "the request names %d stages, the route has %d", len(c.request.Items), len(c.route.Stages))
 	}
 	prepared, err := c.Prepare(ctx, &Work{
-		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Deadline: c.deadline,
+		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Deadline: c.firstEvent(),
 		Home: PrefixHome(c.candidates(), c.request, clock.Now()),
 	})
 	c.prepared = clock.Now().Sub(c.request.Received)
--- a/internal/service/stage/job.go
+++ b/internal/service/stage/job.go
@@ -4,6 +4,8 @@
 package stage
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"redwingloft/internal/data/fleet"
@@ -62,6 +64,8 @@
 	phase phase
 	// queued is when the item was queued last.
 	queued time.Time
+	// home is the data centre where the item is better run; empty where it moves few bytes.
+	home api.DataCentre
 	// result is set in phaseDone.
 	result fleet.ResultRef
 	maker  *worker
@@ -145,6 +149,11 @@
 	return true
 }
 
+// begun reports whether some items of a stage are made.
+func (j *jobState) begun(stage int) bool {
+	return j.stages[stage].left < j.stages[stage].Items
+}
+
 // inputs returns the results that an item of a stage needs.
 func (j *jobState) inputs(stage int) []fleet.ResultRef {
 	var results []fleet.ResultRef
@@ -156,6 +165,37 @@
 	return results
 }
 
+// homeOf returns the data centre where the items of a stage are better run: that of
+// most of their input bytes, or that of the job for results that many bytes are fetched
+// of. It is empty where an item moves few bytes: every item of a stage fetches all its
+// inputs.
+func (j *jobState) homeOf(stage int) api.DataCentre {
+	inputs := map[api.DataCentre]int64{}
+	var most api.DataCentre
+	var total int64
+	for _, before := range j.stages[stage].After {
+		for _, made := range j.stages[before].items {
+			centre := made.maker.upstream.DataCentre
+			inputs[centre] += j.stages[before].ResultBytes
+			total += j.stages[before].ResultBytes
+			if inputs[centre] > inputs[most] || most == "" {
+				most = centre
+			}
+		}
+	}
+	if total >= largeTransfer {
+		return most
+	}
+	fetches := 0
+	for _, consumer := range j.stages[stage].consumers {
+		fetches += j.stages[consumer].Items
+	}
+	if total+j.stages[stage].ResultBytes*int64(max(fetches, 1)) >= largeTransfer {
+		return j.Home
+	}
+	return ""
+}
+
 // inputsLive reports whether the inputs of a stage live until a call that begins now has fetched them.
 func (j *jobState) inputsLive(stage int, now time.Time) bool {
 	for _, before := range j.stages[stage].After {
@@ -189,3 +229,26 @@
 	}
 	return o
 }
+
+// progress returns the phases of a job's items by stage, as "0:done=2,queued=1;1:blocked=6".
+func (j *jobState) progress() string {
+	var text strings.Builder
+	for i := range j.stages {
+		counts := map[phase]int{}
+		for _, it := range j.stages[i].items {
+			counts[it.phase]++
+		}
+		if i > 0 {
+			text.WriteByte(';')
+		}
+		fmt.Fprintf(&text, "%d:", i)
+		separator := ""
+		for _, p := range []phase{phaseBlocked, phaseQueued, phaseRunning, phaseDone} {
+			if counts[p] > 0 {
+				fmt.Fprintf(&text, "%s%s=%d", separator, p, counts[p])
+				separator = ","
+			}
+		}
+	}
+	return text.String()
+}
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,14 +13,18 @@
 const (
 	// maxTries bounds the calls that one item may be part of.
 	maxTries = 4
-	// largeResult is the size from which a result is made in the data centre of its
-	// consumer where that costs no more than homeWait.
-	largeResult = 256 << 10
-	// homeWait is how long an item with a large result waits for an upstream there.
+	// largeTransfer is the number of bytes, of its inputs and of its result at all
+	// consumers, from which an item is better run in the data centre of its job.
+	largeTransfer = 256 << 10
+	// homeWait is how long such an item waits for an upstream there, where its aim allows.
 	homeWait = 150 * time.Millisecond
 	// lateShare is the part of the time left that the forecast of a late job may take.
-	// New jobs that can make their aim go before it, so that the forecast is a lower bound.
-	lateShare = 0.5
+	lateShare = 0.6
+	// minSpare is the least share of the upstreams that late jobs are taken to get: work
+	// that can make its aim comes in waves.
+	minSpare = 0.15
+	// loadTime is the time over which the load of work that can make its aim is averaged.
+	loadTime = 2 * time.Second
 	// consumerTime is the time that an engine needs from the results to the first event.
 	consumerTime = 250 * time.Millisecond
 	// stragglerFactor and stragglerSlack bound a call, as a multiple of its expected
@@ -59,13 +64,14 @@
 	jobs    map[api.RequestID]*jobState
 	queues  map[api.ServiceName][]*item
 	workers map[fleet.Incarnation]*worker
+	loads   map[api.ServiceName]load
 	// retry reports whether one more item of a service may be sent again, and takes it from the budget.
 	retry func(api.ServiceName) bool
 }
 
 func newPlan(retry func(api.ServiceName) bool) *plan {
 	return &plan{
-		retry: retry, jobs: map[api.RequestID]*jobState{}, queues: map[api.ServiceName][]*item{}, workers: map[fleet.Incarnation]*worker{},
+		retry: retry, loads: map[api.ServiceName]load{}, jobs: map[api.RequestID]*jobState{}, queues: map[api.ServiceName][]*item{}, workers: map[fleet.Incarnation]*worker{},
 	}
 }
 
@@ -121,6 +127,7 @@
 
 func (p *plan) enqueue(it *item, now time.Time) {
 	it.phase, it.queued = phaseQueued, now
+	it.home = it.job.homeOf(it.stage)
 	service := it.job.stages[it.stage].Service
 	p.queues[service] = append(p.queues[service], it)
 }
@@ -210,8 +217,9 @@
 	return sum / time.Duration(count)
 }
 
-// urgency orders items: first those that can still make their aim, then the late ones.
-// A late job that went before would make another one late too.
+// urgency orders items: first those that can still make their aim and the rest of a
+// stage that was begun, then the late ones. A late job that went before would make
+// another one late too; but a stage that is made in part holds room that nobody can use.
 type urgency struct {
 	late bool
 	rank int
@@ -222,7 +230,7 @@
 	j := it.job
 	tail := p.tail(j, it.stage)
 	aim, last := j.Aim.Add(-tail), j.Deadline.Add(-tail)
-	if !now.After(aim) {
+	if !now.After(aim) || j.begun(it.stage) {
 		return urgency{false, j.Rank, aim}
 	}
 	return urgency{true, j.Rank, last}
@@ -330,17 +338,29 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b ranked) int { return a.u.compare(b.u) })
-	items := make([]*item, len(list))
+	items := make([]*item, 0, len(list))
 	for i := range list {
-		items[i] = list[i].it
+		it := list[i].it
+		if list[i].u.late && p.hopeless(it, i, now) {
+			p.fail(it.job, errLate)
+		}
+		items = append(items, it)
 	}
-	return items
+	return slices.DeleteFunc(items, func(it *item) bool { return it.job.ended })
+}
+
+// hopeless reports whether an item behind others can't be done before its deadline any
+// more, so that its caller is told at once and its place goes to one that can.
+func (p *plan) hopeless(it *item, before int, now time.Time) bool {
+	j := it.job
+	rate, _ := p.rate(j.stages[it.stage].Service, now)
+	return now.Add(timeFor(before, rate) + p.tail(j, it.stage)).After(j.Deadline)
 }
 
-// fill takes items of a queue for one call. Where home is true, the call begins with an
-// item whose large result belongs to the data centre of the upstream; else it takes
-// whatever waits, except items that have not yet waited long for such an upstream. It
-// returns nil where there is none, or no room for a result.
+// fill takes items of a queue for one call. Where home is true, there has to be one
+// that is better run in the data centre of the upstream; else it takes whatever waits,
+// except items that have not yet waited long for such an upstream. It returns nil where
+// there is none, or no room for a result.
 func (p *plan) fill(w *worker, service api.ServiceName, home bool, now time.Time) *Call {
 	call := &Call{Worker: w, Began: now}
 	room := w.room(now)
@@ -379,16 +399,14 @@
 	return call
 }
 
-// wants reports whether a large result of the item belongs to the data centre of an upstream.
-func (it *item) wants(w *worker) bool {
-	return it.job.Home == w.upstream.DataCentre && it.job.stages[it.stage].ResultBytes >= largeResult
-}
+// wants reports whether an upstream is in the data centre where the item is better run.
+func (it *item) wants(w *worker) bool { return it.home != "" && it.home == w.upstream.DataCentre }
 
-// waitsForHome reports whether an item is better kept for an upstream in the data
-// centre of its consumer: it has a large result, time, and there is such an upstream.
+// waitsForHome reports whether an item is better kept for an upstream of its data
+// centre: it moves many bytes, has time, and there is such an upstream.
 func (p *plan) waitsForHome(it *item, w *worker, service api.ServiceName, now time.Time) bool {
 	j := it.job
-	if j.Home == "" || it.wants(w) || j.stages[it.stage].ResultBytes < largeResult || now.Sub(it.queued) >= homeWait {
+	if it.home == "" || it.wants(w) || now.Sub(it.queued) >= homeWait {
 		return false
 	}
 	if now.Add(homeWait + p.tail(j, it.stage)).After(j.Aim) {
@@ -500,6 +518,10 @@
 		p.fail(j, errLate)
 	case fleet.FailureInputGone:
 		p.remake(it, true, now)
+	case fleet.FailureNoRoom:
+		// Nothing was worked on; the margin of the upstream keeps it from being asked at once.
+		it.tries--
+		p.again(it, false, now)
 	default:
 		p.again(it, true, now)
 	}
@@ -574,6 +596,16 @@
 		p.fail(it.job, errFailed)
 		return
 	}
+	p.requeue(it, now)
+}
+
+// requeue queues an item again. An input may have been taken back while its call ran;
+// then it waits for the new one.
+func (p *plan) requeue(it *item, now time.Time) {
+	if !it.job.ready(it.stage) {
+		it.phase = phaseBlocked
+		return
+	}
 	p.enqueue(it, now)
 }
 
@@ -637,7 +669,7 @@
 		if it.job.ended || it.phase != phaseRunning || it.tries >= maxTries || !p.retry(it.job.stages[it.stage].Service) {
 			continue
 		}
-		p.enqueue(it, now)
+		p.requeue(it, now)
 		count++
 	}
 	return count
@@ -673,19 +705,52 @@
 		}
 		call := p.callTime(spec.Service)
 		onTime[i] = max(start, timeFor(before, rate)) + call
-		late[i] = max(lateStart, timeFor(all, rate)) + call
+		late[i] = max(lateStart, timeFor(all, rate*p.spare(spec.Service, rate, now))) + call
 		f.onTime, f.late = max(f.onTime, onTime[i]), max(f.late, late[i])
 	}
 	return f
 }
 
+// makesAim reports whether a new job can make its aim.
+func (f forecast) makesAim(job *Job, now time.Time) bool {
+	return !now.Add(f.onTime + consumerTime).After(job.Aim)
+}
+
 // accepts reports whether a new job is worth beginning: it can make its aim, or it can
 // be done well within its deadline by what others leave.
 func (f forecast) accepts(job *Job, now time.Time) bool {
-	if !now.Add(f.onTime + consumerTime).After(job.Aim) {
-		return true
+	return f.makesAim(job, now) || float64(f.late) <= lateShare*float64(job.Deadline.Sub(now))
+}
+
+// load is the decaying count of the items of a service that were taken to make their aim.
+type load struct {
+	items float64
+	at    time.Time
+}
+
+// decayed returns the count as of now.
+func (l load) decayed(now time.Time) float64 {
+	return l.items * math.Exp(-now.Sub(l.at).Seconds()/loadTime.Seconds())
+}
+
+// noteLoad counts the items of a job that was taken to make its aim.
+func (p *plan) noteLoad(job *Job, now time.Time) {
+	for _, spec := range job.Stages {
+		if spec.Items > 0 {
+			l := p.loads[spec.Service]
+			p.loads[spec.Service] = load{l.decayed(now) + float64(spec.Items), now}
+		}
+	}
+}
+
+// spare returns the share of the upstreams of a service that work which can make its
+// aim leaves to late jobs.
+func (p *plan) spare(service api.ServiceName, rate float64, now time.Time) float64 {
+	if rate == 0 {
+		return minSpare
 	}
-	return float64(f.late) <= lateShare*float64(job.Deadline.Sub(now))
+	used := p.loads[service].decayed(now) / loadTime.Seconds() / rate
+	return max(1-used, minSpare)
 }
 
 func timeFor(items int, rate float64) time.Duration {
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -99,8 +99,12 @@
 		return end.outcome, end.err
 	case <-ctx.Done():
 		s.mu.Lock()
+		progress := state.progress()
 		s.plan.end(state, nil)
 		s.mu.Unlock()
+		s.Metrics.Counter("stage.abandoned").Inc(1)
+		s.Log.Info().Str("request", string(job.Request)).Str("stages", progress).Int64("waited_ms", clock.Now().Sub(now).Milliseconds()).
+			Int("rank", job.Rank).Int64("aim_ms", job.Aim.Sub(clock.Now()).Milliseconds()).Msg("job_abandoned")
 		return Outcome{}, ctx.Err()
 	}
 }
@@ -111,6 +115,9 @@
 	if !f.served {
 		return fault.RetryAfter(fault.New(api.KindNoUpstream, "no upstream of a stage is ready"), minRetryAfter)
 	}
+	if f.makesAim(job, now) {
+		s.plan.noteLoad(job, now)
+	}
 	if f.accepts(job, now) {
 		return nil
 	}
--- a/internal/service/stage/worker.go
+++ b/internal/service/stage/worker.go
@@ -24,9 +24,9 @@
 	lifeMargin = 500 * time.Millisecond
 	// marginStep widens the margin of the room after a result that found none, marginDecay
 	// narrows it with each call whose results all found room.
-	marginStep  = 0.1
-	marginDecay = 0.97
-	maxMargin   = 0.5
+	marginStep  = 0.05
+	marginDecay = 0.9
+	maxMargin   = 0.25
 	// crowdedShare is the part of the room from which results are freed without delay.
 	crowdedShare = 0.4
 )
