--- a/cmd/entry_drain.go
+++ b/cmd/entry_drain.go
@@ -85,7 +85,6 @@
 	began := time.Now()
 	e.draining.Store(true)
 	e.log.Info().Int64("in_progress", e.callers.InProgress.Load()).Int64("grace_ms", e.settings.Host.Shutdown.Milliseconds()).Msg("drain_started")
-	e.stopRegistration()
 	go e.leave(ctx)
 	last := e.settings.Host.Shutdown - exitMargin
 	for time.Since(began) < last {
--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -74,8 +74,6 @@
 	// draining is set by the first signal, refusing when new requests are refused.
 	draining atomic.Bool
 	refusing atomic.Bool
-	// stopRegistration ends the renewal of the host's entry.
-	stopRegistration func()
 }
 
 func newEntryHost(s *settings.Settings, path string, logger *log.Logger) (*entryHost, error) {
@@ -93,7 +91,7 @@
 		codec: forward.Codec{
 			WriteHead: platform.WriteHead, DecodeReply: platform.DecodeReply, AnswerHeader: platform.AnswerHeader, WriteCall: platform.WriteCall,
 		},
-		peers: newPeerClient(), schedulers: map[int]*stage.Scheduler{}, stopRegistration: func() {},
+		peers: newPeerClient(), schedulers: map[int]*stage.Scheduler{},
 	}
 	e.directory = e.newDirectory(kv)
 	e.callers = &web.Callers{
@@ -244,7 +242,7 @@
 	e.timer.Every(sweepPeriod, e.idle.Sweep)
 	e.timer.Every(sweepPeriod, func(time.Time) { e.health.Sweep(clock.Now()) })
 	e.timer.Every(stage.FreePeriod, e.sweepSchedulers)
-	e.stopRegistration = e.directory.Register(ctx)
+	defer e.directory.Register(ctx)()
 	return e.directory.Run(ctx)
 }
 
--- /dev/null
+++ b/cmd/entry_test.go
@@ -0,0 +1,274 @@
+package cmd
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/oklog/run"
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/data/settings"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/logging"
+	"redwingloft/pkg/api"
+	wire "redwingloft/platform"
+	"redwingloft/standin/platform"
+)
+
+// site is an entry host before stand-ins of the whole platform.
+type site struct {
+	store    *platform.Store
+	settings *settings.Settings
+	host     *entryHost
+	stage    *platform.Upstream
+	engine   *platform.Upstream
+	plain    *platform.Upstream
+	stopped  chan error
+}
+
+// entryBound is the time after which a test that waits for an event fails.
+const entryBound = 10 * time.Second
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// rendered fills the template of the deploy folder as the platform does.
+func rendered(t *testing.T, values map[string]string) string {
+	t.Helper()
+	text, err := os.ReadFile("../deploy/entry.ini")
+	assert.NilError(t, err)
+	for name, value := range values {
+		text = bytes.ReplaceAll(text, []byte("{{"+name+"}}"), []byte(value))
+	}
+	assert.Assert(t, !bytes.Contains(text, []byte("{{")), "a placeholder is left in %s", text)
+	path := filepath.Join(t.TempDir(), "entry.ini")
+	assert.NilError(t, os.WriteFile(path, text, 0o600))
+	return path
+}
+
+func startSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{store: platform.NewStore(), stopped: make(chan error, 1)}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	s.plain = s.upstream(t, "plain", func(w *bufio.Writer, run platform.Run) bool {
+		time.Sleep(20 * time.Millisecond)
+		platform.Answer(w, run.Header.Get(wire.HeaderRequestID), 200, "booked "+string(run.Body))
+		return true
+	})
+	made := 0
+	s.stage = s.upstream(t, "stage", func(w *bufio.Writer, run platform.Run) bool {
+		var call struct{ Items []json.RawMessage }
+		if run.Path != wire.PathStageRun || json.Unmarshal(run.Body, &call) != nil {
+			fmt.Fprint(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		var results []string
+		for range call.Items {
+			made++
+			results = append(results, fmt.Sprintf(`{"handle":"%s/%d"}`, s.stage.Entry.Address, made))
+		}
+		body := `{"items":[` + strings.Join(results, ",") + `]}`
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		return true
+	})
+	s.engine = s.upstream(t, "engine", func(w *bufio.Writer, run platform.Run) bool {
+		platform.Events(w, run.Header.Get(wire.HeaderRequestID), 1, 5, true, time.Millisecond)
+		return true
+	})
+	s.write(t, wire.KeyDocument, `{"version":1,"routes":[
+{"name":"book","host":"h","pathPrefix":"/book/","kind":"non_idempotent","timeoutMs":1000,"sloMs":150,"maxAttempts":1,"service":"plain"},
+{"name":"plan","host":"h","pathPrefix":"/plan/","kind":"streaming","timeoutMs":6000,"sloMs":1400,"maxAttempts":2,"service":"engine","resumable":true,
+"stages":[{"service":"stage","after":[],"bytes":1000},{"service":"stage","after":[0],"bytes":1000}]}],
+"services":[{"name":"plain"},{"name":"engine"},{"name":"stage","segments":{"slots":1,"queue":2,"batch":8,"callMs":20,"itemMs":1,"headroomMb":1,"handleS":4}}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"w","apiKeys":["k"]}]}`)
+	values := map[string]string{
+		"node": "host-1", "zone": "a", "bounds.graceS": "8", "limits.memoryMb": "284", "listen.front": freeAddress(t), "listen.control": freeAddress(t),
+		"seeds": "", "ip": "127.0.0.1", "portRange.0": strings.TrimPrefix(freeAddress(t), "127.0.0.1:"), "listen.directory": freeAddress(t),
+		"listen.ready": freeAddress(t), "platform.address": strings.TrimPrefix(server.URL, "http://"), "bounds.retryRatio": "0.2",
+		"bounds.retrySlack": "54", "bounds.retryWindowS": "10",
+	}
+	path := rendered(t, values)
+	var err error
+	s.settings, err = settings.Load(path)
+	assert.NilError(t, err)
+	s.host, err = newEntryHost(s.settings, path, logging.Discard())
+	assert.NilError(t, err)
+	var group run.Group
+	s.host.addTo(context.Background(), &group)
+	go func() { s.stopped <- group.Run() }()
+	s.eventually(t, "readiness", func() bool {
+		response, err := http.Get("http://" + s.settings.Directory.ReadyListen + wire.PathReady)
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	return s
+}
+
+// upstream starts a stand-in that is named after its service, and lists it in the store.
+func (s *site) upstream(t *testing.T, service string, handle func(*bufio.Writer, platform.Run) bool) *platform.Upstream {
+	t.Helper()
+	u := &platform.Upstream{Handle: handle, Entry: fleet.Upstream{ID: api.UpstreamID("i-" + service)}}
+	assert.NilError(t, u.Start())
+	t.Cleanup(u.Close)
+	s.list(t, u, service, "ready")
+	return u
+}
+
+// list writes the entry of an upstream.
+func (s *site) list(t *testing.T, u *platform.Upstream, service, state string) {
+	t.Helper()
+	s.write(t, wire.PrefixUpstream+string(u.Entry.ID), fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":4,"state":%q,"coldLeftMs":0,"callSeq":1,"born":1}`, service, u.Entry.Address, state))
+}
+
+func (s *site) write(t *testing.T, key, value string) {
+	t.Helper()
+	_, err := s.store.Inner.Txn(context.Background(), store.Txn{Puts: []store.Put{{Key: key, Value: []byte(value)}}})
+	assert.NilError(t, err)
+}
+
+func (s *site) eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(entryBound); !holds(); time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), what)
+	}
+}
+
+// call sends a request as callers of the platform do.
+func (s *site) call(t *testing.T, path, id string, header map[string]string) (int, string, http.Header) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.settings.Caller.Listen+path, strings.NewReader("x"))
+	assert.NilError(t, err)
+	request.Host = "h"
+	request.Header.Set(wire.HeaderRequestID, id)
+	request.Header.Set(wire.HeaderWait, "5000")
+	request.Header.Set("Authorization", "Bearer k")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response.StatusCode, string(body), response.Header
+}
+
+// TestEntryHost guards against a host that starts, but serves no plain request, no
+// stream with its stages, or no address list.
+func TestEntryHost(t *testing.T) {
+	s := startSite(t)
+	status, body, header := s.call(t, "/book/1", "a", nil)
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "booked x")
+	assert.Assert(t, header.Get(wire.HeaderDigest) != "")
+
+	status, body, _ = s.call(t, "/plan/1", "b", map[string]string{wire.HeaderItems: "2,3", wire.HeaderItemKey: "k"})
+	assert.Equal(t, status, 200)
+	assert.Equal(t, strings.Count(body, "data:"), 5)
+	inputs := s.engine.Runs()[0].Header.Get(wire.HeaderInputs)
+	assert.Equal(t, len(strings.Split(inputs, ",")), 3, inputs)
+
+	response, err := http.Get("http://" + s.settings.Directory.Listen + wire.PathAddresses + "?name=h&region=r&zone=a")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	list, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, string(list), fmt.Sprintf(`{"addresses":[%q],"ttlS":1.5}`, s.settings.Caller.Listen))
+	s.stop(t)
+}
+
+// TestEntryHostFollowsOperator guards against a revoked credential or a leaving
+// upstream that is still used after the store acknowledged the change.
+func TestEntryHostFollowsOperator(t *testing.T) {
+	s := startSite(t)
+	s.list(t, s.plain, "plain", "draining")
+	s.eventually(t, "the drain", func() bool {
+		status, _, _ := s.call(t, "/book/1", "a", nil)
+		return status == http.StatusServiceUnavailable
+	})
+	before := len(s.plain.Runs())
+	_, _, header := s.call(t, "/book/1", "b", nil)
+	assert.Assert(t, header.Get("Retry-After") != "")
+	assert.Equal(t, len(s.plain.Runs()), before)
+	s.write(t, wire.KeyDocument, `{"version":2,"routes":[{"name":"book","host":"h","pathPrefix":"/book/","kind":"idempotent","service":"plain"}],"tenants":[{"name":"w","apiKeys":["new"]}]}`)
+	s.eventually(t, "the revocation", func() bool {
+		status, _, _ := s.call(t, "/book/1", "c", nil)
+		return status == http.StatusUnauthorized
+	})
+	s.stop(t)
+}
+
+// stop sends the process the platform's signal and waits for the end of the host.
+func (s *site) stop(t *testing.T) {
+	t.Helper()
+	s.signal(t)
+	s.awaitEnd(t)
+}
+
+func (s *site) signal(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+}
+
+// awaitEnd waits for the end of the host and looks that it left nothing behind.
+func (s *site) awaitEnd(t *testing.T) {
+	t.Helper()
+	select {
+	case err := <-s.stopped:
+		assert.ErrorIs(t, err, errStopped)
+	case <-time.After(s.settings.Host.Shutdown):
+		t.Fatal("the host did not end within its grace")
+	}
+	entry, err := s.store.Inner.Get(context.Background(), "redwingloft/hosts/host-1")
+	assert.NilError(t, err)
+	assert.Assert(t, entry == nil, "the registration was left behind")
+}
+
+// TestDrainFinishesRequests guards against a request that is cut by the end of its
+// host, and against a host that counts as ready while it leaves.
+func TestDrainFinishesRequests(t *testing.T) {
+	s := startSite(t)
+	done := make(chan int, 1)
+	go func() {
+		status, _, _ := s.call(t, "/book/1", "a", nil)
+		done <- status
+	}()
+	s.eventually(t, "the request", func() bool { return len(s.plain.Runs()) == 1 })
+	s.signal(t)
+	s.eventually(t, "the readiness", func() bool { return s.host.ready() != nil })
+	assert.Equal(t, <-done, 200)
+	s.awaitEnd(t)
+}
+
+// TestTemplateKeepsBounds guards against a watch that may stay silent for longer than
+// the two seconds within which a document has to be in force.
+func TestTemplateKeepsBounds(t *testing.T) {
+	s := startSite(t)
+	assert.Assert(t, s.settings.Store.WatchWait < 2*time.Second)
+	assert.Assert(t, s.settings.Caller.AddressValidity <= 5*time.Second)
+	s.stop(t)
+}
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -58,7 +58,8 @@
 	// Changed is called after each change of the view; nil calls nothing.
 	Changed func(*View)
 
-	view atomic.Pointer[View]
+	view         atomic.Pointer[View]
+	registration registration
 
 	mu    sync.Mutex
 	state State
--- a/internal/service/directory/follow_test.go
+++ b/internal/service/directory/follow_test.go
@@ -115,7 +115,9 @@
 	downKV.Down.Store(true)
 	turnedAway := startService(t, downClient, func(s *Service) {
 		s.Seeds = []api.Address{"127.0.0.1:9"}
-		s.Fetch = func(_ context.Context, _ api.Address, version store.Version) (*Dump, error) { return good.Dump(version), nil }
+		s.Fetch = func(_ context.Context, _ api.Address, version store.Version) (*Dump, error) {
+			return good.Dump(version), nil
+		}
 	})
 	eventually(t, "the document of the other host", func() bool { s := turnedAway.View().Snapshot; return s != nil && s.Revision == 1 })
 	write(t, kv, documentEntry(3, 0))
@@ -131,12 +133,17 @@
 	ctx := context.Background()
 	cancel := service.Register(ctx)
 	defer cancel()
-	kv.LoseWrites.Store(false)
 	listed := func() bool {
 		entry, err := kv.Inner.Get(ctx, "host/self")
 		return err == nil && entry != nil
 	}
 	eventually(t, "the registration", listed)
+	kv.LoseWrites.Store(false)
+	eventually(t, "the write that was answered", func() bool {
+		service.registration.mu.Lock()
+		defer service.registration.mu.Unlock()
+		return service.registration.written != 0
+	})
 	_, err := kv.Inner.Txn(ctx, store.Txn{Deletes: []string{"host/self"}})
 	assert.NilError(t, err)
 	eventually(t, "the registration after its entry was lost", listed)
--- a/internal/service/directory/register.go
+++ b/internal/service/directory/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"redwingloft/internal/data/store"
@@ -18,26 +19,33 @@
 
 // registration is the state of the host's entry in the store.
 type registration struct {
+	mu    sync.Mutex
 	lease store.LeaseID
 	// written is the version of the entry's last write; 0 while it is not written.
 	written store.Version
+	// left is set when the host leaves; the entry is not written again.
+	left bool
 }
 
-// Register keeps the host registered until the returned function is called.
+// Register keeps the host registered until ctx ends or Leave is called.
 func (s *Service) Register(ctx context.Context) (cancel func()) {
-	var current registration
 	renew := func(time.Time) {
-		if err := s.renew(ctx, &current); err != nil && ctx.Err() == nil {
+		if err := s.renew(ctx, &s.registration); err != nil && ctx.Err() == nil {
 			s.Metrics.Counter("directory.register_failures").Inc(1)
 			s.Log.Debug().Err(err).Msg("registration_failed")
 		}
 	}
-	renew(s.now())
+	go renew(s.now())
 	return s.Timer.Every(renewPeriod, renew)
 }
 
 // renew extends the lease, and writes the entry anew where the lease has ended.
 func (s *Service) renew(ctx context.Context, current *registration) error {
+	current.mu.Lock()
+	defer current.mu.Unlock()
+	if current.left {
+		return nil
+	}
 	if current.lease != 0 {
 		err := s.Store.KeepAlive(ctx, current.lease)
 		switch {
@@ -97,8 +105,11 @@
 
 func (s *Service) selfKey() string { return s.Decoder.HostPrefix + string(s.Self.ID) }
 
-// Leave removes the host's entry.
+// Leave removes the host's entry and does not write it again.
 func (s *Service) Leave(ctx context.Context) error {
+	s.registration.mu.Lock()
+	defer s.registration.mu.Unlock()
+	s.registration.left = true
 	_, err := s.Store.Txn(ctx, store.Txn{Deletes: []string{s.selfKey()}})
 	return err
 }
--- a/internal/tool/layers/main.go
+++ b/internal/tool/layers/main.go
@@ -20,6 +20,7 @@
 	"redwingloft/internal/data",
 	"redwingloft/internal/kernel",
 	"redwingloft/internal/plugin",
+	"redwingloft/platform",
 	"redwingloft/internal/service",
 	"redwingloft/internal/web",
 	"redwingloft/cmd",
