Give room back when inputs are fetched; make large results just in time

Inputs kept their room until the consumer's call ended, those of engines until the first event. Change: inputs are released 100 ms after the last call that fetches them began (150 ms for engines that do not queue); if they are needed again, they are made again. Where an upstream is crowded, a large result waits until its engine's other inputs are one call away. Nobody waits for a data centre where two full calls wait.

--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"redwingloft/internal/data/fleet"
@@ -24,6 +25,12 @@
 	gapLimit = 1500 * time.Millisecond
 	// gapTargets is the same in the route's longest pauses.
 	gapTargets = 3
+	// fetchTime is how long an engine that does not queue has to fetch its inputs: a few
+	// results of 1.5 MB over links of 10 Gbit/s, beside others. Their room is given back
+	// after it; an engine that comes too late says so, and they are made again.
+	fetchTime = 150 * time.Millisecond
+	// promptLatency is the mean time to the first event from which an engine is taken to queue.
+	promptLatency = 800 * time.Millisecond
 	// rankStep spreads the priorities of routes over the ranks of engines.
 	rankStep = 2
 	// maxRank is the last rank of engines.
@@ -62,7 +69,7 @@
 			return s.end(c.final(end(c.history), err))
 		}
 		c.Metrics.Counter("retry." + string(result)).Inc(1)
-		if errors.Is(err, errInputsGone) || s.released {
+		if errors.Is(err, errInputsGone) || s.released.Load() {
 			if err := s.prepareAgain(ctx); err != nil {
 				return s.end(err)
 			}
@@ -96,7 +103,7 @@
 	*call
 	prepared *Prepared
 	// released tells that the inputs are no longer kept.
-	released bool
+	released atomic.Bool
 	// last is the id of the last event that was passed on.
 	last string
 	// step is the difference of two ids in a row; 0 while it is not known.
@@ -116,10 +123,19 @@
 		s.prepared = &Prepared{Release: func() {}}
 		return err
 	}
-	s.prepared, s.released = prepared, false
+	s.prepared = prepared
+	s.released.Store(false)
 	return nil
 }
 
+// release tells that the engine has fetched its inputs.
+func (s *streaming) release(prepared *Prepared) {
+	if len(prepared.Inputs) > 0 {
+		s.released.Store(true)
+	}
+	prepared.Release()
+}
+
 // end ends a stream without its last event: with an error where nothing was passed on
 // yet, else by breaking the connection, so that the answer does not look complete.
 func (s *streaming) end(err error) error {
@@ -135,7 +151,6 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	tokens := s.request.PromptTokens
-	began := clock.Now()
 	s.Health.Begin(upstream, tokens)
 	progress := &progress{limit: s.firstLimit(upstream), cancel: cancel, enabled: s.mayMove()}
 	progress.start()
@@ -152,7 +167,6 @@
 	if first > 0 {
 		s.Metrics.Histogram("engine.first_event").Update(first.Milliseconds())
 	}
-	_ = began
 	return result, err
 }
 
@@ -172,6 +186,11 @@
 	attempt.LastEvent, attempt.Inputs = s.last, s.prepared.Inputs
 	attempt.Ranked, attempt.Rank = true, min(max(s.rank, 0)*rankStep, maxRank)
 	began := clock.Now()
+	if len(attempt.Inputs) > 0 && s.Health.Get(upstream).Latency < promptLatency {
+		prepared := s.prepared
+		fetched := time.AfterFunc(fetchTime, func() { s.release(prepared) })
+		defer fetched.Stop()
+	}
 	x, err := s.Pool.start(ctx, &s.Codec, attempt, s.route.Repeatable())
 	if err != nil {
 		if NotSent(err) {
@@ -235,9 +254,7 @@
 		if first == 0 {
 			first = max(clock.Now().Sub(began), 1)
 			s.Health.Prefilled(upstream, s.request.PromptTokens)
-			// The engine has read its inputs.
-			s.prepared.Release()
-			s.released = len(s.prepared.Inputs) > 0
+			s.release(s.prepared)
 		}
 		progress.event(max(gapLimit, gapTargets*s.route.MaxGap))
 		if err := s.passEvent(x, &e); err != nil {
--- a/internal/service/stage/job.go
+++ b/internal/service/stage/job.go
@@ -139,10 +139,13 @@
 	return true
 }
 
-// consumed reports whether all stages that need a stage are done.
-func (j *jobState) consumed(stage int) bool {
-	for _, consumer := range j.stages[stage].consumers {
-		if j.stages[consumer].left > 0 {
+// made reports whether all items of a stage are made.
+func (j *jobState) made(stage int) bool { return j.stages[stage].left == 0 }
+
+// underWay reports whether all items of a stage are made or in calls.
+func (j *jobState) underWay(stage int) bool {
+	for _, it := range j.stages[stage].items {
+		if it.phase != phaseRunning && it.phase != phaseDone {
 			return false
 		}
 	}
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -18,11 +18,20 @@
 	largeTransfer = 256 << 10
 	// homeWait is how long such an item waits for an upstream there, where its aim allows.
 	homeWait = 150 * time.Millisecond
+	// crowdCalls is the number of full calls that wait from which nobody waits for a data centre.
+	crowdCalls = 2
 	// lateShare is the part of the time left that the forecast of a late job may take.
 	lateShare = 0.6
 	// minSpare is the least share of the upstreams that late jobs are taken to get: work
 	// that can make its aim comes in waves.
 	minSpare = 0.15
+	// earlySlack is added to the call that a large result may be ahead of the other stages
+	// of its job, for the wait in its queue.
+	earlySlack = 100 * time.Millisecond
+	// fetchTime is how long a call has to fetch its inputs after its start. Then their room
+	// is given back, though the call still runs; if it is lost, they are made again. The
+	// largest call fetches 25 MB over a link of 10 Gbit/s, 20 ms, beside others.
+	fetchTime = 100 * time.Millisecond
 	// loadTime is the time over which the load of work that can make its aim is averaged.
 	loadTime = 2 * time.Second
 	// consumerTime is the time that an engine needs from the results to the first event.
@@ -65,6 +74,8 @@
 	queues  map[api.ServiceName][]*item
 	workers map[fleet.Incarnation]*worker
 	loads   map[api.ServiceName]load
+	// fetching holds the stages whose inputs are being fetched, in order of their end.
+	fetching []fetch
 	// retry reports whether one more item of a service may be sent again, and takes it from the budget.
 	retry func(api.ServiceName) bool
 }
@@ -189,6 +200,36 @@
 	}
 }
 
+// fetch is a stage of a job all of whose items are under way.
+type fetch struct {
+	job   *jobState
+	stage int
+	until time.Time
+}
+
+// noteFetch notes the stages whose last items went out with a call.
+func (p *plan) noteFetch(call *Call) {
+	seen := map[*jobState]bool{}
+	for _, it := range call.items {
+		j := it.job
+		if !seen[j] && len(j.stages[it.stage].After) > 0 && j.underWay(it.stage) {
+			seen[j] = true
+			p.fetching = append(p.fetching, fetch{j, it.stage, call.Began.Add(fetchTime)})
+		}
+	}
+}
+
+// releaseFetched releases the inputs that calls have fetched.
+func (p *plan) releaseFetched(now time.Time) {
+	for len(p.fetching) > 0 && !now.Before(p.fetching[0].until) {
+		f := p.fetching[0]
+		p.fetching = p.fetching[1:]
+		if !f.job.ended {
+			p.releaseInputs(f.job, f.stage, (*jobState).underWay)
+		}
+	}
+}
+
 // tail returns the time that the job needs after an item of a stage has begun.
 func (p *plan) tail(j *jobState, stage int) time.Duration {
 	var after time.Duration
@@ -372,10 +413,12 @@
 	if home && !slices.ContainsFunc(queue, func(it *item) bool { return it.wants(w) }) {
 		return nil
 	}
+	// Where more waits than the next calls carry, a place left empty is lost.
+	crowd := len(queue) > crowdCalls*limit
 	rest := make([]*item, 0, len(queue))
 	for _, it := range queue {
 		bytes := it.job.stages[it.stage].ResultBytes
-		if len(call.items) == limit || call.reserved+bytes > room || p.waitsForHome(it, w, service, now) {
+		if len(call.items) == limit || call.reserved+bytes > room || (!crowd && p.waitsForHome(it, w, service, now)) || (w.crowded() && p.early(it, now)) {
 			rest = append(rest, it)
 			continue
 		}
@@ -396,12 +439,29 @@
 	w.reserved += call.reserved
 	w.lastCall = now
 	call.Expected = w.expected(len(call.items))
+	p.noteFetch(call)
 	return call
 }
 
 // wants reports whether an upstream is in the data centre where the item is better run.
 func (it *item) wants(w *worker) bool { return it.home != "" && it.home == w.upstream.DataCentre }
 
+// early reports whether a large result would only lie and take room: its engine waits
+// for other stages of the job that need one call more than it.
+func (p *plan) early(it *item, now time.Time) bool {
+	j := it.job
+	if j.stages[it.stage].ResultBytes < largeTransfer || now.After(j.Aim) {
+		return false
+	}
+	own := p.tail(j, it.stage)
+	for i := range j.stages {
+		if j.stages[i].left > 0 && p.tail(j, i) > own+p.callTime(j.stages[it.stage].Service)+earlySlack {
+			return true
+		}
+	}
+	return false
+}
+
 // waitsForHome reports whether an item is better kept for an upstream of its data
 // centre: it moves many bytes, has time, and there is such an upstream.
 func (p *plan) waitsForHome(it *item, w *worker, service api.ServiceName, now time.Time) bool {
@@ -542,7 +602,7 @@
 		return
 	}
 	p.unblock(j, now)
-	p.releaseConsumed(j, stage)
+	p.releaseInputs(j, stage, (*jobState).made)
 	if j.left > 0 || p.remakeLast(j, now) {
 		return
 	}
@@ -574,10 +634,11 @@
 	return j.ended || j.left > 0
 }
 
-// releaseConsumed releases the results that only finished stages needed.
-func (p *plan) releaseConsumed(j *jobState, stage int) {
+// releaseInputs releases the results that a stage needed, where all stages that need
+// them satisfy past.
+func (p *plan) releaseInputs(j *jobState, stage int, past func(*jobState, int) bool) {
 	for _, before := range j.stages[stage].After {
-		if !j.consumed(before) {
+		if slices.ContainsFunc(j.stages[before].consumers, func(consumer int) bool { return !past(j, consumer) }) {
 			continue
 		}
 		for _, it := range j.stages[before].items {
--- a/internal/service/stage/plan_test.go
+++ b/internal/service/stage/plan_test.go
@@ -500,3 +500,57 @@
 		}
 	})
 }
+
+// TestFetchedInputsGiveRoom guards against a stage that stands still because the inputs
+// of calls which have fetched them keep the room of the stage before.
+func TestFetchedInputsGiveRoom(t *testing.T) {
+	b := newBench(batching("first", 8), batching("second", 8))
+	first := b.add("first", "a")
+	b.add("second", "a")
+	b.offer(b.job("r", 0, 5*time.Second, 9*time.Second, Spec{Service: "first", Items: 4, ResultBytes: 100}, Spec{Service: "second", After: []int{0}, Items: 1, ResultBytes: 10}))
+	b.dispatchNow(nil)
+	b.step(nil)
+	assert.Equal(t, len(b.running), 1)
+	b.releaseFetched(b.now.Add(fetchTime / 2))
+	assert.Equal(t, len(b.worker(first).freeing), 0)
+	b.now = b.now.Add(fetchTime)
+	b.releaseFetched(b.now)
+	assert.Equal(t, len(b.worker(first).freeing), 4)
+	for _, f := range b.frees(true) {
+		b.freed(f, true)
+	}
+	// The call is lost after all: its inputs are made again.
+	for call := range b.running {
+		delete(b.running, call)
+		b.complete(call, nil, FailureLost, b.now)
+	}
+	for range 20 {
+		b.dispatchNow(nil)
+		if !b.step(nil) {
+			b.now = b.now.Add(time.Second)
+		}
+	}
+	assert.Equal(t, len(b.outcomes["r"].Results), 1)
+	assert.Equal(t, b.errors["r"], nil)
+}
+
+// TestLargeResultIsNotEarly guards against a large result that takes room while its
+// engine waits for a longer chain of stages.
+func TestLargeResultIsNotEarly(t *testing.T) {
+	crowded := batching("s", 8)
+	crowded.Batching.ResultBytes = 4 << 20
+	b := newBench(crowded, batching("t", 8))
+	maker := b.worker(b.add("s", "a"))
+	maker.hold("other", 2<<20, b.now)
+	b.add("t", "a")
+	b.offer(b.job("r", 0, 5*time.Second, 9*time.Second, Spec{Service: "s", Items: 1, ResultBytes: 1 << 20},
+		Spec{Service: "s", Items: 1, ResultBytes: 10}, Spec{Service: "t", After: []int{1}, Items: 1, ResultBytes: 10}, Spec{Service: "t", After: []int{2}, Items: 1, ResultBytes: 10}))
+	calls := b.dispatchNow(nil)
+	assert.Equal(t, len(calls), 1)
+	assert.Equal(t, len(calls[0].Items), 1)
+	assert.Equal(t, calls[0].Items[0].Stage, 1)
+	for b.step(nil) {
+		continue
+	}
+	assert.Equal(t, len(b.outcomes["r"].Results), 2)
+}
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -178,6 +178,21 @@
 	for _, call := range calls {
 		go s.run(call)
 	}
+	if len(calls) > 0 {
+		time.AfterFunc(fetchTime, s.fetched)
+	}
+}
+
+// fetched gives the room of inputs back that calls have fetched.
+func (s *Scheduler) fetched() {
+	s.mu.Lock()
+	now := clock.Now()
+	s.plan.releaseFetched(now)
+	frees := s.plan.frees(false)
+	calls := s.plan.dispatch(now)
+	s.mu.Unlock()
+	s.launchFrees(frees)
+	s.launch(calls)
 }
 
 // run makes one call and applies its end.
