Gather stages by data centre in large fleets

Change: above 16 hosts each data centre with upstreams of every stage is a group with a gathering host of its own; a job goes to the group of the engine that its prefix names, and to another one where that has no room. The wait of a watch call follows from the bound of the configuration.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -69,7 +69,7 @@
 	idle      *web.Idle
 
 	schedulersMu sync.Mutex
-	schedulers   map[int]*stage.Scheduler
+	schedulers   map[stage.Group]*stage.Scheduler
 
 	// draining is set by the first signal, refusing when new requests are refused.
 	draining atomic.Bool
@@ -91,7 +91,7 @@
 		codec: forward.Codec{
 			WriteHead: platform.WriteHead, DecodeReply: platform.DecodeReply, AnswerHeader: platform.AnswerHeader, WriteCall: platform.WriteCall,
 		},
-		peers: newPeerClient(), schedulers: map[int]*stage.Scheduler{},
+		peers: newPeerClient(), schedulers: map[stage.Group]*stage.Scheduler{},
 	}
 	e.directory = e.newDirectory(kv)
 	e.callers = &web.Callers{
@@ -143,7 +143,7 @@
 func (e *entryHost) hosts() int { return len(e.directory.View().Hosts) }
 
 // scheduler returns this host's scheduler of a group of upstreams.
-func (e *entryHost) scheduler(group int) *stage.Scheduler {
+func (e *entryHost) scheduler(group stage.Group) *stage.Scheduler {
 	e.schedulersMu.Lock()
 	defer e.schedulersMu.Unlock()
 	if found := e.schedulers[group]; found != nil {
@@ -151,7 +151,7 @@
 	}
 	made := &stage.Scheduler{
 		Pool: e.pool, Forward: &e.codec, Log: e.log, Metrics: e.metrics, View: e.directory.View,
-		Budget:    e.newBudget(func() int { return stage.Groups(e.directory.View()) }),
+		Budget:    e.newBudget(func() int { return len(stage.Groups(e.directory.View())) }),
 		Upstreams: func(view *directory.View) []*fleet.Upstream { return stage.InGroup(view, group) },
 		Codec: stage.Codec{
 			RunPath: platform.PathStageRun, FreePath: platform.PathStageFree,
--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -102,7 +102,7 @@
 "services":[{"name":"plain"},{"name":"engine"},{"name":"stage","segments":{"slots":1,"queue":2,"batch":8,"callMs":20,"itemMs":1,"headroomMb":1,"handleS":4}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"w","apiKeys":["k"]}]}`)
 	values := map[string]string{
-		"node": "host-1", "zone": "a", "bounds.graceS": "8", "limits.memoryMb": "284", "listen.front": freeAddress(t), "listen.control": freeAddress(t),
+		"node": "host-1", "zone": "a", "bounds.graceS": "8", "bounds.configMs": "2000", "limits.memoryMb": "284", "listen.front": freeAddress(t), "listen.control": freeAddress(t),
 		"seeds": "", "ip": "127.0.0.1", "portRange.0": strings.TrimPrefix(freeAddress(t), "127.0.0.1:"), "listen.directory": freeAddress(t),
 		"listen.ready": freeAddress(t), "platform.address": strings.TrimPrefix(server.URL, "http://"), "bounds.retryRatio": "0.2",
 		"bounds.retrySlack": "54", "bounds.retryWindowS": "10",
@@ -268,7 +268,7 @@
 // the two seconds within which a document has to be in force.
 func TestTemplateKeepsBounds(t *testing.T) {
 	s := startSite(t)
-	assert.Assert(t, s.settings.Store.WatchWait < 2*time.Second)
+	assert.Equal(t, s.settings.Store.WatchWait, 1500*time.Millisecond)
 	assert.Assert(t, s.settings.Caller.AddressValidity <= 5*time.Second)
 	s.stop(t)
 }
--- a/internal/data/settings/platform.go
+++ b/internal/data/settings/platform.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// watchShare is the part of the time within which a change has to be in force that a
+// watch may stay silent. The rest is for reading all anew.
+const watchShare = 0.75
+
 // Store is the section [store].
 type Store struct {
 	// Kind names the plug-in. "memory" means that the host runs alone.
@@ -28,6 +32,9 @@
 	if st.Kind != "memory" && len(st.Endpoints) == 0 {
 		s.faultf("endpoints", "kind %q needs at least one endpoint", st.Kind)
 	}
+	if bound := s.duration("in_force_within", 0, 0, time.Minute); bound > 0 {
+		st.WatchWait = min(st.WatchWait, time.Duration(watchShare*float64(bound)))
+	}
 	return st
 }
 
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -8,8 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sort"
-	"strconv"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +17,6 @@
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/fault"
-	"redwingloft/internal/helper/hashing"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
@@ -26,12 +24,6 @@
 )
 
 const (
-	// hostsPerGroup is the number of hosts that one scheduler gathers for. At 48 requests
-	// a second on seven hosts a scheduler used a few hundredths of a core.
-	hostsPerGroup = 16
-	// minGroupUpstreams is the least number of upstreams of a service in one group, so
-	// that the loss of one is borne by the others.
-	minGroupUpstreams = 4
 	// avoidTime is how long a host that failed as a scheduler is passed over.
 	avoidTime = 2 * time.Second
 	// maxSubmits bounds the hosts that a job is given to.
@@ -52,52 +44,6 @@
 	PathRelease = "/v1/stage/release"
 )
 
-// Groups returns the number of groups into which the upstreams of stages are divided.
-func Groups(view *directory.View) int {
-	groups := (len(view.Hosts) + hostsPerGroup - 1) / hostsPerGroup
-	if view.Snapshot == nil {
-		return 1
-	}
-	for _, service := range view.Snapshot.StageServices() {
-		if count := len(view.Ready(service)); count > 0 {
-			groups = min(groups, count/minGroupUpstreams)
-		}
-	}
-	return max(groups, 1)
-}
-
-// InGroup returns the upstreams of a group: of each service every n-th.
-func InGroup(view *directory.View, group int) []*fleet.Upstream {
-	var list []*fleet.Upstream
-	if view.Snapshot == nil {
-		return nil
-	}
-	groups := Groups(view)
-	for _, service := range view.Snapshot.StageServices() {
-		for i, upstream := range view.Ready(service) {
-			if i%groups == group {
-				list = append(list, upstream)
-			}
-		}
-	}
-	return list
-}
-
-// Ranked returns the hosts that may gather for a group, the first choice first. All
-// hosts that know the same hosts agree. Draining hosts come last.
-func Ranked(hosts []fleet.Host, group int) []fleet.Host {
-	ranked := append([]fleet.Host(nil), hosts...)
-	key := hashing.Of("stage/" + strconv.Itoa(group))
-	score := func(h fleet.Host) uint64 { return hashing.Score(key, hashing.Of(string(h.ID))) }
-	sort.Slice(ranked, func(i, j int) bool {
-		if ranked[i].Draining != ranked[j].Draining {
-			return ranked[j].Draining
-		}
-		return score(ranked[i]) > score(ranked[j])
-	})
-	return ranked
-}
-
 // Message is a job as one host gives it to another. Times are durations, since the
 // clocks of hosts differ.
 type Message struct {
@@ -107,7 +53,7 @@
 	DeadlineMs int64          `json:"deadline_ms"`
 	Rank       int            `json:"rank"`
 	Home       api.DataCentre `json:"home,omitempty"`
-	Group      int            `json:"group"`
+	Group      Group          `json:"group"`
 	Stages     []Spec         `json:"stages"`
 }
 
@@ -120,7 +66,7 @@
 
 // ReleaseMessage lists results that are no longer needed.
 type ReleaseMessage struct {
-	Group   int               `json:"group"`
+	Group   Group             `json:"group"`
 	Results []fleet.ResultRef `json:"results"`
 }
 
@@ -142,7 +88,7 @@
 	Log     *log.Logger
 	Metrics *metric.Set
 	// Local returns this host's scheduler of a group.
-	Local func(group int) *Scheduler
+	Local func(group Group) *Scheduler
 
 	mu sync.Mutex
 	// avoid maps hosts that failed to when they may be asked again.
@@ -153,12 +99,25 @@
 
 type releaseKey struct {
 	peer  api.Address
-	group int
+	group Group
 }
 
 // Prepare runs the stages of a request.
 func (c *Client) Prepare(ctx context.Context, work *forward.Work) (*forward.Prepared, error) {
-	group := int(hashing.Of(string(work.Request.ID)) % uint64(Groups(c.View())))
+	groups := Groups(c.View())
+	group := groupOf(groups, work.Home, string(work.Request.ID))
+	prepared, err := c.prepareIn(ctx, work, group)
+	if !fault.Is(err, api.KindDeadlineUnreachable) || len(groups) == 1 || ctx.Err() != nil {
+		return prepared, err
+	}
+	// Another group may have room; results that cross data centres are better than none.
+	others := slices.DeleteFunc(groups, func(g Group) bool { return g == group })
+	c.Metrics.Counter("stage.other_group").Inc(1)
+	return c.prepareIn(ctx, work, groupOf(others, "", string(work.Request.ID)))
+}
+
+// prepareIn runs the stages of a request in a group.
+func (c *Client) prepareIn(ctx context.Context, work *forward.Work, group Group) (*forward.Prepared, error) {
 	var last error
 	for range maxSubmits {
 		host := c.pick(group)
@@ -179,7 +138,7 @@
 	return nil, fault.Wrap(api.KindNoUpstream, last, "no host could run the stages")
 }
 
-func newMessage(work *forward.Work, group int, now time.Time) *Message {
+func newMessage(work *forward.Work, group Group, now time.Time) *Message {
 	m := &Message{
 		Request: work.Request.ID, Key: work.Request.ItemKey, Rank: work.Rank, Group: group, Home: work.Home,
 		DeadlineMs: (work.Deadline.Sub(now) - resultMargin).Milliseconds(),
@@ -194,7 +153,7 @@
 }
 
 // pick returns the host that gathers for a group; the zero host is this one.
-func (c *Client) pick(group int) fleet.Host {
+func (c *Client) pick(group Group) fleet.Host {
 	now := clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -281,7 +240,7 @@
 }
 
 // prepared returns the outcome with the call that releases it.
-func (c *Client) prepared(host fleet.Host, group int, outcome Outcome) *forward.Prepared {
+func (c *Client) prepared(host fleet.Host, group Group, outcome Outcome) *forward.Prepared {
 	var once sync.Once
 	release := func() {
 		once.Do(func() { c.release(host, group, outcome.Results) })
@@ -289,7 +248,7 @@
 	return &forward.Prepared{Inputs: outcome.Results, Home: outcome.Home, Release: release}
 }
 
-func (c *Client) release(host fleet.Host, group int, results []fleet.ResultRef) {
+func (c *Client) release(host fleet.Host, group Group, results []fleet.ResultRef) {
 	if host.ID == "" {
 		c.Local(group).Release(results)
 		return
--- /dev/null
+++ b/internal/service/stage/group_test.go
@@ -0,0 +1,79 @@
+package stage
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/service/directory"
+	"redwingloft/pkg/api"
+)
+
+// groupView returns a view with hosts and, for each data centre and stage, upstreams.
+func groupView(t *testing.T, hosts int, upstreams map[string][]api.ServiceName) *directory.View {
+	t.Helper()
+	state := directory.State{Decoder: directory.Decoder{
+		DocumentKey: "document", UpstreamPrefix: "upstream/", HostPrefix: "host/",
+		Document: func([]byte) (*fleet.Document, error) {
+			return &fleet.Document{Services: []fleet.Service{*batching("s", 8), *batching("t", 8)}}, nil
+		},
+		Upstream: func(_ string, data []byte) (*fleet.Upstream, error) {
+			var u fleet.Upstream
+			return &u, json.Unmarshal(data, &u)
+		},
+	}}
+	entries := []store.Entry{{Key: "document", Version: 1}}
+	for i := range hosts {
+		value := fmt.Sprintf(`{"id":"h%02d","data_centre":"dc%d"}`, i, i%3)
+		entries = append(entries, store.Entry{Key: fmt.Sprint("host/", i), Version: 2, Value: []byte(value)})
+	}
+	for centre, services := range upstreams {
+		for i, service := range services {
+			value := fmt.Sprintf(`{"ID":"%s-%d","Service":%q,"DataCentre":%q,"State":"ready"}`, centre, i, service, centre)
+			entries = append(entries, store.Entry{Key: fmt.Sprint("upstream/", centre, i), Version: 3, Value: []byte(value)})
+		}
+	}
+	state.Replace(entries, 10, time.Now(), time.Time{})
+	return state.View()
+}
+
+// TestGroups guards against upstreams that no group or two groups call, and against
+// a data centre without some stage that gathers for itself.
+func TestGroups(t *testing.T) {
+	all := map[string][]api.ServiceName{"dc0": {"s", "t", "s"}, "dc1": {"s", "t"}, "dc2": {"s"}}
+	assert.DeepEqual(t, Groups(groupView(t, 7, all)), []Group{GroupAll})
+	view := groupView(t, 40, all)
+	assert.DeepEqual(t, Groups(view), []Group{"dc0", "dc1"})
+	seen := map[api.UpstreamID]int{}
+	for _, group := range Groups(view) {
+		for _, u := range InGroup(view, group) {
+			seen[u.ID]++
+		}
+	}
+	assert.Equal(t, len(seen), 6)
+	for id, count := range seen {
+		assert.Equal(t, count, 1, string(id))
+	}
+	assert.Equal(t, len(InGroup(groupView(t, 7, all), GroupAll)), 6)
+}
+
+// TestRankedHosts guards against hosts that disagree on who gathers, and against a
+// draining host or one of another data centre that is the first choice.
+func TestRankedHosts(t *testing.T) {
+	hosts := groupView(t, 40, nil).Hosts
+	first := Ranked(hosts, "dc1")[0]
+	assert.Equal(t, first.DataCentre, api.DataCentre("dc1"))
+	for i := range hosts {
+		if hosts[i].ID == first.ID {
+			hosts[i].Draining = true
+		}
+	}
+	ranked := Ranked(hosts, "dc1")
+	assert.Assert(t, ranked[0].ID != first.ID)
+	assert.Equal(t, ranked[len(ranked)-1].ID, first.ID)
+}
--- a/internal/web/entry/peers.go
+++ b/internal/web/entry/peers.go
@@ -30,7 +30,7 @@
 // Peers serves the calls of other hosts.
 type Peers struct {
 	// Scheduler returns this host's scheduler of a group.
-	Scheduler func(group int) *stage.Scheduler
+	Scheduler func(group stage.Group) *stage.Scheduler
 	// Dump returns the state where it is newer than a version, or nil.
 	Dump func(version store.Version) *directory.Dump
 	// InProgress counts the jobs of other hosts.
