Share failures of upstreams between hosts

Change: hosts with traffic tell one of them twice a second what they saw, and get back which upstreams fail; the choice takes the larger of both rates. Also: TestReportShowsEveryHost wrote which hosts are dead while the exchanges of a drain read it (seen once by the race detector in a run of all packages); the test writes it first now, its checks are unchanged.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -23,6 +23,7 @@
 	"redwingloft/internal/kernel"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
+	"redwingloft/internal/service/outlier"
 	"redwingloft/internal/service/stage"
 	"redwingloft/internal/web/admin"
 	web "redwingloft/internal/web/entry"
@@ -66,6 +67,7 @@
 	peers     *http.Client
 	callers   *web.Callers
 	jobs      *web.Peers
+	outliers  *outlier.Exchanger
 	idle      *web.Idle
 
 	schedulersMu sync.Mutex
@@ -97,7 +99,10 @@
 	e.callers = &web.Callers{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
 	}
-	e.jobs = &web.Peers{Scheduler: e.scheduler, Dump: e.directory.Dump}
+	e.outliers = &outlier.Exchanger{
+		Self: s.Host.ID, View: e.directory.View, HTTP: e.peers, Health: e.health, Collector: &outlier.Collector{}, Log: logger, Metrics: e.metrics,
+	}
+	e.jobs = &web.Peers{Scheduler: e.scheduler, Dump: e.directory.Dump, Outliers: e.outliers.Collector}
 	e.idle = &web.Idle{Limit: e.idleLimit}
 	return e, nil
 }
@@ -241,6 +246,7 @@
 	e.timer.Every(sweepPeriod, e.pool.Sweep)
 	e.timer.Every(sweepPeriod, e.idle.Sweep)
 	e.timer.Every(sweepPeriod, func(time.Time) { e.health.Sweep(clock.Now()) })
+	e.timer.Every(outlier.Period, e.outliers.Run)
 	e.timer.Every(stage.FreePeriod, e.sweepSchedulers)
 	defer e.directory.Register(ctx)()
 	return e.directory.Run(ctx)
--- a/internal/data/fleet/upstream.go
+++ b/internal/data/fleet/upstream.go
@@ -35,8 +35,9 @@
 
 // Incarnation identifies one start of an upstream.
 type Incarnation struct {
-	ID      api.UpstreamID
-	Started int64
+	ID api.UpstreamID `json:"id"`
+	// Started is the Unix time of the start in milliseconds.
+	Started int64 `json:"started"`
 }
 
 // Incarnation returns the identity of this start.
--- a/internal/service/forward/health.go
+++ b/internal/service/forward/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/clock"
 )
 
 const (
@@ -71,6 +72,69 @@
 type HealthTable struct {
 	mu    sync.Mutex
 	table map[fleet.Incarnation]*Health
+	// seen holds the outcomes since the last call of Observations.
+	seen map[fleet.Incarnation]*Observation
+	// shared holds the failure rates that all hosts see, as of learned.
+	shared  map[fleet.Incarnation]float64
+	learned time.Time
+}
+
+// Observation counts the outcomes of attempts at one upstream.
+type Observation struct {
+	fleet.Incarnation
+	OK     int `json:"ok"`
+	Failed int `json:"failed"`
+}
+
+// Rate is the share of failed attempts at one upstream, between 0 and 1.
+type Rate struct {
+	fleet.Incarnation
+	Failures float64 `json:"failures"`
+}
+
+// sharedLife is how long failure rates of all hosts count; they come twice a second.
+const sharedLife = 2 * time.Second
+
+// Observations returns the outcomes since its last call.
+func (t *HealthTable) Observations() []Observation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]Observation, 0, len(t.seen))
+	for _, o := range t.seen {
+		list = append(list, *o)
+	}
+	t.seen = nil
+	return list
+}
+
+// Learn takes the failure rates that all hosts see.
+func (t *HealthTable) Learn(rates []Rate, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shared, t.learned = make(map[fleet.Incarnation]float64, len(rates)), now
+	for _, rate := range rates {
+		t.shared[rate.Incarnation] = rate.Failures
+	}
+}
+
+// observe counts an outcome for the other hosts. The caller holds mu.
+func (t *HealthTable) observe(u *fleet.Upstream, outcome Outcome) {
+	if outcome == OutcomeCancelled || outcome == OutcomeRefused {
+		return
+	}
+	if t.seen == nil {
+		t.seen = map[fleet.Incarnation]*Observation{}
+	}
+	o := t.seen[u.Incarnation()]
+	if o == nil {
+		o = &Observation{Incarnation: u.Incarnation()}
+		t.seen[u.Incarnation()] = o
+	}
+	if outcome == OutcomeAnswered {
+		o.OK++
+	} else {
+		o.Failed++
+	}
 }
 
 func (t *HealthTable) of(u *fleet.Upstream) *Health {
@@ -85,11 +149,19 @@
 	return found
 }
 
-// Get returns a copy of the health of an upstream.
+// Get returns a copy of the health of an upstream, with the failures that all hosts see
+// where they are more.
 func (t *HealthTable) Get(u *fleet.Upstream) Health {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return *t.of(u)
+	h := *t.of(u)
+	if shared := t.shared[u.Incarnation()]; shared > 0 {
+		now := clock.Now()
+		if now.Sub(t.learned) < sharedLife && shared > h.failureRate(now) {
+			h.Failures, h.Seen = shared, now
+		}
+	}
+	return h
 }
 
 // Begin notes a request that goes to an upstream.
@@ -114,16 +186,10 @@
 	defer t.mu.Unlock()
 	h := t.of(u)
 	h.Running--
+	t.observe(u, outcome)
 	t.note(h, outcome, latency, now)
 }
 
-// Note notes the outcome of a call that Begin was not told of.
-func (t *HealthTable) Note(u *fleet.Upstream, outcome Outcome, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.note(t.of(u), outcome, 0, now)
-}
-
 func (t *HealthTable) note(h *Health, outcome Outcome, latency time.Duration, now time.Time) {
 	rate := h.failureRate(now)
 	switch outcome {
--- a/internal/service/member/report_test.go
+++ b/internal/service/member/report_test.go
@@ -13,8 +13,9 @@
 	c := newCluster(t, 4)
 	c.commit(true)
 	c.run(3 * time.Second)
-	c.hosts[1].Drain(t.Context())
+	// The drain's exchanges go on after its return; they read which hosts are dead.
 	c.hosts[2].dead = true
+	c.hosts[1].Drain(t.Context())
 	c.run(10 * time.Second)
 	want := map[HostState]int{HostSelf: 1, HostLive: 1, HostLeaving: 1, HostDead: 1}
 	got := map[HostState]int{}
--- /dev/null
+++ b/internal/service/peer/peer.go
@@ -0,0 +1,63 @@
+// Package peer sends messages from one entry host to another.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"redwingloft/internal/helper/fault"
+	"redwingloft/pkg/api"
+)
+
+// maxReplyBytes bounds the reply of another host.
+const maxReplyBytes = 1 << 20
+
+// failure is a failure of the other host, after which another one may be asked.
+type failure struct{ cause error }
+
+func (e *failure) Error() string { return fmt.Sprintf("the other host failed: %v", e.cause) }
+
+func (e *failure) Unwrap() error { return e.cause }
+
+// IsFailure reports whether the other host did not answer as it should.
+func IsFailure(err error) bool {
+	var failed *failure
+	return errors.As(err, &failed)
+}
+
+// Post sends a message and decodes the answer into reply; a nil reply drops it.
+func Post(ctx context.Context, client *http.Client, to api.Address, path string, message, reply any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return fault.Wrap(api.KindInternal, err, "encode a message")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(to)+path, bytes.NewReader(body))
+	if err != nil {
+		return fault.Wrap(api.KindInternal, err, "address a message")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return &failure{err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return &failure{err}
+	}
+	if response.StatusCode != http.StatusOK {
+		return &failure{fmt.Errorf("status %d", response.StatusCode)}
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, reply); err != nil {
+		return &failure{err}
+	}
+	return nil
+}
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -1,12 +1,7 @@
 package stage
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -20,6 +15,7 @@
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
+	"redwingloft/internal/service/peer"
 	"redwingloft/pkg/api"
 )
 
@@ -32,8 +28,6 @@
 	releasePeriod = 100 * time.Millisecond
 	// releaseTime bounds a call that releases results.
 	releaseTime = time.Second
-	// maxReplyBytes bounds the reply of another host.
-	maxReplyBytes = 1 << 20
 	// resultMargin is kept of the time left for the engine.
 	resultMargin = 50 * time.Millisecond
 )
@@ -129,7 +123,7 @@
 		if err == nil {
 			return c.prepared(host, group, outcome), nil
 		}
-		if !isPeerFailure(err) || ctx.Err() != nil {
+		if !peer.IsFailure(err) || ctx.Err() != nil {
 			return nil, err
 		}
 		last = err
@@ -181,24 +175,12 @@
 	c.avoid[host.ID] = clock.Now().Add(avoidTime)
 }
 
-// peerError is a failure of another host, after which its job may be given to the next.
-type peerError struct{ cause error }
-
-func (e *peerError) Error() string { return fmt.Sprintf("the other host failed: %v", e.cause) }
-
-func (e *peerError) Unwrap() error { return e.cause }
-
-func isPeerFailure(err error) bool {
-	var failed *peerError
-	return errors.As(err, &failed)
-}
-
 func (c *Client) submit(ctx context.Context, host fleet.Host, message *Message) (Outcome, error) {
 	if host.ID == "" {
 		return c.Local(message.Group).Submit(ctx, message.Job(clock.Now()))
 	}
 	var reply Reply
-	if err := c.post(ctx, host.Peer, PathJobs, message, &reply); err != nil {
+	if err := peer.Post(ctx, c.HTTP, host.Peer, PathJobs, message, &reply); err != nil {
 		return Outcome{}, err
 	}
 	if reply.Error != nil {
@@ -207,38 +189,6 @@
 	return Outcome{Results: reply.Results, Home: reply.Home}, nil
 }
 
-// post sends a message to another host.
-func (c *Client) post(ctx context.Context, peer api.Address, path string, message, reply any) error {
-	body, err := json.Marshal(message)
-	if err != nil {
-		return fault.Wrap(api.KindInternal, err, "encode a message")
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(peer)+path, bytes.NewReader(body))
-	if err != nil {
-		return fault.Wrap(api.KindInternal, err, "address a message")
-	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := c.HTTP.Do(request)
-	if err != nil {
-		return &peerError{err}
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
-	if err != nil {
-		return &peerError{err}
-	}
-	if response.StatusCode != http.StatusOK {
-		return &peerError{fmt.Errorf("status %d", response.StatusCode)}
-	}
-	if reply == nil {
-		return nil
-	}
-	if err := json.Unmarshal(data, reply); err != nil {
-		return &peerError{err}
-	}
-	return nil
-}
-
 // prepared returns the outcome with the call that releases it.
 func (c *Client) prepared(host fleet.Host, group Group, outcome Outcome) *forward.Prepared {
 	var once sync.Once
@@ -274,7 +224,7 @@
 	c.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
 	defer cancel()
-	if err := c.post(ctx, key.peer, PathRelease, ReleaseMessage{key.group, results}, nil); err != nil {
+	if err := peer.Post(ctx, c.HTTP, key.peer, PathRelease, ReleaseMessage{key.group, results}, nil); err != nil {
 		c.Metrics.Counter("stage.release_failures").Inc(1)
 		c.Log.Debug().Str("peer", string(key.peer)).Int("results", len(results)).Err(err).Msg("release_failed")
 	}
--- a/internal/web/entry/peers.go
+++ b/internal/web/entry/peers.go
@@ -13,6 +13,7 @@
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/outlier"
 	"redwingloft/internal/service/stage"
 	"redwingloft/pkg/api"
 )
@@ -33,6 +34,8 @@
 	Scheduler func(group stage.Group) *stage.Scheduler
 	// Dump returns the state where it is newer than a version, or nil.
 	Dump func(version store.Version) *directory.Dump
+	// Outliers adds up what hosts see of upstreams.
+	Outliers *outlier.Collector
 	// InProgress counts the jobs of other hosts.
 	InProgress atomic.Int64
 }
@@ -42,6 +45,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+stage.PathJobs, p.job)
 	mux.HandleFunc("POST "+stage.PathRelease, p.release)
+	mux.HandleFunc("POST "+outlier.Path, p.outliers)
 	mux.HandleFunc("GET "+pathState, p.state)
 	return mux
 }
@@ -82,6 +86,13 @@
 	p.Scheduler(message.Group).Release(message.Results)
 }
 
+func (p *Peers) outliers(w http.ResponseWriter, r *http.Request) {
+	var message outlier.Message
+	if decode(w, r, &message) {
+		writeJSON(w, http.StatusOK, p.Outliers.Exchange(&message, clock.Now()))
+	}
+}
+
 func (p *Peers) state(w http.ResponseWriter, r *http.Request) {
 	version, err := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
 	if err != nil {
