member: await the exchanges of the drain in the report test

Cause: Drain starts exchanges and returns; they read the clock of the test's cluster and which hosts are dead while the test writes both (race detector, in a run of all packages, then 1 of 6 runs alone). The test now does what Drain does and awaits its exchanges; its checks are the same.

--- a/internal/service/member/report_test.go
+++ b/internal/service/member/report_test.go
@@ -13,9 +13,11 @@
 	c := newCluster(t, 4)
 	c.commit(true)
 	c.run(3 * time.Second)
-	// The drain's exchanges go on after its return; they read which hosts are dead.
+	// What Drain does, with its exchanges awaited: they read the state of the cluster that
+	// the next lines write.
+	c.hosts[1].draining.Store(true)
+	c.hosts[1].Round(t.Context())()
 	c.hosts[2].dead = true
-	c.hosts[1].Drain(t.Context())
 	c.run(10 * time.Second)
 	want := map[HostState]int{HostSelf: 1, HostLive: 1, HostLeaving: 1, HostDead: 1}
 	got := map[HostState]int{}
