--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -55,10 +55,10 @@
 			return s.end(c.final(end(c.history), errors.New("the budget of repeats is used up")))
 		}
 		result, err := s.try(ctx, upstream)
+		c.history.Add(result)
 		if result == ResultAnswered {
 			return nil
 		}
-		c.history.Add(result)
 		c.exclude[upstream.ID] = true
 		action := Next(c.route, c.history, result, c.left())
 		if ctx.Err() != nil && action == ActionRetry {
