--- a/internal/plugin/etcd/etcd.go
+++ b/internal/plugin/etcd/etcd.go
@@ -73,11 +73,11 @@
 func (c *Client) Get(ctx context.Context, key string) (*store.Entry, error) {
 	body, err := c.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)})
 	if err != nil {
-		return nil, readError(err)
+		return nil, store.ReadError(err)
 	}
 	entries, err := decodeRange(body)
 	if err != nil || len(entries) == 0 {
-		return nil, readError(err)
+		return nil, store.ReadError(err)
 	}
 	return &entries[0], nil
 }
@@ -91,24 +91,24 @@
 	request := rangeRequest{Key: start, RangeEnd: prefixEnd(prefix), Limit: int64(limit)}
 	body, err := c.call(ctx, "/v3/kv/range", request)
 	if err != nil {
-		return nil, readError(err)
+		return nil, store.ReadError(err)
 	}
 	entries, err := decodeRange(body)
-	return entries, readError(err)
+	return entries, store.ReadError(err)
 }
 
 // ReadAll returns the entries under prefix and the revision at which they were read.
 func (c *Client) ReadAll(ctx context.Context, prefix string) ([]store.Entry, store.Version, error) {
 	body, err := c.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
 	if err != nil {
-		return nil, 0, readError(err)
+		return nil, 0, store.ReadError(err)
 	}
 	entries, err := decodeRange(body)
 	if err != nil {
-		return nil, 0, readError(err)
+		return nil, 0, store.ReadError(err)
 	}
 	version, err := decodeRevision(body)
-	return entries, version, readError(err)
+	return entries, version, store.ReadError(err)
 }
 
 // Txn applies txn where all its compares hold.
@@ -153,7 +153,7 @@
 	request.Create.StartRevision = int64(from)
 	response, err := c.open(ctx, "/v3/watch", request)
 	if err != nil {
-		return readError(err)
+		return store.ReadError(err)
 	}
 	defer response.Body.Close()
 	return readWatch(response.Body, f)
@@ -226,7 +226,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, sendError(err)
+		return nil, store.SendError(err)
 	}
 	if response.StatusCode != http.StatusOK {
 		defer response.Body.Close()
@@ -269,22 +269,6 @@
 	return errRefused.New("%s", message)
 }
 
-func sendError(err error) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		return store.ErrUnavailable.Wrap(err, "the key-value service can't be reached")
-	}
-	return store.ErrUnknownOutcome.Wrap(err, "no reply from the key-value service")
-}
-
-// readError turns an unknown outcome into an unavailable one: a read changes nothing.
-func readError(err error) error {
-	if store.IsErrUnknownOutcome(err) {
-		return store.ErrUnavailable.Wrap(err, "the read failed")
-	}
-	return err
-}
-
 // prefixEnd returns the key after the last key with the given prefix.
 func prefixEnd(prefix string) []byte {
 	end := []byte(prefix)
--- a/internal/web/entry/entry_test.go
+++ b/internal/web/entry/entry_test.go
@@ -87,7 +87,7 @@
 // TestBodiesOfBothForms guards against a body with a length or in chunks that reaches the upstream changed.
 func TestBodiesOfBothForms(t *testing.T) {
 	_, _, server := startCallers(t, 0, echo)
-	head := "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nRedwingloft-Attempt-Id: "
+	head := "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + wire.HeaderRequestID + ": "
 	answer := raw(t, server, head+"a\r\nContent-Length: 5\r\n\r\nhello")
 	assert.Assert(t, strings.HasSuffix(answer, "\r\n\r\nhello"), answer)
 	answer = raw(t, server, head+"b\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n")
@@ -97,9 +97,9 @@
 // TestSmuggledRequest guards against a second request inside a body that runs as one of its own.
 func TestSmuggledRequest(t *testing.T) {
 	upstream, _, server := startCallers(t, 0, echo)
-	inner := "POST /inner HTTP/1.1\r\nHost: h\r\nRedwingloft-Attempt-Id: forged\r\nContent-Length: 0\r\n\r\n"
-	raw(t, server, fmt.Sprintf("POST /outer HTTP/1.1\r\nHost: h\r\nConnection: close\r\nRedwingloft-Attempt-Id: a\r\nContent-Length: %d\r\n\r\n%s", len(inner), inner))
-	raw(t, server, "POST /both HTTP/1.1\r\nHost: h\r\nConnection: close\r\nRedwingloft-Attempt-Id: b\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+inner)
+	inner := "POST /inner HTTP/1.1\r\nHost: h\r\n" + wire.HeaderRequestID + ": forged\r\nContent-Length: 0\r\n\r\n"
+	raw(t, server, fmt.Sprintf("POST /outer HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s: a\r\nContent-Length: %d\r\n\r\n%s", wire.HeaderRequestID, len(inner), inner))
+	raw(t, server, "POST /both HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"+wire.HeaderRequestID+": b\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+inner)
 	for _, run := range upstream.Runs() {
 		assert.Assert(t, run.Path != "/inner")
 	}
@@ -108,7 +108,7 @@
 // TestBodyLimits guards against a body over the limit that reaches an upstream, and a cut one that runs.
 func TestBodyLimits(t *testing.T) {
 	upstream, _, server := startCallers(t, 10, echo)
-	head := "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nRedwingloft-Attempt-Id: a\r\n"
+	head := "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + wire.HeaderRequestID + ": a\r\n"
 	assert.Assert(t, strings.Contains(raw(t, server, head+"Content-Length: 11\r\n\r\nhello world"), "413"))
 	assert.Assert(t, strings.Contains(raw(t, server, head+"Transfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n0\r\n\r\n"), "413"))
 	c, err := net.Dial("tcp", server.Listener.Addr().String())
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -15,6 +15,7 @@
 
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/plugin/memory"
+	wire "redwingloft/platform"
 )
 
 // Store is a stand-in of the platform's store before an embedded one.
@@ -68,20 +69,20 @@
 	}
 	path := r.URL.Path
 	switch {
-	case path == "/-/kv-key":
+	case path == wire.PathStoreKey:
 		s.get(w, r)
-	case path == "/-/kv-range":
+	case path == wire.PathStoreRange:
 		s.list(w, r)
-	case path == "/-/kv-watch":
+	case path == wire.PathStoreWatch:
 		s.watch(w, r)
-	case path == "/-/kv-txn":
+	case path == wire.PathStoreTxn:
 		s.txn(w, r)
-	case path == "/-/kv-lease":
+	case path == wire.PathStoreLease:
 		s.grant(w, r)
-	case strings.HasPrefix(path, "/-/kv-keep/"):
-		s.lease(w, path, "/-/kv-keep/", func(id store.LeaseID) error { return s.Inner.KeepAlive(r.Context(), id) })
-	case strings.HasPrefix(path, "/-/kv-lease-end/"):
-		s.lease(w, path, "/-/kv-lease-end/", func(id store.LeaseID) error { return s.Inner.Revoke(r.Context(), id) })
+	case strings.HasPrefix(path, wire.PathStoreKeep):
+		s.lease(w, path, wire.PathStoreKeep, func(id store.LeaseID) error { return s.Inner.KeepAlive(r.Context(), id) })
+	case strings.HasPrefix(path, wire.PathStoreLeaseEnd):
+		s.lease(w, path, wire.PathStoreLeaseEnd, func(id store.LeaseID) error { return s.Inner.Revoke(r.Context(), id) })
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
