Revert "Ask upstreams for their room when a host takes over gathering"

The report gives the room in whole megabytes: an upstream with 0.52 MB always reports none, and was left alone for 4 s after each takeover. Conclusion: reverted; the matter stays open (docs/platform.md).

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -92,7 +92,6 @@
 		pool: &forward.Pool{Dial: dial.New(upstreamDialTimeout)}, health: &forward.HealthTable{},
 		codec: forward.Codec{
 			WriteHead: platform.WriteHead, DecodeReply: platform.DecodeReply, AnswerHeader: platform.AnswerHeader, WriteCall: platform.WriteCall,
-			WriteQuery: platform.WriteQuery,
 		},
 		peers: newPeerClient(), schedulers: map[stage.Group]*stage.Scheduler{},
 	}
@@ -160,7 +159,7 @@
 		Budget:    e.newBudget(func() int { return len(stage.Groups(e.directory.View())) }),
 		Upstreams: func(view *directory.View) []*fleet.Upstream { return stage.InGroup(view, group) },
 		Codec: stage.Codec{
-			RunPath: platform.PathStageRun, FreePath: platform.PathStageFree, ReportPath: platform.PathReport, DecodeRoom: platform.DecodeRoom,
+			RunPath: platform.PathStageRun, FreePath: platform.PathStageFree,
 			EncodeItems: platform.EncodeItems, DecodeResults: platform.DecodeResults, EncodeFree: platform.EncodeFree,
 		},
 	}
--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -23,8 +23,6 @@
 	AnswerHeader func(to, from http.Header)
 	// WriteCall writes a whole call of the system's own at an upstream.
 	WriteCall func(w *bufio.Writer, upstream *fleet.Upstream, path string, body []byte) error
-	// WriteQuery writes a whole call without a body.
-	WriteQuery func(w *bufio.Writer, upstream *fleet.Upstream, path string) error
 }
 
 const (
@@ -183,17 +181,6 @@
 // status and body. Its answer names no request, so that a late extra answer on a kept
 // connection could be taken for it: only calls whose answers do not matter may reuse one.
 func (p *Pool) Call(ctx context.Context, codec *Codec, upstream *fleet.Upstream, path string, body []byte, reuse bool) (*CallAnswer, error) {
-	write := func(w *bufio.Writer) error { return codec.WriteCall(w, upstream, path, body) }
-	return p.callWith(ctx, codec, upstream, http.MethodPost, write, reuse)
-}
-
-// Query makes a call without a body at an upstream.
-func (p *Pool) Query(ctx context.Context, codec *Codec, upstream *fleet.Upstream, path string) (*CallAnswer, error) {
-	write := func(w *bufio.Writer) error { return codec.WriteQuery(w, upstream, path) }
-	return p.callWith(ctx, codec, upstream, http.MethodGet, write, false)
-}
-
-func (p *Pool) callWith(ctx context.Context, codec *Codec, upstream *fleet.Upstream, method string, write func(*bufio.Writer) error, reuse bool) (*CallAnswer, error) {
 	c, err := p.open(ctx, upstream, reuse)
 	if err != nil {
 		return nil, &attemptError{SentNothing, err}
@@ -206,13 +193,13 @@
 		}
 	}()
 	w := bufio.NewWriterSize(c, bufferSize)
-	if err := write(w); err != nil {
+	if err := codec.WriteCall(w, upstream, path, body); err != nil {
 		return nil, &attemptError{SentSome, err}
 	}
 	if err := w.Flush(); err != nil {
 		return nil, &attemptError{SentSome, err}
 	}
-	if err := x.readHead(codec, method, ""); err != nil {
+	if err := x.readHead(codec, http.MethodPost, ""); err != nil {
 		return nil, &attemptError{SentSome, err}
 	}
 	data, err := x.readAll(maxCallAnswer)
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -83,10 +83,8 @@
 	}
 }
 
-// setUpstreams makes the given upstreams the ones in use and returns those that are new
-// to the plan. Results of upstreams that are gone are made again.
-func (p *plan) setUpstreams(list []*fleet.Upstream, services map[api.ServiceName]*fleet.Service) []*worker {
-	var added []*worker
+// setUpstreams makes the given upstreams the ones in use. Results of upstreams that are gone are made again.
+func (p *plan) setUpstreams(list []*fleet.Upstream, services map[api.ServiceName]*fleet.Service) {
 	seen := map[fleet.Incarnation]bool{}
 	for _, upstream := range list {
 		service := services[upstream.Service]
@@ -100,7 +98,6 @@
 			continue
 		}
 		p.workers[incarnation] = newWorker(upstream, service.Batching)
-		added = append(added, p.workers[incarnation])
 	}
 	for incarnation, known := range p.workers {
 		if seen[incarnation] {
@@ -112,7 +109,6 @@
 			delete(p.workers, incarnation)
 		}
 	}
-	return added
 }
 
 // submit adds a job and queues its first items.
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -44,10 +44,6 @@
 	EncodeItems   func(items []fleet.Item) ([]byte, error)
 	DecodeResults func(data []byte, count int) ([]fleet.ItemResult, error)
 	EncodeFree    func(results []fleet.ResultRef) ([]byte, error)
-	// ReportPath is the path of the call for DecodeRoom.
-	ReportPath string
-	// DecodeRoom returns the bytes that are free for results.
-	DecodeRoom func(data []byte) (int64, error)
 }
 
 // Scheduler gathers the items of many requests and calls the upstreams. Set the
@@ -144,37 +140,7 @@
 		return
 	}
 	s.used = view
-	for _, added := range s.plan.setUpstreams(s.Upstreams(view), view.Snapshot.Services) {
-		if clock.Now().Sub(time.UnixMilli(added.upstream.Started)) > added.limits.ResultLife/2 {
-			go s.askRoom(added)
-		}
-	}
-}
-
-// askRoom asks an upstream that another host may have used how much room it has. What
-// lies there has names that this host does not know, until it ends by itself.
-func (s *Scheduler) askRoom(w *worker) {
-	ctx, cancel := context.WithTimeout(context.Background(), freeTime)
-	defer cancel()
-	upstream := w.upstream
-	answer, err := s.Pool.Query(ctx, s.Forward, upstream, s.Codec.ReportPath)
-	if err != nil || answer.Status != http.StatusOK {
-		s.Metrics.Counter("stage.report_failures").Inc(1)
-		s.Log.Debug().Str("upstream", string(upstream.ID)).Err(err).Msg("room_unknown")
-		return
-	}
-	free, err := s.Codec.DecodeRoom(answer.Body)
-	if err != nil {
-		s.Log.Debug().Str("upstream", string(upstream.ID)).Err(err).Msg("room_unknown")
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	taken := w.limits.ResultBytes - free - w.reserved
-	s.Log.Info().Str("upstream", string(upstream.ID)).Int64("free_bytes", free).Int64("taken_bytes", taken).Msg("room_learned")
-	if taken > 0 {
-		w.holdUnknown(taken, clock.Now())
-	}
+	s.plan.setUpstreams(s.Upstreams(view), view.Snapshot.Services)
 }
 
 // Changed takes a new view where jobs are in progress.
