--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -96,6 +96,7 @@
 		peers: newPeerClient(), schedulers: map[stage.Group]*stage.Scheduler{},
 	}
 	e.directory = e.newDirectory(kv)
+	e.pool.IdleLimit = e.idleConnections
 	e.callers = &web.Callers{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
 	}
@@ -191,6 +192,16 @@
 	return 0
 }
 
+// idleConnections returns how many idle connections to an upstream this host may keep.
+func (e *entryHost) idleConnections(upstream *fleet.Upstream) int {
+	view := e.directory.View()
+	limit := 0
+	if view.Snapshot != nil && view.Snapshot.Services[upstream.Service] != nil {
+		limit = view.Snapshot.Services[upstream.Service].MaxConnections
+	}
+	return forward.IdleShare(limit, len(view.Hosts))
+}
+
 // ready returns why the host takes no requests, or nil.
 func (e *entryHost) ready() error {
 	if e.draining.Load() {
--- a/internal/service/forward/forward_test.go
+++ b/internal/service/forward/forward_test.go
@@ -332,3 +332,22 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(f.upstreams[0].Runs()[0].Body), len(long))
 }
+
+// TestIdleConnectionsShareLimit guards against idle connections of many hosts that take
+// all connections of an upstream, which then resets those of requests.
+func TestIdleConnectionsShareLimit(t *testing.T) {
+	for _, c := range []struct{ limit, hosts, want int }{{110, 81, 0}, {100, 7, maxIdle}, {48, 6, maxIdle}, {48, 12, 2}, {0, 350, maxIdle}, {100, 0, maxIdle}} {
+		got := IdleShare(c.limit, c.hosts)
+		assert.Equal(t, got, c.want)
+		assert.Assert(t, c.limit == 0 || got*c.hosts <= c.limit/2 || c.hosts == 0)
+	}
+	f := newFixture(t, fleet.Route{Kind: fleet.KindIdempotent}, answerOK)
+	f.Pool.IdleLimit = func(*fleet.Upstream) int { return 0 }
+	_, err := f.serve(t, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, len(f.Pool.idle), 0)
+	for end := time.Now().Add(time.Second); f.upstreams[0].Open() > 0 && time.Now().Before(end); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, f.upstreams[0].Open(), 0)
+}
--- a/internal/service/forward/pool.go
+++ b/internal/service/forward/pool.go
@@ -32,11 +32,27 @@
 // Pool keeps connections to upstreams. The zero value works after Dial is set.
 type Pool struct {
 	Dial dial.Func
+	// IdleLimit returns how many idle connections to an upstream this host may keep; nil
+	// means maxIdle.
+	IdleLimit func(upstream *fleet.Upstream) int
 
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
 }
 
+// idleShare is the part of an upstream's connections that idle ones of all hosts may
+// take. An upstream resets connections beyond its limit, also those of requests.
+const idleShare = 0.5
+
+// IdleShare returns how many idle connections one of hosts may keep to an upstream that
+// accepts limit connections from all; 0 means that it states no limit.
+func IdleShare(limit, hosts int) int {
+	if limit <= 0 {
+		return maxIdle
+	}
+	return min(int(idleShare*float64(limit)/float64(max(hosts, 1))), maxIdle)
+}
+
 // endpoint names one incarnation at one address: an address may be given to another upstream.
 type endpoint struct {
 	incarnation fleet.Incarnation
@@ -52,6 +68,8 @@
 	endpoint endpoint
 	// until is when an idle connection is no longer used.
 	until time.Time
+	// idleLimit is how many connections like it may be kept.
+	idleLimit int
 	// used tells that an earlier request was answered on the connection.
 	used bool
 }
@@ -67,7 +85,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize), endpoint: endpointOf(upstream)}, nil
+	limit := maxIdle
+	if p.IdleLimit != nil {
+		limit = p.IdleLimit(upstream)
+	}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize), endpoint: endpointOf(upstream), idleLimit: limit}, nil
 }
 
 func (p *Pool) take(to endpoint) *conn {
@@ -104,7 +126,7 @@
 	if p.idle == nil {
 		p.idle = map[endpoint][]*conn{}
 	}
-	if len(p.idle[c.endpoint]) >= maxIdle {
+	if len(p.idle[c.endpoint]) >= c.idleLimit {
 		c.Close()
 		return
 	}
