--- a/internal/data/fleet/request.go
+++ b/internal/data/fleet/request.go
@@ -37,11 +37,8 @@
 	LastEvent string
 	// Prompt holds the parts of the prompt in order.
 	Prompt []PromptPart
-	// PromptTokens and MaxOutputTokens size a generation; 0 where they are not given.
-	PromptTokens    int
-	MaxOutputTokens int
-	// ExpectedOutputTokens is the caller's estimate, often far off; 0 where it is not given.
-	ExpectedOutputTokens int
+	// PromptTokens is the size of the prompt; 0 where it is not given.
+	PromptTokens int
 	// Items holds the number of items of each stage; 0 omits the stage.
 	Items []int
 	// ItemKey names the content that the items of first stages are made from.
--- a/internal/data/fleet/snapshot.go
+++ b/internal/data/fleet/snapshot.go
@@ -72,9 +72,6 @@
 	return s.workspaces[sha256.Sum256([]byte(key))]
 }
 
-// RunsStages reports whether a service runs stages of some route.
-func (s *Snapshot) RunsStages(name api.ServiceName) bool { return s.stages[name] }
-
 // StageServices returns the services that run stages, in order of their names.
 func (s *Snapshot) StageServices() []api.ServiceName {
 	names := make([]api.ServiceName, 0, len(s.stages))
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -54,13 +54,6 @@
 	return v.ready[service]
 }
 
-// IsReady reports whether an incarnation still takes new work.
-func (v *View) IsReady(upstream *fleet.Upstream) bool {
-	found := v.upstreams[upstream.ID]
-	return found != nil && found.Started == upstream.Started && found.State == fleet.StateReady &&
-		found.Address == upstream.Address
-}
-
 // record is one entry of the store with what was read from it.
 type record struct {
 	entry store.Entry
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -31,7 +31,7 @@
 	for {
 		upstream := LeastBusy(c.candidates(), c.request.ID, c.exclude, clock.Now())
 		if upstream == nil {
-			return retryLater(fault.New(api.KindNoUpstream, "no upstream of the service is ready"), busyWait)
+			return fault.RetryAfter(fault.New(api.KindNoUpstream, "no upstream of the service is ready"), busyWait)
 		}
 		if !c.takeAttempt() {
 			return c.deliverLast(last, errors.New("the budget of repeats is used up"))
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -111,7 +111,7 @@
 func (s *Service) Serve(ctx context.Context, request *fleet.Request, w http.ResponseWriter) error {
 	c, err := s.admit(request, w)
 	if err != nil {
-		s.refused(request, nil, err)
+		s.refused(request, err)
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.left())
@@ -132,7 +132,7 @@
 func (s *Service) admit(request *fleet.Request, w http.ResponseWriter) (*call, error) {
 	view := s.View()
 	if view.Snapshot == nil {
-		return nil, retryLater(fault.New(api.KindNoUpstream, "the host has no routing document yet"), unreadyWait)
+		return nil, fault.RetryAfter(fault.New(api.KindNoUpstream, "the host has no routing document yet"), unreadyWait)
 	}
 	route := view.Snapshot.Match(request.Host, request.Path)
 	if route == nil {
@@ -218,13 +218,10 @@
 }
 
 // refused logs a request that no attempt was made for.
-func (s *Service) refused(request *fleet.Request, c *call, err error) {
+func (s *Service) refused(request *fleet.Request, err error) {
 	s.Metrics.Counter("request.refused").Inc(1)
-	entry := s.Log.Info().Str("request", string(request.ID)).Str("kind", string(fault.KindOf(err)))
-	if c != nil {
-		entry = entry.Str("route", string(c.route.Name))
-	}
-	entry.Int64("waited_ms", clock.Now().Sub(request.Received).Milliseconds()).Err(err).Msg("request_refused")
+	s.Log.Info().Str("request", string(request.ID)).Str("kind", string(fault.KindOf(err))).
+		Int64("waited_ms", clock.Now().Sub(request.Received).Milliseconds()).Err(err).Msg("request_refused")
 }
 
 // done logs the end of a request.
@@ -269,15 +266,10 @@
 	busyWait = 60 * time.Millisecond
 )
 
-// retryLater attaches the time after which a caller may come back.
-func retryLater(err error, wait time.Duration) error {
-	return fault.RetryAfter(err, wait)
-}
-
 // final returns the error for a caller after the last attempt.
 func (c *call) final(action Action, cause error) error {
 	if action == ActionRefuse {
-		return retryLater(fault.Wrap(api.KindOverloaded, cause, "no upstream took the request"), busyWait)
+		return fault.RetryAfter(fault.Wrap(api.KindOverloaded, cause, "no upstream took the request"), busyWait)
 	}
 	return fault.Wrap(api.KindStageFailed, cause, "the upstream's answer was lost")
 }
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -49,7 +49,7 @@
 		candidates := c.candidates()
 		upstream := PlaceGeneration(candidates, c.request, prepared.Home, c.exclude, clock.Now())
 		if upstream == nil {
-			return s.end(retryLater(fault.New(api.KindNoUpstream, "no engine of the service is ready"), busyWait))
+			return s.end(fault.RetryAfter(fault.New(api.KindNoUpstream, "no engine of the service is ready"), busyWait))
 		}
 		if !c.takeAttempt() {
 			return s.end(c.final(end(c.history), errors.New("the budget of repeats is used up")))
