--- a/Makefile
+++ b/Makefile
@@ -23,8 +23,9 @@
 test: ## run all tests with the race detector
 	go test -race -count=1 ./...
 
-demo: build ## run both example deployments against their recorded traces
+demo: build ## run both example deployments against their recorded traces, and an entry host on the platform
 	$(BIN)/standin demo --binaries $(BIN)
+	$(BIN)/standin platform --binaries $(BIN) --once
 
 bench: build ## measure the policies and the slopes of docs/CAPACITY.md
 	go run ./internal/tool/slopes
--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -56,12 +55,10 @@
 	t.Helper()
 	text, err := os.ReadFile("../deploy/entry.ini")
 	assert.NilError(t, err)
-	for name, value := range values {
-		text = bytes.ReplaceAll(text, []byte("{{"+name+"}}"), []byte(value))
-	}
-	assert.Assert(t, !bytes.Contains(text, []byte("{{")), "a placeholder is left in %s", text)
+	settings := platform.Render(string(text), values)
+	assert.Assert(t, !strings.Contains(settings, "{{"), "a placeholder is left in %s", settings)
 	path := filepath.Join(t.TempDir(), "entry.ini")
-	assert.NilError(t, os.WriteFile(path, text, 0o600))
+	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
 	return path
 }
 
--- a/standin/commands.go
+++ b/standin/commands.go
@@ -15,6 +15,7 @@
 	"redwingloft/standin/failure"
 	"redwingloft/standin/footprint"
 	"redwingloft/standin/load"
+	"redwingloft/standin/platform"
 )
 
 // benchTimeout bounds a bench, whose runs take about 80 s.
@@ -42,6 +43,22 @@
 	}
 }
 
+func platformCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "run the users' platform on loopback with one entry host",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "binaries", Usage: "`folder` of the programs", Value: "bin"},
+			&cli.StringFlag{Name: "template", Usage: "settings template `file` of the entry host", Value: "deploy/entry.ini"},
+			&cli.BoolFlag{Name: "once", Usage: "send a plain request and a stream, and end"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			site := &platform.Site{Binaries: c.String("binaries"), Template: c.String("template"), Out: c.Root().Writer}
+			return site.Run(ctx, c.Bool("once"))
+		},
+	}
+}
+
 func traceCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "trace",
--- a/standin/main.go
+++ b/standin/main.go
@@ -54,6 +54,7 @@
 				Action: deployment,
 			},
 			demoCommand(),
+			platformCommand(),
 			traceCommand(),
 			failuresCommand(),
 			footprintCommand(),
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -252,10 +252,7 @@
 		"listen.directory": w.address(), "listen.ready": w.address(), "platform.address": w.proxy.listener.Addr().String(),
 		"bounds.retryRatio": "0.2", "bounds.retrySlack": "54", "bounds.retryWindowS": "10",
 	}
-	text := string(template)
-	for name, value := range values {
-		text = strings.ReplaceAll(text, "{{"+name+"}}", value)
-	}
+	text := platform.Render(string(template), values)
 	assert.NilError(w.t, os.WriteFile(p.settings, []byte(text), 0o600))
 	return p
 }
