--- a/internal/service/stage/dispatch.go
+++ b/internal/service/stage/dispatch.go
@@ -100,9 +100,6 @@
 	if home && !slices.ContainsFunc(queue, func(it *item) bool { return it.wants(w) }) {
 		return nil
 	}
-	if w.foreign.at(now) > 0 && !fits(queue, room, limit) {
-		return nil
-	}
 	// Where more waits than the next calls carry, a place left empty is lost.
 	crowd := len(queue) > crowdCalls*limit
 	rest := make([]*item, 0, len(queue))
@@ -133,16 +130,6 @@
 	return call
 }
 
-// fits reports whether the room holds the results of all items that wait, or of a call
-// that is worth its fixed cost.
-func fits(queue []*item, room int64, limit int) bool {
-	worth := min(len(queue), max(limit/worthCall, 1))
-	for _, it := range queue[:worth] {
-		room -= it.job.stages[it.stage].ResultBytes
-	}
-	return room >= 0
-}
-
 // wants reports whether an upstream is in the data centre where the item is better run.
 func (it *item) wants(w *worker) bool { return it.home != "" && it.home == w.upstream.DataCentre }
 
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -15,10 +15,6 @@
 	largeTransfer = 256 << 10
 	// homeWait is how long such an item waits for an upstream there, where its aim allows.
 	homeWait = 150 * time.Millisecond
-	// worthCall is the divisor of a full call that gives the least number of items for which
-	// an upstream is called whose room others take: a call of fewer blocks it for the time
-	// in which room for more comes back.
-	worthCall = 4
 	// crowdCalls is the number of full calls that wait from which nobody waits for a data centre.
 	crowdCalls = 2
 	// lateShare is the part of the time left that the forecast of a late job may take.
--- a/internal/service/stage/worker.go
+++ b/internal/service/stage/worker.go
@@ -58,26 +58,7 @@
 	telling bool
 	// margin is the share of the room that is kept free, since sizes of results are approximate.
 	margin float64
-	// foreign is the room that results of other hosts take.
-	foreign foreignRoom
-	gone    bool
-}
-
-// foreignRoom is an estimate of the room that results take which this host does not know,
-// such as those of the host that gathered before it. Their ends are unknown: the estimate
-// falls evenly to nothing within the life of a result.
-type foreignRoom struct {
-	bytes int64
-	since time.Time
-	until time.Time
-}
-
-// at returns the bytes as of now.
-func (f foreignRoom) at(now time.Time) int64 {
-	if !now.Before(f.until) {
-		return 0
-	}
-	return int64(float64(f.bytes) * f.until.Sub(now).Seconds() / f.until.Sub(f.since).Seconds())
+	gone   bool
 }
 
 type heldResult struct {
@@ -118,29 +99,19 @@
 			w.forget(result)
 		}
 	}
-	return int64((1-w.margin)*float64(w.limits.ResultBytes)) - w.heldBytes - w.reserved - w.foreign.at(now)
+	return int64((1-w.margin)*float64(w.limits.ResultBytes)) - w.heldBytes - w.reserved
 }
 
-// roomless notes a call in which count of total items found no room, the smallest for
-// bytes. The results of the call are held already.
-func (w *worker) roomless(count, total int, bytes int64, now time.Time) {
+// roomless notes a call in which count of total items found no room.
+func (w *worker) roomless(count, total int, now time.Time) {
 	if count == 0 {
 		w.margin *= marginDecay
 		return
 	}
+	w.margin = min(w.margin+marginStep, maxMargin)
 	if count == total {
 		w.until = now.Add(fullCooldown)
 	}
-	foreign := w.limits.ResultBytes - w.heldBytes - bytes
-	if float64(foreign) <= maxMargin*float64(w.limits.ResultBytes) {
-		w.margin = min(w.margin+marginStep, maxMargin)
-		return
-	}
-	// Sizes that are larger than stated don't explain so much.
-	if !now.Before(w.foreign.until) {
-		w.foreign.until = now.Add(w.limits.ResultLife)
-	}
-	w.foreign.bytes, w.foreign.since = foreign, now
 }
 
 func (w *worker) hold(result fleet.ResultRef, bytes int64, now time.Time) {
