Go on with begun stages when the gathering host changes

The next host began all jobs anew, did not know the results that lie at the upstreams, and lost the gathering again to the host that came back 2 s later, equally ignorant (trace: 298 and 746 items without room in the seconds after its return).

The host of a request is now told of results as they are made and gives them to the next gathering host, which uses them, counts their room and frees what others had made. The host registered longest gathers, so that one that returns does not take over. A host that is no longer the one hands its jobs back, as does one that stood still longer than its peers wait. Inputs are kept to the end of calls where one was found to wait behind a call of another host.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -39,7 +39,7 @@
 	// peerDialTimeout and peerPing find another host that went silent before the caller's
 	// response-time objective is lost.
 	peerDialTimeout = 300 * time.Millisecond
-	peerPing        = 500 * time.Millisecond
+	peerPing        = stage.OwnerPatience / 2
 	// relayTimeout bounds the question to another host for a newer state.
 	relayTimeout = 600 * time.Millisecond
 	// sweepPeriod spaces the care for idle connections and unused state.
@@ -124,7 +124,7 @@
 		},
 		Seeds: s.Peer.Seeds,
 		Self: fleet.Host{
-			ID: s.Host.ID, DataCentre: s.Host.DataCentre, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise, Started: time.Now().UnixMilli(),
+			ID: s.Host.ID, DataCentre: s.Host.DataCentre, Caller: s.Caller.Advertise, Peer: s.Peer.Advertise,
 		},
 		Changed: e.changed,
 	}
@@ -159,6 +159,10 @@
 		Pool: e.pool, Forward: &e.codec, Log: e.log, Metrics: e.metrics, View: e.directory.View,
 		Budget:    e.newBudget(func() int { return len(stage.Groups(e.directory.View())) }),
 		Upstreams: func(view *directory.View) []*fleet.Upstream { return stage.InGroup(view, group) },
+		Gathers: func(view *directory.View) bool {
+			ranked := stage.Ranked(view.Hosts, group)
+			return len(ranked) == 0 || ranked[0].ID == e.settings.Host.ID
+		},
 		Codec: stage.Codec{
 			RunPath: platform.PathStageRun, FreePath: platform.PathStageFree,
 			EncodeItems: platform.EncodeItems, DecodeResults: platform.DecodeResults, EncodeFree: platform.EncodeFree,
--- a/internal/data/fleet/upstream.go
+++ b/internal/data/fleet/upstream.go
@@ -51,7 +51,8 @@
 	Caller api.Address `json:"caller"`
 	// Peer is the address that other hosts use.
 	Peer api.Address `json:"peer"`
-	// Started is the Unix time of the start in milliseconds.
+	// Started is the Unix time in milliseconds from which the host has been registered
+	// without a lapse, by its own clock.
 	Started int64 `json:"started"`
 	// Draining hosts finish what they have and leave the address list.
 	Draining bool `json:"draining,omitempty"`
--- a/internal/service/directory/register.go
+++ b/internal/service/directory/register.go
@@ -62,6 +62,7 @@
 			return err
 		}
 		current.lease, current.written = lease, 0
+		s.Self.Started = time.Now().UnixMilli()
 	}
 	if current.written != 0 && s.listed(current.written) {
 		return nil
--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -36,29 +36,59 @@
 	return IsFailure(err) && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF))
 }
 
-// Post sends a message and decodes the answer into reply; a nil reply drops it.
-func Post(ctx context.Context, client *http.Client, to api.Address, path string, message, reply any) error {
+// send sends a message and returns the answer, whose status is 200.
+func send(ctx context.Context, client *http.Client, to api.Address, path string, message any) (*http.Response, error) {
 	body, err := json.Marshal(message)
 	if err != nil {
-		return fault.Wrap(api.KindInternal, err, "encode a message")
+		return nil, fault.Wrap(api.KindInternal, err, "encode a message")
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(to)+path, bytes.NewReader(body))
 	if err != nil {
-		return fault.Wrap(api.KindInternal, err, "address a message")
+		return nil, fault.Wrap(api.KindInternal, err, "address a message")
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := client.Do(request)
 	if err != nil {
-		return &failure{err}
+		return nil, &failure{err}
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, &failure{fmt.Errorf("status %d", response.StatusCode)}
+	}
+	return response, nil
+}
+
+// Stream sends a message and passes each value of the answer to next, until next
+// reports the last one. An answer that ends before is a failure.
+func Stream[T any](ctx context.Context, client *http.Client, to api.Address, path string, message any, next func(*T) (last bool)) error {
+	response, err := send(ctx, client, to, path, message)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes))
+	for {
+		var value T
+		if err := decoder.Decode(&value); err != nil {
+			return &failure{err}
+		}
+		if next(&value) {
+			return nil
+		}
+	}
+}
+
+// Post sends a message and decodes the answer into reply; a nil reply drops it.
+func Post(ctx context.Context, client *http.Client, to api.Address, path string, message, reply any) error {
+	response, err := send(ctx, client, to, path, message)
+	if err != nil {
+		return err
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
 		return &failure{err}
 	}
-	if response.StatusCode != http.StatusOK {
-		return &failure{fmt.Errorf("status %d", response.StatusCode)}
-	}
 	if reply == nil {
 		return nil
 	}
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"slices"
 	"sync"
@@ -49,25 +50,35 @@
 	Home       api.DataCentre `json:"home,omitempty"`
 	Group      Group          `json:"group"`
 	Stages     []Spec         `json:"stages"`
+	// Made holds the results that the host of the request knows from another gathering host.
+	Made []Made `json:"made,omitempty"`
+	// Pinned keeps the job from being handed back to a host that can't reach the one that
+	// should gather, or knows of another one.
+	Pinned bool `json:"pinned,omitempty"`
 }
 
-// Reply is the outcome of a job as one host gives it to another.
+// Reply is one part of the answer to a job that another host gave: results as they
+// are made, then the outcome.
 type Reply struct {
-	Results []fleet.ResultRef `json:"results,omitempty"`
-	Home    api.DataCentre    `json:"home,omitempty"`
-	Error   *api.Error        `json:"error,omitempty"`
+	Progress []Made         `json:"progress,omitempty"`
+	Made     []Made         `json:"made,omitempty"`
+	Home     api.DataCentre `json:"home,omitempty"`
+	Error    *api.Error     `json:"error,omitempty"`
+	// HandedBack tells that the host does not go on with the job: it stood still, or
+	// another host gathers now.
+	HandedBack bool `json:"handed_back,omitempty"`
 }
 
 // ReleaseMessage lists results that are no longer needed.
 type ReleaseMessage struct {
-	Group   Group             `json:"group"`
-	Results []fleet.ResultRef `json:"results"`
+	Group Group  `json:"group"`
+	Made  []Made `json:"made"`
 }
 
 // Job returns the job of a message that arrived at now.
 func (m *Message) Job(now time.Time) Job {
 	return Job{
-		Request: m.Request, Key: m.Key, Rank: m.Rank, Home: m.Home, Stages: m.Stages,
+		Request: m.Request, Key: m.Key, Rank: m.Rank, Home: m.Home, Stages: m.Stages, Made: m.Made, Pinned: m.Pinned,
 		Aim:      now.Add(time.Duration(m.AimMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.DeadlineMs) * time.Millisecond),
 	}
@@ -87,13 +98,8 @@
 	mu sync.Mutex
 	// avoid maps hosts that failed to when they may be asked again.
 	avoid map[api.HostID]time.Time
-	// releases holds the results to release by host.
-	releases map[releaseKey][]fleet.ResultRef
-}
-
-type releaseKey struct {
-	peer  api.Address
-	group Group
+	// releases holds the results to release by group.
+	releases map[Group][]Made
 }
 
 // Prepare runs the stages of a request.
@@ -114,20 +120,31 @@
 func (c *Client) prepareIn(ctx context.Context, work *forward.Work, group Group) (*forward.Prepared, error) {
 	var last error
 	var host fleet.Host
-	again := false
+	var known record
+	again, passed, returned := false, false, false
 	for range maxSubmits {
 		if !again {
-			host = c.pick(group)
+			host, passed = c.pick(group)
 		}
 		message := newMessage(work, group, clock.Now())
+		message.Pinned = passed || returned
 		if message.DeadlineMs <= 0 {
 			return nil, errLate
 		}
-		outcome, err := c.submit(ctx, host, message)
+		message.Made = known.living(clock.Now())
+		outcome, err := c.submit(ctx, host, message, &known)
 		if err == nil {
-			return c.prepared(host, group, outcome), nil
+			return c.prepared(group, outcome), nil
 		}
-		if !peer.IsFailure(err) || ctx.Err() != nil {
+		if ctx.Err() != nil {
+			c.release(group, known.living(clock.Now()))
+			return nil, err
+		}
+		if errors.Is(err, ErrHandedBack) {
+			last, again, returned = err, false, true
+			continue
+		}
+		if !peer.IsFailure(err) {
 			return nil, err
 		}
 		last = err
@@ -138,6 +155,7 @@
 			c.passOver(host, work.Request.ID, err)
 		}
 	}
+	c.release(group, known.living(clock.Now()))
 	return nil, fault.Wrap(api.KindNoUpstream, last, "no host could run the stages")
 }
 
@@ -155,21 +173,23 @@
 	return m
 }
 
-// pick returns the host that gathers for a group; the zero host is this one.
-func (c *Client) pick(group Group) fleet.Host {
+// pick returns the host that gathers for a group, and whether one that goes before it
+// was passed over; the zero host is this one.
+func (c *Client) pick(group Group) (host fleet.Host, passed bool) {
 	now := clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, host := range Ranked(c.View().Hosts, group) {
 		if host.ID == c.Self {
-			return fleet.Host{}
+			return fleet.Host{}, passed
 		}
 		if now.Before(c.avoid[host.ID]) {
+			passed = true
 			continue
 		}
-		return host
+		return host, passed
 	}
-	return fleet.Host{}
+	return fleet.Host{}, passed
 }
 
 // passOver notes that a host failed as a scheduler.
@@ -184,57 +204,75 @@
 	c.avoid[host.ID] = clock.Now().Add(avoidTime)
 }
 
-func (c *Client) submit(ctx context.Context, host fleet.Host, message *Message) (Outcome, error) {
+// submit gives a job to a host, and notes in known the results that it makes.
+func (c *Client) submit(ctx context.Context, host fleet.Host, message *Message, known *record) (Outcome, error) {
 	if host.ID == "" {
-		return c.Local(message.Group).Submit(ctx, message.Job(clock.Now()))
+		return c.Local(message.Group).Submit(ctx, message.Job(clock.Now()), func(made []Made) { known.add(made, clock.Now()) })
 	}
-	var reply Reply
-	if err := peer.Post(ctx, c.HTTP, host.Peer, PathJobs, message, &reply); err != nil {
+	var last Reply
+	err := peer.Stream(ctx, c.HTTP, host.Peer, PathJobs, message, func(reply *Reply) bool {
+		known.add(reply.Progress, clock.Now())
+		last = *reply
+		return len(reply.Progress) == 0
+	})
+	if err != nil {
 		return Outcome{}, err
 	}
-	if reply.Error != nil {
-		return Outcome{}, fault.FromAPI(reply.Error)
+	if last.HandedBack {
+		return Outcome{}, ErrHandedBack
+	}
+	if last.Error != nil {
+		return Outcome{}, fault.FromAPI(last.Error)
 	}
-	return Outcome{Results: reply.Results, Home: reply.Home}, nil
+	return Outcome{Made: last.Made, Home: last.Home}, nil
 }
 
 // prepared returns the outcome with the call that releases it.
-func (c *Client) prepared(host fleet.Host, group Group, outcome Outcome) *forward.Prepared {
+func (c *Client) prepared(group Group, outcome Outcome) *forward.Prepared {
 	var once sync.Once
 	release := func() {
-		once.Do(func() { c.release(host, group, outcome.Results) })
+		once.Do(func() { c.release(group, outcome.Made) })
 	}
-	return &forward.Prepared{Inputs: outcome.Results, Home: outcome.Home, Release: release}
+	return &forward.Prepared{Inputs: outcome.Results(), Home: outcome.Home, Release: release}
 }
 
-func (c *Client) release(host fleet.Host, group Group, results []fleet.ResultRef) {
-	if host.ID == "" {
-		c.Local(group).Release(results)
+// release tells the host that gathers for a group of results that are no longer needed.
+// It may be another one than the host that had them made.
+func (c *Client) release(group Group, made []Made) {
+	if len(made) == 0 {
+		return
+	}
+	if host, _ := c.pick(group); host.ID == "" {
+		c.Local(group).Release(made)
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.releases == nil {
-		c.releases = map[releaseKey][]fleet.ResultRef{}
+		c.releases = map[Group][]Made{}
 	}
-	key := releaseKey{host.Peer, group}
-	if len(c.releases[key]) == 0 {
-		time.AfterFunc(releasePeriod, func() { c.flush(key) })
+	if len(c.releases[group]) == 0 {
+		time.AfterFunc(releasePeriod, func() { c.flush(group) })
 	}
-	c.releases[key] = append(c.releases[key], results...)
+	c.releases[group] = append(c.releases[group], made...)
 }
 
-// flush sends the results that are released at a host. A lost message costs room until
+// flush sends the results that are released in a group. A lost message costs room until
 // the results end by themselves.
-func (c *Client) flush(key releaseKey) {
+func (c *Client) flush(group Group) {
 	c.mu.Lock()
-	results := c.releases[key]
-	delete(c.releases, key)
+	made := c.releases[group]
+	delete(c.releases, group)
 	c.mu.Unlock()
+	host, _ := c.pick(group)
+	if host.ID == "" {
+		c.Local(group).Release(made)
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
 	defer cancel()
-	if err := peer.Post(ctx, c.HTTP, key.peer, PathRelease, ReleaseMessage{key.group, results}, nil); err != nil {
+	if err := peer.Post(ctx, c.HTTP, host.Peer, PathRelease, ReleaseMessage{group, made}, nil); err != nil {
 		c.Metrics.Counter("stage.release_failures").Inc(1)
-		c.Log.Debug().Str("peer", string(key.peer)).Int("results", len(results)).Err(err).Msg("release_failed")
+		c.Log.Debug().Str("peer", string(host.Peer)).Int("results", len(refs(made))).Err(err).Msg("release_failed")
 	}
 }
--- a/internal/service/stage/client_test.go
+++ b/internal/service/stage/client_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -59,11 +60,11 @@
 		if calls.Add(1) <= resets {
 			panic(http.ErrAbortHandler)
 		}
-		assert.Check(t, json.NewEncoder(w).Encode(Reply{Results: []fleet.ResultRef{"first"}}))
+		assert.Check(t, json.NewEncoder(w).Encode(Reply{Made: []Made{{Upstream: "u", Items: []MadeItem{{Result: "first"}}}}}))
 	}))
 	defer server.Close()
 	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		assert.Check(t, json.NewEncoder(w).Encode(Reply{Results: []fleet.ResultRef{"second"}}))
+		assert.Check(t, json.NewEncoder(w).Encode(Reply{Made: []Made{{Upstream: "u", Items: []MadeItem{{Result: "second"}}}}}))
 	}))
 	defer second.Close()
 	view := viewOfPeers(t, strings.TrimPrefix(server.URL, "http://"), strings.TrimPrefix(second.URL, "http://"))
@@ -92,3 +93,86 @@
 	_, err := newTestClient(viewOfPeers(t, strings.TrimPrefix(server.URL, "http://"))).Prepare(context.Background(), clientWork())
 	assert.ErrorContains(t, err, string(api.KindDeadlineUnreachable))
 }
+
+// TestNextHostGoesOn guards against work that is done anew, and rooms that nobody knows,
+// when the gathering host fails: the host of the request gives what it knows to the next.
+func TestNextHostGoesOn(t *testing.T) {
+	progress := []Made{{Upstream: "u", Started: 7, LeftMs: 3000, Items: []MadeItem{{0, 0, "u/1"}, {0, 1, "u/2"}}}}
+	first := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		assert.Check(t, json.NewEncoder(w).Encode(Reply{Progress: progress}))
+		assert.Check(t, http.NewResponseController(w).Flush())
+		time.Sleep(20 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}))
+	defer first.Close()
+	messages := make(chan Message, 1)
+	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var message Message
+		assert.Check(t, json.NewDecoder(r.Body).Decode(&message))
+		messages <- message
+		assert.Check(t, json.NewEncoder(w).Encode(Reply{Made: progress}))
+	}))
+	defer second.Close()
+	client := newTestClient(viewOfPeers(t, strings.TrimPrefix(first.URL, "http://"), strings.TrimPrefix(second.URL, "http://")))
+	prepared, err := client.Prepare(context.Background(), clientWork())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, prepared.Inputs, []fleet.ResultRef{"u/1", "u/2"})
+	message := <-messages
+	assert.Assert(t, message.Pinned, "the job would be handed back to the host that failed")
+	assert.Equal(t, len(message.Made), 1)
+	assert.Equal(t, message.Made[0].Started, int64(7))
+	assert.Equal(t, len(message.Made[0].Items), 2)
+	assert.Assert(t, message.Made[0].LeftMs < 3000 && message.Made[0].LeftMs > 1000, "%d ms are left", message.Made[0].LeftMs)
+}
+
+// TestHandedBackJobStaysOnce guards against a job that goes back and forth between hosts
+// which know of different lists.
+func TestHandedBackJobStaysOnce(t *testing.T) {
+	var pinned []bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var message Message
+		assert.Check(t, json.NewDecoder(r.Body).Decode(&message))
+		pinned = append(pinned, message.Pinned)
+		reply := Reply{HandedBack: true}
+		if message.Pinned {
+			reply = Reply{Made: []Made{{Upstream: "u", Items: []MadeItem{{0, 0, "r"}}}}}
+		}
+		assert.Check(t, json.NewEncoder(w).Encode(reply))
+	}))
+	defer server.Close()
+	prepared, err := newTestClient(viewOfPeers(t, strings.TrimPrefix(server.URL, "http://"))).Prepare(context.Background(), clientWork())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, prepared.Inputs, []fleet.ResultRef{"r"})
+	assert.DeepEqual(t, pinned, []bool{false, true})
+}
+
+// TestReleaseGoesToTheGatheringHost guards against results that keep their room because
+// the host that had them made has failed since.
+func TestReleaseGoesToTheGatheringHost(t *testing.T) {
+	released := make(chan ReleaseMessage, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == PathRelease {
+			var message ReleaseMessage
+			assert.Check(t, json.NewDecoder(r.Body).Decode(&message))
+			released <- message
+			return
+		}
+		assert.Check(t, json.NewEncoder(w).Encode(Reply{Made: []Made{{Upstream: "u", Items: []MadeItem{{0, 0, "r"}}}}}))
+	}))
+	defer server.Close()
+	failed := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		assert.Check(t, json.NewEncoder(w).Encode(Reply{Made: []Made{{Upstream: "u", Items: []MadeItem{{0, 0, "r"}}}}}))
+	}))
+	client := newTestClient(viewOfPeers(t, strings.TrimPrefix(failed.URL, "http://"), strings.TrimPrefix(server.URL, "http://")))
+	prepared, err := client.Prepare(context.Background(), clientWork())
+	assert.NilError(t, err)
+	failed.Close()
+	client.passOver(client.View().Hosts[hostAt(client, failed.URL)], "r", nil)
+	prepared.Release()
+	message := <-released
+	assert.DeepEqual(t, refs(message.Made), []fleet.ResultRef{"r"})
+}
+
+func hostAt(c *Client, url string) int {
+	return slices.IndexFunc(c.View().Hosts, func(h fleet.Host) bool { return "http://"+string(h.Peer) == url })
+}
--- a/internal/service/stage/complete.go
+++ b/internal/service/stage/complete.go
@@ -60,6 +60,22 @@
 		}
 		p.apply(it, w, results[i], now)
 	}
+	tellOwners(call, now)
+}
+
+// tellOwners tells the hosts of the requests of a call what it made.
+func tellOwners(call *Call, now time.Time) {
+	byJob := map[*jobState][]*item{}
+	for _, it := range call.items {
+		if !it.job.ended && it.job.progress != nil && it.maker == call.Worker {
+			byJob[it.job] = append(byJob[it.job], it)
+		}
+	}
+	for j, items := range byJob {
+		if made := groupMade(items, now); len(made) > 0 {
+			j.progress(made)
+		}
+	}
 }
 
 // worked reports whether a call made a result: one that found no room for any ends at
@@ -91,6 +107,9 @@
 	case fleet.FailureLate:
 		p.fail(j, errLate)
 	case fleet.FailureInputGone:
+		if j.stages[it.stage].early {
+			p.shared = now.Add(sharedTime)
+		}
 		p.remake(it, true, now)
 	case fleet.FailureNoRoom:
 		// Nothing was worked on; the margin of the upstream keeps it from being asked at once.
@@ -117,15 +136,16 @@
 	}
 	p.unblock(j, now)
 	p.releaseInputs(j, stage, (*jobState).made)
+	p.finish(j, now)
+}
+
+// finish ends a job whose items are all made.
+func (p *plan) finish(j *jobState, now time.Time) {
 	if j.left > 0 || p.remakeLast(j, now) {
 		return
 	}
-	outcome := j.outcome()
-	keep := map[fleet.ResultRef]bool{}
-	for _, result := range outcome.Results {
-		keep[result] = true
-	}
-	p.end(j, keep)
+	outcome := j.outcome(now)
+	p.end(j, kept(outcome.Made))
 	j.finished(outcome, nil)
 }
 
@@ -189,6 +209,7 @@
 func (p *plan) remake(it *item, gone bool, now time.Time) {
 	j := it.job
 	it.phase = phaseBlocked
+	j.stages[it.stage].early = false
 	for _, before := range j.stages[it.stage].After {
 		for _, made := range j.stages[before].items {
 			if made.phase == phaseDone && (gone || !made.maker.lives(made.result, now)) {
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -23,7 +23,7 @@
 	f := forecast{served: true}
 	onTime, late := make([]time.Duration, len(job.Stages)), make([]time.Duration, len(job.Stages))
 	for i, spec := range job.Stages {
-		if spec.Items == 0 {
+		if job.todo(i) == 0 {
 			continue
 		}
 		rate, served := p.rate(spec.Service, now)
@@ -67,10 +67,10 @@
 
 // noteLoad counts the items of a job that was taken to make its aim.
 func (p *plan) noteLoad(job *Job, now time.Time) {
-	for _, spec := range job.Stages {
-		if spec.Items > 0 {
+	for i, spec := range job.Stages {
+		if todo := job.todo(i); todo > 0 {
 			l := p.loads[spec.Service]
-			p.loads[spec.Service] = load{l.decayed(now) + float64(spec.Items), now}
+			p.loads[spec.Service] = load{l.decayed(now) + float64(todo), now}
 		}
 	}
 }
--- a/internal/service/stage/group.go
+++ b/internal/service/stage/group.go
@@ -79,8 +79,10 @@
 }
 
 // Ranked returns the hosts that may gather for a group, the first choice first: those
-// of its data centre, then the others, each by rendezvous hashing. All hosts that know
-// the same hosts agree. Draining hosts come last.
+// of its data centre, then the others, each by the age of their registration, so that a
+// host which returns does not take over from one that knows the results at the
+// upstreams. Rendezvous hashing decides between equals. All hosts that know the same
+// hosts agree. Draining hosts come last.
 func Ranked(hosts []fleet.Host, group Group) []fleet.Host {
 	ranked := append([]fleet.Host(nil), hosts...)
 	key := hashing.Of("stage/" + string(group))
@@ -94,6 +96,9 @@
 		if away(a) != away(b) {
 			return away(b)
 		}
+		if a.Started != b.Started {
+			return a.Started < b.Started
+		}
 		return score(a) > score(b)
 	})
 	return ranked
--- a/internal/service/stage/job.go
+++ b/internal/service/stage/job.go
@@ -25,6 +25,10 @@
 	// Home is the data centre of the likely consumer; empty where none is known.
 	Home   api.DataCentre
 	Stages []Spec
+	// Made holds the results that the job has from another gathering host.
+	Made []Made
+	// Pinned jobs stay, although another host gathers: theirs can't reach it.
+	Pinned bool
 }
 
 // Spec is one stage of a job.
@@ -38,12 +42,15 @@
 
 // Outcome is what a finished job yields.
 type Outcome struct {
-	// Results holds the results of the stages that no other stage follows, in order.
-	Results []fleet.ResultRef
+	// Made holds the results of the stages that no other stage follows.
+	Made []Made
 	// Home is the data centre that holds most of their bytes; empty where there is none.
 	Home api.DataCentre
 }
 
+// Results returns the results in the order of their stages and items.
+func (o Outcome) Results() []fleet.ResultRef { return refs(o.Made) }
+
 // phase is the state of an item.
 type phase string
 
@@ -81,6 +88,8 @@
 	items []*item
 	// left counts the items that are not done.
 	left int
+	// early tells that the inputs were released before the calls ended.
+	early bool
 	// consumers holds the indexes of the stages that need this one and are not omitted.
 	consumers []int
 }
@@ -93,6 +102,8 @@
 	left int
 	// finished is called once.
 	finished func(Outcome, error)
+	// progress is told of results as they are made, without blocking; it is nil in tests only.
+	progress func([]Made)
 	ended    bool
 	began    time.Time
 }
@@ -178,6 +189,9 @@
 	var total int64
 	for _, before := range j.stages[stage].After {
 		for _, made := range j.stages[before].items {
+			if made.maker == nil {
+				continue
+			}
 			centre := made.maker.upstream.DataCentre
 			inputs[centre] += j.stages[before].ResultBytes
 			total += j.stages[before].ResultBytes
@@ -212,15 +226,16 @@
 }
 
 // outcome returns the results of a job whose items are all done.
-func (j *jobState) outcome() Outcome {
+func (j *jobState) outcome(now time.Time) Outcome {
 	var o Outcome
+	var last []*item
 	bytes := map[api.DataCentre]int64{}
 	for i := range j.stages {
 		if !j.terminal(i) {
 			continue
 		}
 		for _, made := range j.stages[i].items {
-			o.Results = append(o.Results, made.result)
+			last = append(last, made)
 			bytes[made.maker.upstream.DataCentre] += j.stages[i].ResultBytes
 		}
 	}
@@ -230,11 +245,21 @@
 			o.Home, most = centre, size
 		}
 	}
+	o.Made = groupMade(last, now)
 	return o
 }
 
-// progress returns the phases of a job's items by stage, as "0:done=2,queued=1;1:blocked=6".
-func (j *jobState) progress() string {
+// kept returns the results of a list as a set.
+func kept(list []Made) map[fleet.ResultRef]bool {
+	set := map[fleet.ResultRef]bool{}
+	for _, result := range refs(list) {
+		set[result] = true
+	}
+	return set
+}
+
+// describe returns the phases of a job's items by stage, as "0:done=2,queued=1;1:blocked=6".
+func (j *jobState) describe() string {
 	var text strings.Builder
 	for i := range j.stages {
 		counts := map[phase]int{}
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -29,6 +29,9 @@
 	// is given back, though the call still runs; if it is lost, they are made again. The
 	// largest call fetches 25 MB over a link of 10 Gbit/s, 20 ms, beside others.
 	fetchTime = 100 * time.Millisecond
+	// sharedTime is how long inputs are kept to the end of their calls after one was
+	// released too early: as long as a result of the other host's jobs lives.
+	sharedTime = 4 * time.Second
 	// loadTime is the time over which the load of work that can make its aim is averaged.
 	loadTime = 2 * time.Second
 	// consumerTime is the time that an engine needs from the results to the first event.
@@ -73,6 +76,9 @@
 	loads   map[api.ServiceName]load
 	// fetching holds the stages whose inputs are being fetched, in order of their end.
 	fetching []fetch
+	// shared is until when upstreams are taken to have calls of other hosts, behind which
+	// calls wait before they fetch their inputs.
+	shared time.Time
 	// retry reports whether one more item of a service may be sent again, and takes it from the budget.
 	retry func(api.ServiceName) bool
 }
@@ -115,7 +121,11 @@
 func (p *plan) submit(job Job, now time.Time, finished func(Outcome, error)) *jobState {
 	j := newJob(job, now, finished)
 	p.jobs[job.Request] = j
+	p.adopt(j, job.Made, now)
 	p.unblock(j, now)
+	if j.left == 0 {
+		p.finish(j, now)
+	}
 	return j
 }
 
--- a/internal/service/stage/plan_test.go
+++ b/internal/service/stage/plan_test.go
@@ -177,7 +177,7 @@
 		}
 	}
 	for _, id := range []api.RequestID{"x", "y"} {
-		assert.Equal(t, len(b.outcomes[id].Results), 3)
+		assert.Equal(t, len(b.outcomes[id].Results()), 3)
 		assert.Equal(t, len(inputs[id]), 2)
 	}
 	for input := range inputs["x"] {
@@ -214,7 +214,7 @@
 	}
 	b.step(nil)
 	b.step(nil)
-	assert.Equal(t, len(b.outcomes["begun"].Results), 3)
+	assert.Equal(t, len(b.outcomes["begun"].Results()), 3)
 }
 
 // TestRoomIsCountedUntilFreed guards against calls whose results find no room, because
@@ -230,7 +230,7 @@
 	b.complete(calls[0], b.answer(calls[0]), FailureNone, b.now)
 	b.offer(b.job("next", 0, 5*time.Second, 9*time.Second, Spec{Service: "s", Items: 1, ResultBytes: 100}))
 	assert.Equal(t, len(b.dispatchNow(nil)), 0)
-	for _, result := range b.outcomes["r"].Results {
+	for _, result := range b.outcomes["r"].Results() {
 		b.worker(u).release(result)
 	}
 	frees := b.frees(false)
@@ -274,7 +274,7 @@
 	for b.step(nil) {
 		continue
 	}
-	assert.Equal(t, len(b.outcomes["r"].Results), 2)
+	assert.Equal(t, len(b.outcomes["r"].Results()), 2)
 }
 
 // TestStragglerIsHedged guards against a request that waits for one slow upstream, and
@@ -290,7 +290,7 @@
 	assert.Equal(t, b.hedge(calls[0], b.now), 0)
 	b.dispatchNow(nil)
 	b.step(nil)
-	assert.Equal(t, len(b.outcomes["r"].Results), 2)
+	assert.Equal(t, len(b.outcomes["r"].Results()), 2)
 	for b.step(nil) {
 		continue
 	}
@@ -313,7 +313,7 @@
 	for b.step(nil) {
 		continue
 	}
-	assert.Equal(t, len(b.outcomes["r"].Results), 1)
+	assert.Equal(t, len(b.outcomes["r"].Results()), 1)
 	assert.Equal(t, b.errors["r"], nil)
 }
 
@@ -347,7 +347,7 @@
 			b.dispatchNow(nil)
 		}
 	}
-	assert.Equal(t, len(b.outcomes["r"].Results), 2)
+	assert.Equal(t, len(b.outcomes["r"].Results()), 2)
 	assert.Equal(t, b.errors["r"], nil)
 }
 
@@ -370,7 +370,7 @@
 	for b.step(nil) {
 		continue
 	}
-	assert.Equal(t, len(b.outcomes["r"].Results), 1)
+	assert.Equal(t, len(b.outcomes["r"].Results()), 1)
 }
 
 // TestLargeResultIsMadeAtHome guards against large results that cross data centres while an upstream at home is free.
@@ -449,8 +449,8 @@
 			wanted[job.Request] = second
 			b.submit(job, b.now, func(o Outcome, err error) {
 				ended[job.Request]++
-				if err == nil && len(o.Results) != wanted[job.Request] {
-					t.Fatalf("%d results, not %d", len(o.Results), wanted[job.Request])
+				if err == nil && len(o.Results()) != wanted[job.Request] {
+					t.Fatalf("%d results, not %d", len(o.Results()), wanted[job.Request])
 				}
 			})
 		}
@@ -530,7 +530,7 @@
 			b.now = b.now.Add(time.Second)
 		}
 	}
-	assert.Equal(t, len(b.outcomes["r"].Results), 1)
+	assert.Equal(t, len(b.outcomes["r"].Results()), 1)
 	assert.Equal(t, b.errors["r"], nil)
 }
 
@@ -552,7 +552,7 @@
 	for b.step(nil) {
 		continue
 	}
-	assert.Equal(t, len(b.outcomes["r"].Results), 2)
+	assert.Equal(t, len(b.outcomes["r"].Results()), 2)
 }
 
 // TestLostCallKeepsRoom guards against calls whose results find no room, since the
--- a/internal/service/stage/room.go
+++ b/internal/service/stage/room.go
@@ -54,6 +54,9 @@
 
 // noteFetch notes the stages whose last items went out with a call.
 func (p *plan) noteFetch(call *Call) {
+	if call.Began.Before(p.shared) {
+		return
+	}
 	seen := map[*jobState]bool{}
 	for _, it := range call.items {
 		j := it.job
@@ -69,7 +72,8 @@
 	for len(p.fetching) > 0 && !now.Before(p.fetching[0].until) {
 		f := p.fetching[0]
 		p.fetching = p.fetching[1:]
-		if !f.job.ended {
+		if !f.job.ended && !now.Before(p.shared) {
+			f.job.stages[f.stage].early = true
 			p.releaseInputs(f.job, f.stage, (*jobState).underWay)
 		}
 	}
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -35,6 +36,8 @@
 var (
 	errLate   = fault.New(api.KindDeadlineUnreachable, "the stages could not be run in time")
 	errFailed = fault.New(api.KindNoUpstream, "a stage failed too often")
+	// ErrHandedBack ends jobs that this host does not go on with. Their results remain.
+	ErrHandedBack = errors.New("the gathering host handed the job back")
 )
 
 // Codec translates stage calls.
@@ -57,18 +60,30 @@
 	Metrics *metric.Set
 	// Upstreams returns the upstreams that belong to this scheduler.
 	Upstreams func(*directory.View) []*fleet.Upstream
-	View      func() *directory.View
+	// Gathers reports whether this host is the one that gathers.
+	Gathers func(*directory.View) bool
+	View    func() *directory.View
 
 	mu   sync.Mutex
 	plan *plan
 	// used is the view that the plan knows.
 	used *directory.View
+	// seen is when the scheduler last ran.
+	seen time.Time
+	// replaced is since when another host gathers; zero where this one does.
+	replaced time.Time
 	// wakeAt is the time of the next wake-up for an upstream in cooldown; zero where there is none.
 	wakeAt time.Time
 }
 
+// progressQueue bounds the messages on results of one job that wait for its host. One
+// that is dropped costs a result made twice where this host fails.
+const progressQueue = 16
+
 // Submit runs a job and returns its outcome. The end of ctx drops what has not begun.
-func (s *Scheduler) Submit(ctx context.Context, job Job) (Outcome, error) {
+// The report is told of results as they are made. From then on they belong to the host
+// of the request, which releases them where it leaves the job.
+func (s *Scheduler) Submit(ctx context.Context, job Job, report func([]Made)) (Outcome, error) {
 	type ended struct {
 		outcome Outcome
 		err     error
@@ -78,29 +93,49 @@
 	s.mu.Lock()
 	s.refresh()
 	if err := s.admit(&job, now); err != nil {
+		s.releaseMade(job.Made)
 		s.mu.Unlock()
 		return Outcome{}, err
 	}
 	if old := s.plan.jobs[job.Request]; old != nil {
-		s.plan.fail(old, fault.New(api.KindCallerGone, "the job was submitted anew"))
+		s.plan.end(old, kept(job.Made))
+		old.finished(Outcome{}, fault.New(api.KindCallerGone, "the job was submitted anew"))
 	}
-	for _, spec := range job.Stages {
-		for range spec.Items {
+	for i, spec := range job.Stages {
+		for range job.todo(i) {
 			s.Budget.First(spec.Service, now)
 		}
 	}
 	state := s.plan.submit(job, now, func(o Outcome, err error) { done <- ended{o, err} })
+	told := make(chan []Made, progressQueue)
+	owned := job.Made
+	state.progress = func(made []Made) {
+		select {
+		case told <- made:
+		default:
+			s.Metrics.Counter("stage.progress_dropped").Inc(1)
+		}
+	}
 	calls := s.plan.dispatch(now)
 	s.mu.Unlock()
 	s.launch(calls)
-	select {
-	case end := <-done:
-		s.Metrics.Histogram("stage.job").Update(clock.Now().Sub(now).Milliseconds())
-		return end.outcome, end.err
-	case <-ctx.Done():
+	for {
+		select {
+		case end := <-done:
+			if errors.Is(end.err, ErrHandedBack) {
+				report(end.outcome.Made)
+			}
+			s.Metrics.Histogram("stage.job").Update(clock.Now().Sub(now).Milliseconds())
+			return end.outcome, end.err
+		case made := <-told:
+			report(made)
+			owned = append(owned, made...)
+			continue
+		case <-ctx.Done():
+		}
 		s.mu.Lock()
-		progress := state.progress()
-		s.plan.end(state, nil)
+		progress := state.describe()
+		s.plan.end(state, kept(owned))
 		s.mu.Unlock()
 		s.Metrics.Counter("stage.abandoned").Inc(1)
 		s.Log.Info().Str("request", string(job.Request)).Str("stages", progress).Int64("waited_ms", clock.Now().Sub(now).Milliseconds()).
@@ -130,16 +165,29 @@
 	return fault.RetryAfter(err, min(max(wait, minRetryAfter), maxRetryAfter))
 }
 
-// refresh takes the newest view into the plan. The caller holds mu.
+// refresh notes that the scheduler runs, and takes the newest view into the plan. The
+// caller holds mu.
 func (s *Scheduler) refresh() {
-	view := s.View()
 	if s.plan == nil {
 		s.plan = newPlan(s.mayRetry)
 	}
+	now := clock.Now()
+	if paused := now.Sub(s.seen); !s.seen.IsZero() && paused > OwnerPatience {
+		jobs := s.plan.handBack(true, now)
+		s.Log.Warn().Int64("paused_ms", paused.Milliseconds()).Int("jobs", jobs).Msg("scheduler_paused")
+	}
+	s.seen = now
+	view := s.View()
 	if view == s.used || view.Snapshot == nil {
 		return
 	}
 	s.used = view
+	switch gathers := s.Gathers(view); {
+	case gathers:
+		s.replaced = time.Time{}
+	case s.replaced.IsZero():
+		s.replaced = now
+	}
 	s.plan.setUpstreams(s.Upstreams(view), view.Snapshot.Services)
 }
 
@@ -157,22 +205,28 @@
 }
 
 // Release notes that results are no longer needed.
-func (s *Scheduler) Release(results []fleet.ResultRef) {
+func (s *Scheduler) Release(list []Made) {
 	s.mu.Lock()
-	if s.plan == nil {
-		s.mu.Unlock()
-		return
-	}
-	for _, w := range s.plan.workers {
-		for _, result := range results {
-			w.release(result)
-		}
-	}
+	s.refresh()
+	s.releaseMade(list)
 	frees := s.plan.frees(false)
 	s.mu.Unlock()
 	s.launchFrees(frees)
 }
 
+// releaseMade releases results. The caller holds mu.
+func (s *Scheduler) releaseMade(list []Made) {
+	for i := range list {
+		w := s.plan.workers[list[i].incarnation()]
+		if w == nil {
+			continue
+		}
+		for _, made := range list[i].Items {
+			w.releaseForeign(made.Result)
+		}
+	}
+}
+
 // launch makes calls.
 func (s *Scheduler) launch(calls []*Call) {
 	for _, call := range calls {
@@ -186,6 +240,7 @@
 // fetched gives the room of inputs back that calls have fetched.
 func (s *Scheduler) fetched() {
 	s.mu.Lock()
+	s.refresh()
 	now := clock.Now()
 	s.plan.releaseFetched(now)
 	frees := s.plan.frees(false)
@@ -208,6 +263,7 @@
 	s.mu.Lock()
 	s.refresh()
 	s.plan.complete(call, results, failure, now)
+	s.yield()
 	calls := s.plan.dispatch(now)
 	s.wakeLater(now)
 	frees := s.plan.frees(false)
@@ -274,6 +330,7 @@
 // hedge gives the items of a call that straggles to other upstreams too.
 func (s *Scheduler) hedge(call *Call) {
 	s.mu.Lock()
+	s.refresh()
 	count := s.plan.hedge(call, clock.Now())
 	calls := s.plan.dispatch(clock.Now())
 	s.mu.Unlock()
@@ -315,6 +372,8 @@
 		s.mu.Unlock()
 		return
 	}
+	s.refresh()
+	s.yield()
 	frees := s.plan.frees(true)
 	calls := s.plan.dispatch(clock.Now())
 	s.mu.Unlock()
@@ -325,6 +384,25 @@
 // FreePeriod is the time between two calls of Sweep.
 const FreePeriod = freePeriod
 
+// replaceDelay is how long a host keeps its jobs after another one gathers, so that
+// the hosts of their requests have heard of it. Lists of hosts settle within 250 ms.
+const replaceDelay = 400 * time.Millisecond
+
+// yield hands the jobs back to their hosts where another host gathers. The caller holds mu.
+func (s *Scheduler) yield() {
+	if s.replaced.IsZero() || clock.Now().Sub(s.replaced) < replaceDelay {
+		return
+	}
+	if jobs := s.plan.handBack(false, clock.Now()); jobs > 0 {
+		s.Metrics.Counter("stage.handed_back").Inc(int64(jobs))
+		s.Log.Info().Int("jobs", jobs).Int("kept", len(s.plan.jobs)).Msg("jobs_handed_back")
+	}
+}
+
+// OwnerPatience is how long a gathering host may stand still before the hosts of the
+// requests give its jobs to another one. They test a silent connection after half of it.
+const OwnerPatience = time.Second
+
 func (s *Scheduler) launchFrees(frees []*Free) {
 	for _, f := range frees {
 		go s.free(f)
@@ -345,6 +423,7 @@
 		s.Log.Debug().Str("upstream", string(upstream.ID)).Int("results", len(f.Results)).Err(err).Msg("results_not_freed")
 	}
 	s.mu.Lock()
+	s.refresh()
 	s.plan.freed(f, err == nil)
 	// The room may be what waiting items lack.
 	calls := s.plan.dispatch(clock.Now())
--- a/internal/service/stage/worker.go
+++ b/internal/service/stage/worker.go
@@ -119,6 +119,14 @@
 	w.heldBytes += bytes
 }
 
+// adopt notes a result that another gathering host has had made.
+func (w *worker) adopt(result fleet.ResultRef, bytes int64, until time.Time) {
+	if _, found := w.held[result]; !found {
+		w.held[result] = heldResult{bytes: bytes, until: until}
+		w.heldBytes += bytes
+	}
+}
+
 // holdUnknown notes the room of a call whose answer was lost: the upstream goes on with
 // it, and its results lie there until they end, as nobody knows their names.
 func (w *worker) holdUnknown(bytes int64, now time.Time) {
@@ -145,14 +153,27 @@
 	w.freeing = append(w.freeing, result)
 }
 
+// releaseForeign notes that nobody needs a result that another gathering host may have
+// had made.
+func (w *worker) releaseForeign(result fleet.ResultRef) {
+	if _, found := w.held[result]; found {
+		w.release(result)
+		return
+	}
+	w.freeing = append(w.freeing, result)
+}
+
 // crowded reports whether results take so much room that the upstream is told at once
 // of those that nobody needs.
 func (w *worker) crowded() bool {
 	return float64(w.heldBytes+w.reserved) > crowdedShare*float64(w.limits.ResultBytes)
 }
 
-// lives reports whether a result is kept long enough to be used.
+// lives reports whether a result is kept long enough to be used. A nil worker has none.
 func (w *worker) lives(result fleet.ResultRef, now time.Time) bool {
+	if w == nil {
+		return false
+	}
 	held, found := w.held[result]
 	return found && !held.released && now.Add(lifeMargin).Before(held.until)
 }
--- a/internal/web/entry/peers.go
+++ b/internal/web/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -66,16 +67,28 @@
 	}
 	p.InProgress.Add(1)
 	defer p.InProgress.Add(-1)
-	job := message.Job(clock.Now())
-	outcome, err := p.Scheduler(message.Group).Submit(r.Context(), job)
+	answer := json.NewEncoder(w)
+	control := http.NewResponseController(w)
+	// A caller that can't be reached is told by the end of its context.
+	report := func(made []stage.Made) {
+		if answer.Encode(stage.Reply{Progress: made}) == nil {
+			_ = control.Flush()
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	outcome, err := p.Scheduler(message.Group).Submit(r.Context(), message.Job(clock.Now()), report)
 	if r.Context().Err() != nil {
 		return
 	}
-	if err != nil {
-		writeJSON(w, http.StatusOK, stage.Reply{Error: fault.ToAPI(err, message.Request)})
-		return
+	reply := stage.Reply{Made: outcome.Made, Home: outcome.Home}
+	switch {
+	case errors.Is(err, stage.ErrHandedBack):
+		reply.HandedBack = true
+	case err != nil:
+		reply.Error = fault.ToAPI(err, message.Request)
 	}
-	writeJSON(w, http.StatusOK, stage.Reply{Results: outcome.Results, Home: outcome.Home})
+	// As above: the other host sees an answer without its end.
+	_ = answer.Encode(reply)
 }
 
 func (p *Peers) release(w http.ResponseWriter, r *http.Request) {
@@ -83,7 +96,7 @@
 	if !decode(w, r, &message) {
 		return
 	}
-	p.Scheduler(message.Group).Release(message.Results)
+	p.Scheduler(message.Group).Release(message.Made)
 }
 
 func (p *Peers) outliers(w http.ResponseWriter, r *http.Request) {
