--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,4 @@
 	go run ./internal/tool/capacity
 	$(BIN)/standin bench
 	$(BIN)/standin failures
+	go test -run XXX -bench Decisions -benchtime 1x -count=1 ./internal/service/stage
