--- a/internal/service/stage/compare_test.go
+++ b/internal/service/stage/compare_test.go
@@ -282,7 +282,7 @@
 			for _, result := range f.Results {
 				u.drop(result)
 			}
-			made.freed(f, true)
+			made.freed(f, true, p.now)
 		}
 		for _, call := range made.dispatch(p.now) {
 			p.call(made, call)
--- a/internal/service/stage/complete.go
+++ b/internal/service/stage/complete.go
@@ -58,7 +58,7 @@
 			p.again(it, failure != FailureFull, now)
 			continue
 		}
-		p.apply(it, w, results[i], now)
+		p.apply(it, w, results[i], call.Began, now)
 	}
 	tellOwners(call, now)
 }
@@ -85,10 +85,10 @@
 }
 
 // apply takes the result of one item.
-func (p *plan) apply(it *item, w *worker, result fleet.ItemResult, now time.Time) {
+func (p *plan) apply(it *item, w *worker, result fleet.ItemResult, began, now time.Time) {
 	j := it.job
 	if result.Failure == "" {
-		w.hold(result.Result, j.stages[it.stage].ResultBytes, now)
+		w.hold(result.Result, j.stages[it.stage].ResultBytes, began, now)
 		if j.ended || it.phase == phaseDone {
 			p.release(w, result.Result)
 			return
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -31,13 +31,15 @@
 			return forecast{}
 		}
 		before, all := p.ahead(spec.Service, job, now)
+		turnover := p.turnover(spec.Service, now)
 		var start, lateStart time.Duration
 		for _, needed := range spec.After {
 			start, lateStart = max(start, onTime[needed]), max(lateStart, late[needed])
 		}
 		call := p.callTime(spec.Service)
-		onTime[i] = max(start, timeFor(before, rate)) + call
-		late[i] = max(lateStart, timeFor(all, rate*p.spare(spec.Service, rate, now))) + call
+		spare := p.spare(spec.Service, rate, now)
+		onTime[i] = max(start, timeFor(before.items, rate), timeFor(before.bytes, turnover)) + call
+		late[i] = max(lateStart, timeFor(all.items, rate*spare), timeFor(all.bytes, turnover*spare)) + call
 		f.onTime, f.late = max(f.onTime, onTime[i]), max(f.late, late[i])
 	}
 	return f
@@ -85,23 +87,47 @@
 	return max(1-used, minSpare)
 }
 
-func timeFor(items int, rate float64) time.Duration {
+func timeFor[N int | int64](count N, rate float64) time.Duration {
 	if rate == 0 {
 		return 0
 	}
-	return time.Duration(float64(items) / rate * float64(time.Second))
+	return time.Duration(float64(count) / rate * float64(time.Second))
 }
 
-// ahead returns the items of a service that go before a new job which can make its aim, and all that are not done.
-func (p *plan) ahead(service api.ServiceName, job *Job, now time.Time) (before, all int) {
+// backlog is work that is not done: items, and the bytes of their results.
+type backlog struct{ items, bytes int64 }
+
+func (b *backlog) add(items int, bytes int64) {
+	b.items += int64(items)
+	b.bytes += int64(items) * bytes
+}
+
+// turnover returns the bytes of results a second for which the upstreams of a service
+// have room, given how long results take it; 0 where that is not known.
+func (p *plan) turnover(service api.ServiceName, now time.Time) float64 {
+	var rate float64
+	for _, w := range p.workers {
+		if w.upstream.Service != service || !w.usable(now) {
+			continue
+		}
+		if w.residence <= 0 {
+			return 0
+		}
+		rate += (1 - w.margin) * float64(w.limits.ResultBytes) / w.residence.Seconds()
+	}
+	return rate
+}
+
+// ahead returns the work of a service that goes before a new job which can make its aim, and all that is not done.
+func (p *plan) ahead(service api.ServiceName, job *Job, now time.Time) (before, all backlog) {
 	for _, j := range p.jobs {
 		for i := range j.stages {
 			if j.stages[i].Service != service {
 				continue
 			}
-			all += j.stages[i].left
+			all.add(j.stages[i].left, j.stages[i].ResultBytes)
 			if j.Rank <= job.Rank && !now.After(j.Aim) {
-				before += j.stages[i].left
+				before.add(j.stages[i].left, j.stages[i].ResultBytes)
 			}
 		}
 	}
--- a/internal/service/stage/plan_test.go
+++ b/internal/service/stage/plan_test.go
@@ -106,7 +106,7 @@
 	delete(b.running, next)
 	b.complete(next, b.answer(next), FailureNone, b.now)
 	for _, f := range b.frees(true) {
-		b.freed(f, true)
+		b.freed(f, true, b.now)
 	}
 	b.dispatchNow(slow)
 	return true
@@ -236,7 +236,7 @@
 	frees := b.frees(false)
 	assert.Equal(t, len(frees), 1)
 	assert.Equal(t, len(b.dispatchNow(nil)), 0, "the upstream does not know yet")
-	b.freed(frees[0], true)
+	b.freed(frees[0], true, b.now)
 	assert.Equal(t, len(b.dispatchNow(nil)), 1)
 }
 
@@ -403,7 +403,7 @@
 				delete(b.running, call)
 				b.complete(call, b.answer(call), FailureNone, b.now)
 				for _, f := range b.frees(true) {
-					b.freed(f, true)
+					b.freed(f, true, b.now)
 				}
 			}
 		}
@@ -490,7 +490,7 @@
 				b.complete(next, b.answer(next), FailureNone, b.now)
 			}
 			for _, f := range b.frees(true) {
-				b.freed(f, true)
+				b.freed(f, true, b.now)
 			}
 		}
 		for id := range wanted {
@@ -517,7 +517,7 @@
 	b.releaseFetched(b.now)
 	assert.Equal(t, len(b.worker(first).freeing), 4)
 	for _, f := range b.frees(true) {
-		b.freed(f, true)
+		b.freed(f, true, b.now)
 	}
 	// The call is lost after all: its inputs are made again.
 	for call := range b.running {
@@ -541,7 +541,7 @@
 	crowded.Batching.ResultBytes = 4 << 20
 	b := newBench(crowded, batching("t", 8))
 	maker := b.worker(b.add("s", "a"))
-	maker.hold("other", 2<<20, b.now)
+	maker.hold("other", 2<<20, b.now, b.now)
 	b.add("t", "a")
 	b.offer(b.job("r", 0, 5*time.Second, 9*time.Second, Spec{Service: "s", Items: 1, ResultBytes: 1 << 20},
 		Spec{Service: "s", Items: 1, ResultBytes: 10}, Spec{Service: "t", After: []int{1}, Items: 1, ResultBytes: 10}, Spec{Service: "t", After: []int{2}, Items: 1, ResultBytes: 10}))
@@ -568,3 +568,25 @@
 	assert.Equal(t, b.worker(u).room(b.now), int64(100))
 	assert.Equal(t, b.worker(u).room(b.now.Add(service.Batching.ResultLife)), int64(300))
 }
+
+// TestForecastCountsRoom guards against jobs that are begun although the results of
+// those before them take all the room: their stages stop midway and hold it for nobody.
+func TestForecastCountsRoom(t *testing.T) {
+	service := batching("s", 40)
+	service.Batching.ResultBytes = 1000
+	b := newBench(service)
+	u := b.add("s", "a")
+	spec := Spec{Service: "s", Items: 5, ResultBytes: 100}
+	for i := range 10 {
+		b.offer(b.job(fmt.Sprint("r", i), 0, 3*time.Second, 6*time.Second, spec))
+	}
+	job := b.job("next", 0, 3*time.Second, 6*time.Second, spec)
+	f := b.forecast(&job, b.now)
+	assert.Assert(t, f.makesAim(&job, b.now), "50 items are two calls: %s", f.onTime)
+	b.worker(u).hold("old", 1000, b.now, b.now)
+	b.worker(u).freed("old", b.now.Add(800*time.Millisecond))
+	// 5000 bytes turn over in five times 0.8 s.
+	f = b.forecast(&job, b.now)
+	assert.Assert(t, !f.makesAim(&job, b.now), "the forecast is %s", f.onTime)
+	assert.Equal(t, f.onTime, 4*time.Second+b.callTime("s"))
+}
--- a/internal/service/stage/room.go
+++ b/internal/service/stage/room.go
@@ -35,13 +35,13 @@
 
 // freed notes the end of a call that frees results. After a lost call they take room
 // until they end by themselves.
-func (p *plan) freed(f *Free, told bool) {
+func (p *plan) freed(f *Free, told bool, now time.Time) {
 	f.Worker.telling = false
 	if !told {
 		return
 	}
 	for _, result := range f.Results {
-		f.Worker.forget(result)
+		f.Worker.freed(result, now)
 	}
 }
 
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -424,7 +424,7 @@
 	}
 	s.mu.Lock()
 	s.refresh()
-	s.plan.freed(f, err == nil)
+	s.plan.freed(f, err == nil, clock.Now())
 	// The room may be what waiting items lack.
 	calls := s.plan.dispatch(clock.Now())
 	frees := s.plan.frees(false)
--- a/internal/service/stage/worker.go
+++ b/internal/service/stage/worker.go
@@ -59,10 +59,14 @@
 	// margin is the share of the room that is kept free, since sizes of results are approximate.
 	margin float64
 	gone   bool
+	// residence is the mean time that a byte of a result takes room; 0 until one was freed.
+	residence time.Duration
 }
 
 type heldResult struct {
 	bytes int64
+	// since is when the result began to take room.
+	since time.Time
 	until time.Time
 	// released results wait in freeing or for the answer of the call that frees them.
 	released bool
@@ -114,8 +118,8 @@
 	}
 }
 
-func (w *worker) hold(result fleet.ResultRef, bytes int64, now time.Time) {
-	w.held[result] = heldResult{bytes: bytes, until: now.Add(w.limits.ResultLife)}
+func (w *worker) hold(result fleet.ResultRef, bytes int64, since, now time.Time) {
+	w.held[result] = heldResult{bytes: bytes, since: since, until: now.Add(w.limits.ResultLife)}
 	w.heldBytes += bytes
 }
 
@@ -131,7 +135,7 @@
 // it, and its results lie there until they end, as nobody knows their names.
 func (w *worker) holdUnknown(bytes int64, now time.Time) {
 	w.lost++
-	w.hold(fleet.ResultRef("lost/"+strconv.Itoa(w.lost)), bytes, now)
+	w.hold(fleet.ResultRef("lost/"+strconv.Itoa(w.lost)), bytes, now, now)
 }
 
 // forget removes a result from the account.
@@ -142,6 +146,17 @@
 	}
 }
 
+// freed removes a result that the upstream was told of, and notes how long it took room:
+// the mean turns over with the room.
+func (w *worker) freed(result fleet.ResultRef, now time.Time) {
+	held, found := w.held[result]
+	if found && !held.since.IsZero() && w.limits.ResultBytes > 0 {
+		weight := min(float64(held.bytes)/float64(w.limits.ResultBytes), 1)
+		w.residence += time.Duration(weight * float64(now.Sub(held.since)-w.residence))
+	}
+	w.forget(result)
+}
+
 // release notes that nobody needs a result.
 func (w *worker) release(result fleet.ResultRef) {
 	held, found := w.held[result]
