Hand jobs of a group that is gone back to their hosts

Cause: a fleet of 17 hosts that loses one changes from a group for each data centre to one group for all. The jobs in progress stayed at schedulers whose upstreams were gone until their deadline, as no host takes a job of a gone group back. Found by reading; TestJobMovesToItsNewGroup and TestRoleOfGoneGroup fail without the change.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -159,10 +159,7 @@
 		Pool: e.pool, Forward: &e.codec, Log: e.log, Metrics: e.metrics, View: e.directory.View,
 		Budget:    e.newBudget(func() int { return len(stage.Groups(e.directory.View())) }),
 		Upstreams: func(view *directory.View) []*fleet.Upstream { return stage.InGroup(view, group) },
-		Gathers: func(view *directory.View) bool {
-			ranked := stage.Ranked(view.Hosts, group)
-			return len(ranked) == 0 || ranked[0].ID == e.settings.Host.ID
-		},
+		Role:      func(view *directory.View) stage.Role { return stage.RoleOf(view, group, e.settings.Host.ID) },
 		Codec: stage.Codec{
 			RunPath: platform.PathStageRun, FreePath: platform.PathStageFree,
 			EncodeItems: platform.EncodeItems, DecodeResults: platform.DecodeResults, EncodeFree: platform.EncodeFree,
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -104,23 +104,30 @@
 
 // Prepare runs the stages of a request.
 func (c *Client) Prepare(ctx context.Context, work *forward.Work) (*forward.Prepared, error) {
+	var known record
 	groups := Groups(c.View())
 	group := groupOf(groups, work.Home, string(work.Request.ID))
-	prepared, err := c.prepareIn(ctx, work, group)
+	prepared, err := c.prepareIn(ctx, work, group, &known)
+	if errors.Is(err, ErrHandedBack) {
+		// The groups changed under the job.
+		groups = Groups(c.View())
+		group = groupOf(groups, work.Home, string(work.Request.ID))
+		prepared, err = c.prepareIn(ctx, work, group, &known)
+	}
 	if !fault.Is(err, api.KindDeadlineUnreachable) || len(groups) == 1 || ctx.Err() != nil {
 		return prepared, err
 	}
 	// Another group may have room; results that cross data centres are better than none.
 	others := slices.DeleteFunc(groups, func(g Group) bool { return g == group })
 	c.Metrics.Counter("stage.other_group").Inc(1)
-	return c.prepareIn(ctx, work, groupOf(others, "", string(work.Request.ID)))
+	return c.prepareIn(ctx, work, groupOf(others, "", string(work.Request.ID)), &record{})
 }
 
-// prepareIn runs the stages of a request in a group.
-func (c *Client) prepareIn(ctx context.Context, work *forward.Work, group Group) (*forward.Prepared, error) {
+// prepareIn runs the stages of a request in a group. Known holds the results that the
+// job has. It returns ErrHandedBack where the group does not exist any more.
+func (c *Client) prepareIn(ctx context.Context, work *forward.Work, group Group, known *record) (*forward.Prepared, error) {
 	var last error
 	var host fleet.Host
-	var known record
 	again, passed, returned := false, false, false
 	for range maxSubmits {
 		if !again {
@@ -132,7 +139,7 @@
 			return nil, errLate
 		}
 		message.Made = known.living(clock.Now())
-		outcome, err := c.submit(ctx, host, message, &known)
+		outcome, err := c.submit(ctx, host, message, known)
 		if err == nil {
 			return c.prepared(group, outcome), nil
 		}
@@ -141,6 +148,9 @@
 			return nil, err
 		}
 		if errors.Is(err, ErrHandedBack) {
+			if !slices.Contains(Groups(c.View()), group) {
+				return nil, err
+			}
 			last, again, returned = err, false, true
 			continue
 		}
--- a/internal/service/stage/client_test.go
+++ b/internal/service/stage/client_test.go
@@ -176,3 +176,36 @@
 func hostAt(c *Client, url string) int {
 	return slices.IndexFunc(c.View().Hosts, func(h fleet.Host) bool { return "http://"+string(h.Peer) == url })
 }
+
+// TestJobMovesToItsNewGroup guards against a job that is given again and again to a group
+// that does not exist any more.
+func TestJobMovesToItsNewGroup(t *testing.T) {
+	var groups []Group
+	view := atomic.Pointer[directory.View]{}
+	all := map[string][]api.ServiceName{"dc0": {"s", "t"}}
+	large := groupView(t, maxOneGroup+1, all)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var message Message
+		assert.Check(t, json.NewDecoder(r.Body).Decode(&message))
+		groups = append(groups, message.Group)
+		reply := Reply{HandedBack: true}
+		if message.Group == "dc0" {
+			reply = Reply{Made: []Made{{Upstream: "u", Items: []MadeItem{{0, 0, "r"}}}}}
+		}
+		view.Store(large)
+		assert.Check(t, json.NewEncoder(w).Encode(reply))
+	}))
+	defer server.Close()
+	small := groupView(t, maxOneGroup, all)
+	for _, v := range []*directory.View{small, large} {
+		for i := range v.Hosts {
+			v.Hosts[i].Peer = api.Address(strings.TrimPrefix(server.URL, "http://"))
+		}
+	}
+	view.Store(small)
+	client := newTestClient(small)
+	client.View = view.Load
+	_, err := client.Prepare(context.Background(), clientWork())
+	assert.NilError(t, err)
+	assert.DeepEqual(t, groups, []Group{GroupAll, "dc0"})
+}
--- a/internal/service/stage/group.go
+++ b/internal/service/stage/group.go
@@ -1,6 +1,7 @@
 package stage
 
 import (
+	"slices"
 	"sort"
 
 	"redwingloft/internal/data/fleet"
@@ -78,6 +79,29 @@
 	return list
 }
 
+// Role is what a host is to a group.
+type Role string
+
+// The roles.
+const (
+	RoleGathers Role = "gathers"
+	// RoleOther hosts leave the gathering to another one.
+	RoleOther Role = "other"
+	// RoleNone: there is no such group any more, and it has no upstreams.
+	RoleNone Role = "none"
+)
+
+// RoleOf returns what a host is to a group.
+func RoleOf(view *directory.View, group Group, self api.HostID) Role {
+	if !slices.Contains(Groups(view), group) {
+		return RoleNone
+	}
+	if ranked := Ranked(view.Hosts, group); len(ranked) == 0 || ranked[0].ID == self {
+		return RoleGathers
+	}
+	return RoleOther
+}
+
 // Ranked returns the hosts that may gather for a group, the first choice first: those
 // of its data centre, then the others, each by the age of their registration, so that a
 // host which returns does not take over from one that knows the results at the
--- a/internal/service/stage/group_test.go
+++ b/internal/service/stage/group_test.go
@@ -62,6 +62,19 @@
 	assert.Equal(t, len(InGroup(groupView(t, 7, all), GroupAll)), 6)
 }
 
+// TestRoleOfGoneGroup guards against jobs that wait to their deadline in a group whose
+// upstreams others call, because a fleet of about sixteen hosts lost or gained one.
+func TestRoleOfGoneGroup(t *testing.T) {
+	all := map[string][]api.ServiceName{"dc0": {"s", "t"}, "dc1": {"s", "t"}}
+	small, large := groupView(t, maxOneGroup, all), groupView(t, maxOneGroup+1, all)
+	first := Ranked(small.Hosts, GroupAll)[0].ID
+	assert.Equal(t, RoleOf(small, GroupAll, first), RoleGathers)
+	assert.Equal(t, RoleOf(small, GroupAll, "nobody"), RoleOther)
+	assert.Equal(t, RoleOf(large, GroupAll, first), RoleNone)
+	assert.Equal(t, RoleOf(small, "dc0", first), RoleNone)
+	assert.Equal(t, RoleOf(large, "dc1", Ranked(large.Hosts, "dc1")[0].ID), RoleGathers)
+}
+
 // TestRankedHosts guards against hosts that disagree on who gathers, and against a
 // draining host or one of another data centre that is the first choice.
 func TestRankedHosts(t *testing.T) {
--- a/internal/service/stage/made.go
+++ b/internal/service/stage/made.go
@@ -143,13 +143,12 @@
 	}
 }
 
-// handBack ends jobs without an outcome and leaves their results to the gathering host
-// that goes on with them: all jobs, or those that are not pinned and have no item in a
-// call. It returns their number.
-func (p *plan) handBack(all bool, now time.Time) int {
+// handBack ends the jobs that satisfy which without an outcome, leaves their results to
+// the gathering host that goes on with them, and returns their number.
+func (p *plan) handBack(which func(*jobState) bool, now time.Time) int {
 	count := 0
 	for _, j := range p.jobs {
-		if !all && (j.Pinned || j.running()) {
+		if !which(j) {
 			continue
 		}
 		var items []*item
@@ -164,6 +163,12 @@
 	return count
 }
 
+// waits reports whether no item of the job is in a call.
+func (j *jobState) waits() bool { return !j.running() }
+
+// movable reports whether another gathering host may go on with the job now.
+func (j *jobState) movable() bool { return !j.Pinned && !j.running() }
+
 // running reports whether an item of the job is in a call.
 func (j *jobState) running() bool {
 	for i := range j.stages {
--- a/internal/service/stage/made_test.go
+++ b/internal/service/stage/made_test.go
@@ -100,13 +100,13 @@
 	pinned.Pinned = true
 	b.offer(pinned)
 	b.dispatchNow(nil)
-	assert.Equal(t, b.handBack(false, b.now), 0, "items are in a call")
+	assert.Equal(t, b.handBack((*jobState).movable, b.now), 0, "items are in a call")
 	b.step(nil)
-	assert.Equal(t, b.handBack(false, b.now), 1)
+	assert.Equal(t, b.handBack((*jobState).movable, b.now), 1)
 	assert.ErrorIs(t, b.errors["waits"], ErrHandedBack)
 	assert.Equal(t, len(b.outcomes["waits"].Results()), 1)
 	assert.Equal(t, len(b.worker(first).freeing), 0)
-	assert.Equal(t, b.handBack(true, b.now), 1)
+	assert.Equal(t, b.handBack((*jobState).waits, b.now), 1)
 	assert.ErrorIs(t, b.errors["pinned"], ErrHandedBack)
 	assert.Equal(t, len(b.worker(first).freeing), 0)
 }
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -60,9 +60,9 @@
 	Metrics *metric.Set
 	// Upstreams returns the upstreams that belong to this scheduler.
 	Upstreams func(*directory.View) []*fleet.Upstream
-	// Gathers reports whether this host is the one that gathers.
-	Gathers func(*directory.View) bool
-	View    func() *directory.View
+	// Role returns what this host is to the group.
+	Role func(*directory.View) Role
+	View func() *directory.View
 
 	mu   sync.Mutex
 	plan *plan
@@ -70,7 +70,8 @@
 	used *directory.View
 	// seen is when the scheduler last ran.
 	seen time.Time
-	// replaced is since when another host gathers; zero where this one does.
+	// role is that of the view that the plan knows, replaced since when it is not RoleGathers.
+	role     Role
 	replaced time.Time
 	// wakeAt is the time of the next wake-up for an upstream in cooldown; zero where there is none.
 	wakeAt time.Time
@@ -173,7 +174,7 @@
 	}
 	now := clock.Now()
 	if paused := now.Sub(s.seen); !s.seen.IsZero() && paused > OwnerPatience {
-		jobs := s.plan.handBack(true, now)
+		jobs := s.plan.handBack(func(*jobState) bool { return true }, now)
 		s.Log.Warn().Int64("paused_ms", paused.Milliseconds()).Int("jobs", jobs).Msg("scheduler_paused")
 	}
 	s.seen = now
@@ -182,8 +183,9 @@
 		return
 	}
 	s.used = view
-	switch gathers := s.Gathers(view); {
-	case gathers:
+	s.role = s.Role(view)
+	switch {
+	case s.role == RoleGathers:
 		s.replaced = time.Time{}
 	case s.replaced.IsZero():
 		s.replaced = now
@@ -393,9 +395,13 @@
 	if s.replaced.IsZero() || clock.Now().Sub(s.replaced) < replaceDelay {
 		return
 	}
-	if jobs := s.plan.handBack(false, clock.Now()); jobs > 0 {
+	which := (*jobState).movable
+	if s.role == RoleNone {
+		which = (*jobState).waits
+	}
+	if jobs := s.plan.handBack(which, clock.Now()); jobs > 0 {
 		s.Metrics.Counter("stage.handed_back").Inc(int64(jobs))
-		s.Log.Info().Int("jobs", jobs).Int("kept", len(s.plan.jobs)).Msg("jobs_handed_back")
+		s.Log.Info().Str("role", string(s.role)).Int("jobs", jobs).Int("kept", len(s.plan.jobs)).Msg("jobs_handed_back")
 	}
 }
 
