Give a kind to the error of a job that no group keeps

Cause: a job that was handed back by two groups in a row, as a fleet near the bound between one group and several changes twice, ended with an error without a kind, which a caller would see as a fault of the host. Found while reading the diff; the test fails without the change.

--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -104,6 +104,16 @@
 
 // Prepare runs the stages of a request.
 func (c *Client) Prepare(ctx context.Context, work *forward.Work) (*forward.Prepared, error) {
+	prepared, err := c.prepareInGroups(ctx, work)
+	if errors.Is(err, ErrHandedBack) {
+		return nil, fault.RetryAfter(fault.Wrap(api.KindNoUpstream, err, "the groups of hosts changed twice"), minRetryAfter)
+	}
+	return prepared, err
+}
+
+// prepareInGroups runs the stages of a request in its group, or in another one. It
+// returns ErrHandedBack where no group kept the job.
+func (c *Client) prepareInGroups(ctx context.Context, work *forward.Work) (*forward.Prepared, error) {
 	var known record
 	groups := Groups(c.View())
 	group := groupOf(groups, work.Home, string(work.Request.ID))
--- a/internal/service/stage/client_test.go
+++ b/internal/service/stage/client_test.go
@@ -15,6 +15,7 @@
 
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/clock"
+	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/logging"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
@@ -209,3 +210,32 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, groups, []Group{GroupAll, "dc0"})
 }
+
+// TestGroupsThatKeepChanging guards against an error without a kind, which callers would
+// take for a fault of the host.
+func TestGroupsThatKeepChanging(t *testing.T) {
+	all := map[string][]api.ServiceName{"dc0": {"s", "t"}}
+	small, large := groupView(t, maxOneGroup, all), groupView(t, maxOneGroup+1, all)
+	view := atomic.Pointer[directory.View]{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var message Message
+		assert.Check(t, json.NewDecoder(r.Body).Decode(&message))
+		if message.Group == GroupAll {
+			view.Store(large)
+		} else {
+			view.Store(small)
+		}
+		assert.Check(t, json.NewEncoder(w).Encode(Reply{HandedBack: true}))
+	}))
+	defer server.Close()
+	for _, v := range []*directory.View{small, large} {
+		for i := range v.Hosts {
+			v.Hosts[i].Peer = api.Address(strings.TrimPrefix(server.URL, "http://"))
+		}
+	}
+	view.Store(small)
+	client := newTestClient(small)
+	client.View = view.Load
+	_, err := client.Prepare(context.Background(), clientWork())
+	assert.Assert(t, fault.Is(err, api.KindNoUpstream), "%v", err)
+}
