List an unregistered host once in its own address list

Cause: other hosts name an unregistered host among their strays, and the part of the message that goes with the member list was merged without the check for the host itself; it became a stray of its own, and its callers used it twice as often. Before: TestUnregisteredHostListsItselfOnce counts two.

--- a/internal/service/member/exchange.go
+++ b/internal/service/member/exchange.go
@@ -300,7 +300,7 @@
 
 // meet notes a sign of life of a host and an acknowledgement that may count. The caller holds mu.
 func (s *Service) meet(other Member, heard time.Duration, acked api.Revision) {
-	if heard == 0 {
+	if heard == 0 || other.Host == s.Self.Host {
 		return
 	}
 	if s.list != nil {
--- a/internal/service/member/member_test.go
+++ b/internal/service/member/member_test.go
@@ -116,6 +116,23 @@
 	assert.Equal(t, len(c.faults), 0, "%v", c.faults)
 }
 
+// TestUnregisteredHostListsItselfOnce guards against a host that learns of itself from
+// others, so that its callers use it twice as often as the others.
+func TestUnregisteredHostListsItselfOnce(t *testing.T) {
+	c := newCluster(t, 3)
+	c.down = true
+	joined := c.join()
+	c.run(3 * time.Second)
+	seen := map[api.HostID]int{}
+	for _, host := range joined.Addresses("dc").Hosts {
+		seen[host.Host]++
+	}
+	assert.Equal(t, len(seen), 4)
+	for id, count := range seen {
+		assert.Equal(t, count, 1, string(id))
+	}
+}
+
 // TestTwoFastChanges guards against a handover that mixes up two changes in a row,
 // and against a host that skips one and misses its moves.
 func TestTwoFastChanges(t *testing.T) {
