Pace the stand-in engine by a schedule

The engine slept a step after each token, so that the delay of every timer and write added up over 2,110 steps. Steps follow a schedule now.

--- a/standin/engine/chat.go
+++ b/standin/engine/chat.go
@@ -51,9 +51,11 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	// Steps follow a schedule, so that late timers of a busy machine don't add up.
+	next := time.Now()
 	for i := range count {
-		step := s.StepTime + s.StepTime*time.Duration(s.running.Load())/10
-		if !s.pause(r.Context(), step) {
+		next = next.Add(s.StepTime + s.StepTime*time.Duration(s.running.Load())/10)
+		if !s.pause(r.Context(), time.Until(next)) {
 			return
 		}
 		s.tokens.Add(1)
--- /dev/null
+++ b/standin/engine/chat_test.go
@@ -0,0 +1,38 @@
+package engine
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// slowWriter takes its time for each write.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	delay time.Duration
+}
+
+func (w slowWriter) Write(data []byte) (int, error) {
+	time.Sleep(w.delay)
+	return w.ResponseRecorder.Write(data)
+}
+
+// TestStepsKeepTheirSchedule guards against an engine whose long answers miss their
+// deadline on a busy machine, because the delay of each step adds to the next ones.
+func TestStepsKeepTheirSchedule(t *testing.T) {
+	server := &Server{StepTime: 10 * time.Millisecond}
+	body := `{"model":"m","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"water the beds"}]}`
+	request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(body))
+	writer := slowWriter{httptest.NewRecorder(), 6 * time.Millisecond}
+	begin := time.Now()
+	server.Routes().ServeHTTP(writer, request)
+	took := time.Since(begin)
+	assert.Equal(t, writer.Code, http.StatusOK)
+	assert.Assert(t, strings.Contains(writer.Body.String(), "completion_tokens"))
+	// 20 steps of 11 ms and two writes more; with the writes between the steps it takes 350 ms.
+	assert.Assert(t, took < 310*time.Millisecond, "the answer took %s", took)
+}
