Give the members' test cluster a clock that goroutines may read

The services themselves read the system's clock; the race is the test's own. The clock is an atomic count now; what the test checks is unchanged.

--- a/internal/service/member/agreement_test.go
+++ b/internal/service/member/agreement_test.go
@@ -24,7 +24,7 @@
 		}
 		c.delay = func() {
 			if rapid.IntRange(0, 15).Draw(t, "slow") == 0 {
-				c.clock = c.clock.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "delay")) * time.Millisecond)
+				c.clock.advance(time.Duration(rapid.IntRange(1, 900).Draw(t, "delay")) * time.Millisecond)
 			}
 		}
 		host := func(t *rapid.T) *node { return rapid.SampledFrom(c.hosts).Draw(t, "host") }
--- a/internal/service/member/cluster_test.go
+++ b/internal/service/member/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,9 +19,17 @@
 	"redwingloft/pkg/api"
 )
 
+// manualClock is a time that the test advances while services read it, also from
+// goroutines of their own.
+type manualClock struct{ passed atomic.Int64 }
+
+func (c *manualClock) now() time.Time { return time.Unix(1_700_000_000, c.passed.Load()) }
+
+func (c *manualClock) advance(d time.Duration) { c.passed.Add(int64(d)) }
+
 // cluster runs several services in one process on one clock that the test advances.
 type cluster struct {
-	clock time.Time
+	clock manualClock
 	kv    *memory.Store
 	keys  store.Keys
 	hosts []*node
@@ -104,7 +113,7 @@
 }
 
 func emptyCluster() *cluster {
-	return &cluster{clock: time.Unix(1_700_000_000, 0), kv: memory.New(), calls: map[api.HostID]int{}}
+	return &cluster{kv: memory.New(), calls: map[api.HostID]int{}}
 }
 
 func (c *cluster) wait() {
@@ -122,7 +131,7 @@
 	n := &node{cluster: c}
 	n.Service = &Service{
 		Self:  Member{Host: api.HostID(id), Caller: api.Address("c" + address), Peer: api.Address(address), DataCentre: "dc"},
-		Store: gateStore{c.kv, n}, Keys: c.keys, Timer: &timer.Service{Clock: func() time.Time { return c.clock }},
+		Store: gateStore{c.kv, n}, Keys: c.keys, Timer: &timer.Service{Clock: c.clock.now},
 		Removal: 10 * time.Second, Send: c.sender(n), Newer: c.fetcher(n),
 	}
 	n.Roster = func() []api.HostID {
@@ -244,14 +253,14 @@
 
 // step lets time pass and drives every host.
 func (c *cluster) step(d time.Duration) {
-	c.clock = c.clock.Add(d)
+	c.clock.advance(d)
 	for _, host := range c.hosts {
 		host.drive()
 	}
 }
 
 func (c *cluster) run(d time.Duration) {
-	for end := c.clock.Add(d); c.clock.Before(end); {
+	for end := c.clock.now().Add(d); c.clock.now().Before(end); {
 		c.step(250 * time.Millisecond)
 	}
 }
@@ -264,5 +273,5 @@
 }
 
 func (c *cluster) alone() *timer.Service {
-	return &timer.Service{Clock: func() time.Time { return c.clock }}
+	return &timer.Service{Clock: c.clock.now}
 }
--- a/internal/service/member/member_test.go
+++ b/internal/service/member/member_test.go
@@ -89,7 +89,7 @@
 func TestCheckDropsEvidenceOfPausedHost(t *testing.T) {
 	c := newCluster(t, 3)
 	c.hosts[0].Check()
-	c.clock = c.clock.Add(2 * time.Second)
+	c.clock.advance(2 * time.Second)
 	assert.NilError(t, c.hosts[0].Fresh())
 	c.hosts[0].Check()
 	assertKind(t, c.hosts[0].Fresh(), api.KindHostIsolated)
@@ -339,7 +339,7 @@
 	c := newCluster(t, 5)
 	c.down = true
 	asking, asked := c.hosts[0], c.hosts[1]
-	c.clock = c.clock.Add(5 * time.Second)
+	c.clock.advance(5 * time.Second)
 	for _, host := range c.hosts[1:] {
 		for _, address := range host.Targets()[1:] {
 			_ = host.Exchange(context.Background(), address)
@@ -350,7 +350,7 @@
 	assert.Assert(t, pushed.Fresh != nil)
 	asking.Receive(pushed)
 	assertKind(t, asking.Fresh(), api.KindHostIsolated)
-	c.delay = func() { c.clock = c.clock.Add(500 * time.Millisecond) }
+	c.delay = func() { c.clock.advance(500 * time.Millisecond) }
 	start := asking.now()
 	assert.NilError(t, asking.Exchange(context.Background(), asked.Self.Peer))
 	assert.Assert(t, asking.current.at <= start)
@@ -358,7 +358,7 @@
 		assert.Assert(t, known.proof <= start)
 	}
 	assert.NilError(t, asking.Fresh())
-	c.clock = c.clock.Add(1500 * time.Millisecond)
+	c.clock.advance(1500 * time.Millisecond)
 	assertKind(t, asking.Fresh(), api.KindHostIsolated)
 }
 
@@ -412,7 +412,7 @@
 		edit(host.Self.Host, func(m *Member) { m.Removing = true }),
 		func(doc *Document) { doc.Members = without(doc.Members, host.Self.Host) },
 	} {
-		c.clock = c.clock.Add(100 * time.Millisecond)
+		c.clock.advance(100 * time.Millisecond)
 		assert.NilError(t, c.hosts[1].change(context.Background(), change))
 		assert.NilError(t, host.readAll(context.Background()))
 		assert.Equal(t, host.current.at, before)
