List a host to callers only once it is configured and fresh

Cause: the address list asks only whether a host was heard from and is not isolated. A new host is heard from before it has acknowledged a revision, and one outside the member list had no isolated state at all. A host also listed itself once it had evidence, without a configuration.

Change: a listed host must have acknowledged a revision (and not all of them, as a host does that starts no more requests), and the isolated state is kept for hosts outside the member list too. Ruled out: withholding the acknowledgement until the host is fresh, which would delay handovers for a host that starts no request.

Before: TestHostWithoutConfigurationIsNotListed fails for a registered and an unregistered host. After: it passes, as do the other tests of the package.

--- a/internal/service/member/address.go
+++ b/internal/service/member/address.go
@@ -96,8 +96,15 @@
 	return heard > 0 && now-heard < limit
 }
 
+// acceptsRequests reports whether a host that has acknowledged a revision and was last heard
+// from at lastHeard can start requests. A new host is heard from before it has its
+// configuration.
+func (s *Service) acceptsRequests(acked api.Revision, isolated bool, lastHeard, now time.Duration) bool {
+	return acked > 0 && acked != ackAll && !isolated && s.isAlive(lastHeard, now)
+}
+
 // Addresses returns the hosts that callers in a data centre should use: those that are
-// live, fresh and not draining. Hosts in the data centre of the caller come first; within
+// live, configured, fresh and not draining. Hosts in the data centre of the caller come first; within
 // each group the order is random, to distribute the callers. A host that is isolated or
 // draining answers too, but omits itself.
 func (s *Service) Addresses(from api.DataCentre) api.AddressList {
@@ -133,23 +140,26 @@
 			far = append(far, member)
 		}
 	}
-	if !s.draining.Load() && s.Fresh() == nil {
+	if !s.draining.Load() && s.view.Load() != nil && s.Fresh() == nil {
 		add(&s.Self)
 	}
 	now := s.now()
 	if s.list != nil {
 		for i := range s.list.members {
-			member := &s.list.members[i]
+			member, known := &s.list.members[i], &s.states[i]
 			switch {
 			case member.Host == s.Self.Host || s.drainingHosts[member.Host]:
-			case live && (s.states[i].isolated || !s.isAlive(s.states[i].lastHeard, now)):
+			case live && !s.acceptsRequests(known.acked, known.isolated, known.lastHeard, now):
 			default:
 				add(member)
 			}
 		}
 	}
 	for _, other := range s.unregistered {
-		if other.Caller != "" && !s.drainingHosts[other.Host] && (!live || s.isAlive(other.lastHeard, now)) {
+		if other.Caller == "" || s.drainingHosts[other.Host] {
+			continue
+		}
+		if !live || s.acceptsRequests(other.acked, other.isolated, other.lastHeard, now) {
 			add(&other.Member)
 		}
 	}
--- a/internal/service/member/exchange.go
+++ b/internal/service/member/exchange.go
@@ -355,6 +355,8 @@
 	s.recordContact(m.From, now, m.Acked)
 	if i, listed := s.list.index[m.From.Host]; listed {
 		s.states[i].isolated = m.Fresh == nil
+	} else if other := s.unregistered[m.From.Host]; other != nil {
+		other.isolated = m.Fresh == nil
 	}
 }
 
--- a/internal/service/member/list.go
+++ b/internal/service/member/list.go
@@ -99,8 +99,8 @@
 	s.list, s.states, s.listSince = next, make([]memberState, len(next.members)), s.now()
 	for i, member := range next.members {
 		s.states[i].knownSince = s.now()
-		if s.unregistered[member.Host] != nil {
-			s.states[i].lastHeard, s.states[i].acked = s.unregistered[member.Host].lastHeard, s.unregistered[member.Host].acked
+		if other := s.unregistered[member.Host]; other != nil {
+			s.states[i].lastHeard, s.states[i].acked, s.states[i].isolated = other.lastHeard, other.acked, other.isolated
 			delete(s.unregistered, member.Host)
 		}
 		delete(s.departed, member.Host)
--- a/internal/service/member/member.go
+++ b/internal/service/member/member.go
@@ -156,6 +156,8 @@
 	Member
 	lastHeard time.Duration
 	acked     api.Revision
+	// isolated is true if the host said in its last message that it is not fresh.
+	isolated bool
 }
 
 // majorityAck records when this host first saw that a majority had acknowledged a revision.
--- a/internal/service/member/member_test.go
+++ b/internal/service/member/member_test.go
@@ -118,6 +118,33 @@
 	assert.Equal(t, len(c.violations), 0, "%v", c.violations)
 }
 
+// TestHostWithoutConfigurationIsNotListed guards against callers that are sent to a new host
+// before it has its configuration or evidence that it is current: it refuses their requests.
+func TestHostWithoutConfigurationIsNotListed(t *testing.T) {
+	for name, registered := range map[string]bool{"unregistered": false, "registered": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3)
+			c.storeDown = !registered
+			joined := c.addHost()
+			fetch := joined.OnNewerRevision
+			joined.OnNewerRevision = nil
+			joined.view.Store(nil)
+			joined.acked = 0
+			c.run(2 * time.Second)
+			assertKind(t, c.startRequest(joined), api.KindHostIsolated)
+			for _, host := range c.hosts {
+				assert.Assert(t, !containsHost(host.Addresses("dc"), joined), string(host.Self.Host))
+			}
+			joined.OnNewerRevision = fetch
+			c.run(2 * time.Second)
+			assert.NilError(t, c.startRequest(joined))
+			for _, host := range c.hosts {
+				assert.Assert(t, containsHost(host.Addresses("dc"), joined), string(host.Self.Host))
+			}
+		})
+	}
+}
+
 // TestUnregisteredHostIsListedOnce guards against a host that receives itself as an
 // unregistered host from others: its address list would contain it twice, and callers
 // would use it twice as often.
