Take platform bounds as fractions, exponents or absent

The platform states every bound as a whole number, a fraction, true or false.

Cause: slack and memory_limit were integers, ratio ended at 1, durations did not read exponents, and a bound that a platform does not state left a key with a unit and no number.

Change: slack, ratio and memory_limit take fractions; slack is shared over all hosts before it is rounded, so that a fraction is not rounded up on each of them. Durations read exponents. The template leaves out keys whose bound is absent. drainMs and revokeMs now count towards the age of the state too, not configMs alone. A value that is not allowed names its key and the allowed range.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -45,7 +45,7 @@
 	}
 	debug.SetGCPercent(gcPercent)
 	if s.Host.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(s.Host.MemoryLimit) * megabyte))
+		debug.SetMemoryLimit(int64(memoryLimitRatio * s.Host.MemoryLimit * megabyte))
 	}
 	out := logging.NewQueue(os.Stdout, logQueueLines)
 	e, err := newEntryHost(s, path, logging.New(out, s.Log.Level, string(s.Host.ID)))
--- a/internal/data/settings/entry.go
+++ b/internal/data/settings/entry.go
@@ -17,18 +17,27 @@
 
 // Retry holds the settings of section [retry], the retry budget shared by all hosts.
 type Retry struct {
-	// Ratio is the maximum ratio of retries to requests of a service, between 0 and 1.
+	// Ratio is the maximum ratio of retries to requests of a service, not negative.
 	Ratio float64
-	// Slack is the number of retries per service and window that are allowed in excess of Ratio.
-	Slack int
+	// Slack is the number of retries per service and window that are allowed in excess of
+	// Ratio. It may have a fraction, because all hosts together share it.
+	Slack float64
 	// Window is the period over which requests and retries are counted.
 	Window time.Duration
 }
 
+// Limits of the retry budget. A budget above them would allow any number of retries.
+const (
+	maxRetryRatio  = 100
+	maxRetrySlack  = 1e9
+	minRetryWindow = 100 * time.Millisecond
+	maxRetryWindow = time.Hour
+)
+
 func loadRetry(s *section) Retry {
 	return Retry{
-		Ratio:  s.fraction("ratio", 0.1),
-		Slack:  s.number("slack", 10, 0, 1_000_000),
-		Window: s.duration("window", 10*time.Second, time.Second, 10*time.Minute),
+		Ratio:  s.decimal("ratio", 0.1, 0, maxRetryRatio),
+		Slack:  s.decimal("slack", 10, 0, maxRetrySlack),
+		Window: s.duration("window", 10*time.Second, minRetryWindow, maxRetryWindow),
 	}
 }
--- a/internal/data/settings/platform.go
+++ b/internal/data/settings/platform.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// watchWaitFraction is the fraction of in_force_within that a watch call may wait without a
+// watchWaitFraction is the fraction of MaxAge that a watch call may wait without a
 // reply. The rest is reserved for reading the complete state again.
 const watchWaitFraction = 0.75
 
@@ -16,6 +16,8 @@
 	Timeout time.Duration
 	// WatchWait is the maximum wait of one watch call, for services that use long polling.
 	WatchWait time.Duration
+	// MaxAge is the time within which a host must know each change; 0 means no limit.
+	MaxAge time.Duration
 	// Retention is how long order records are kept.
 	Retention time.Duration
 }
@@ -32,12 +34,24 @@
 	if st.Kind != "memory" && len(st.Endpoints) == 0 {
 		s.faultf("endpoints", "kind %q requires at least one endpoint", st.Kind)
 	}
-	if maxDelay := s.duration("in_force_within", 0, 0, time.Minute); maxDelay > 0 {
-		st.WatchWait = min(st.WatchWait, time.Duration(watchWaitFraction*float64(maxDelay)))
+	st.MaxAge = loadMaxAge(s)
+	if st.MaxAge > 0 {
+		st.WatchWait = min(st.WatchWait, time.Duration(watchWaitFraction*float64(st.MaxAge)))
 	}
 	return st
 }
 
+// loadMaxAge returns the shortest of the times within which a change must take effect.
+func loadMaxAge(s *section) time.Duration {
+	shortest := time.Duration(0)
+	for _, key := range []string{"in_force_within", "drained_within", "revoked_within"} {
+		if limit := s.duration(key, 0, 0, time.Hour); limit > 0 && (shortest == 0 || limit < shortest) {
+			shortest = limit
+		}
+	}
+	return shortest
+}
+
 // HostList holds the settings of section [host_list].
 type HostList struct {
 	// Kind is the name of the plug-in; "none" disables the host list.
--- a/internal/data/settings/reader.go
+++ b/internal/data/settings/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -99,7 +100,7 @@
 
 func (s *section) duration(key string, fallback, low, high time.Duration) time.Duration {
 	text := s.text(key, fallback.String())
-	value, err := time.ParseDuration(text)
+	value, err := parseDuration(text)
 	switch {
 	case err != nil:
 		s.faultf(key, "%q is not a valid duration; examples are 500ms and 3s", text)
@@ -125,17 +126,43 @@
 	return fallback
 }
 
-// fraction returns a number between 0 and 1.
-func (s *section) fraction(key string, fallback float64) float64 {
+// decimal returns a number that may have a fraction or an exponent.
+func (s *section) decimal(key string, fallback, low, high float64) float64 {
 	text := s.text(key, strconv.FormatFloat(fallback, 'g', -1, 64))
 	value, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(value >= 0 && value <= 1) {
-		s.faultf(key, "%q is not a number between 0 and 1", text)
+	if err != nil || !(value >= low && value <= high) {
+		s.faultf(key, "%q is not a number between %.10g and %.10g", text, low, high)
 		return fallback
 	}
 	return value
 }
 
+// parseDuration parses a duration like time.ParseDuration, and also a single number with an
+// exponent before its unit, as in 1.5e+03ms: templates write large and small numbers so.
+func parseDuration(text string) (time.Duration, error) {
+	value, err := time.ParseDuration(text)
+	if err == nil {
+		return value, nil
+	}
+	digits := strings.TrimRight(text, "nuµmsh")
+	number, numberErr := strconv.ParseFloat(digits, 64)
+	unit, unitErr := time.ParseDuration("1" + text[len(digits):])
+	if numberErr != nil || unitErr != nil {
+		return 0, err
+	}
+	// A product beyond the range of a duration stands for the longest one.
+	product := number * float64(unit)
+	switch {
+	case math.IsNaN(product):
+		return 0, err
+	case product >= math.MaxInt64:
+		return math.MaxInt64, nil
+	case product <= math.MinInt64:
+		return math.MinInt64, nil
+	}
+	return time.Duration(product), nil
+}
+
 // address returns an "ip:port"; an empty value is allowed if fallback is empty.
 func (s *section) address(key, fallback string) string {
 	value := s.text(key, fallback)
--- a/internal/service/forward/budget.go
+++ b/internal/service/forward/budget.go
@@ -21,7 +21,7 @@
 // coordination. Set the exported fields before use.
 type Budget struct {
 	Ratio  float64
-	Slack  int
+	Slack  float64
 	Window time.Duration
 	// Hosts returns the number of hosts that share the slack.
 	Hosts func() int
@@ -59,7 +59,7 @@
 	if b.Hosts != nil {
 		hosts = max(b.Hosts(), 1)
 	}
-	allowed := usableShare * (b.Ratio*float64(firsts) + float64(b.Slack)/float64(hosts))
+	allowed := usableShare * (b.Ratio*float64(firsts) + b.Slack/float64(hosts))
 	if float64(retries+count) > allowed {
 		return false
 	}
--- a/standin/platform/site.go
+++ b/standin/platform/site.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -194,8 +195,19 @@
 	return s.waitReady(ctx)
 }
 
+// section is the part of a template that is rendered only if its value is present.
+var section = regexp.MustCompile(`(?s)\{\{#([a-zA-Z.]+)\}\}(.*?)\{\{/([a-zA-Z.]+)\}\}`)
+
 // Render replaces the placeholders {{name}} of a settings template, as the platform does.
 func Render(template string, values map[string]string) string {
+	template = section.ReplaceAllStringFunc(template, func(text string) string {
+		parts := section.FindStringSubmatch(text)
+		value, present := values[parts[1]]
+		if !present || value == "false" || parts[1] != parts[3] {
+			return ""
+		}
+		return strings.ReplaceAll(parts[2], "{{.}}", value)
+	})
 	for name, value := range values {
 		template = strings.ReplaceAll(template, "{{"+name+"}}", value)
 	}
