Feed most hosts from a few readers of the store

Change: beyond twelve hosts four (one for each forty hosts, if more) read the store, in different data centres, chosen by hashing over the host list. The others follow them with requests that are held until there is a change or newer evidence from the store, and learn changes as events; whole states are sent only to hosts that are far behind, at most two at a time. Each update carries the age of the state at the store and how long the request was held, so that a host always knows how old its state is at the store. A host whose sources all fail, or whose feed is older than 0.55 of the shortest bound, reads the store itself, with jitter. The copy of whole states from random hosts is gone; a reader that has lost the store follows others in the same way. Hosts register once they have a document, also those that callers would get from the directory. A first view of many upstreams is one log line.

Tests first: a property test against random changes, full reads and requests found that a follower kept an upstream which two full reads in a row had dropped; virtual time found that a watch kept its first wait after the fleet had grown, so that all followers read the store. Both are mended. The fleet tests run without the race detector, which crashes in synctest bubbles here (tsan_rtl.cpp CHECK failed, 9 of 24 runs); TestFleetInRealTime covers the code with it. TestRegistrationIsRestored now writes a document, because a host without one is not registered.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,9 @@
 BIN := bin
 TOOL := go tool -modfile=tools/go.mod
 
+# Packages whose tests in virtual time leave out the race detector.
+VIRTUAL_TIME := ./internal/service/directory
+
 # The tests that KNOWN-RED.txt lists, as NAME FOLDER lines.
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) .*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 KNOWN_RED_FOLDERS := $(shell sed -n 's/^Test[A-Za-z0-9_]* //p' KNOWN-RED.txt 2>/dev/null | sort -u)
@@ -26,6 +29,7 @@
 
 test: ## run all tests with the race detector, but those of KNOWN-RED.txt
 	go test -race -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') ./...
+	go test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(VIRTUAL_TIME)
 
 known-red: ## print KNOWN-RED.txt and run its tests, whose failure is no error
 	@if [ -n "$(KNOWN_RED)" ]; then cat KNOWN-RED.txt; \
--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -40,8 +40,6 @@
 	// response-time objective at another one.
 	peerDialTimeout = 300 * time.Millisecond
 	peerPingTimeout = stage.MaxSchedulerPause / 2
-	// relayTimeout bounds a request to another host for a newer state.
-	relayTimeout = 600 * time.Millisecond
 	// sweepInterval is the interval at which idle connections and unused state are removed.
 	sweepInterval = time.Second
 	// serverCloseTimeout bounds the shutdown of each listener. exitMargin is long enough
@@ -103,25 +101,20 @@
 	e.outliers = &outlier.Exchanger{
 		Self: s.Host.ID, View: e.directory.View, HTTP: e.peerClient, Health: e.health, Collector: &outlier.Collector{}, Log: logger, Metrics: e.metrics,
 	}
-	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Dump: e.directory.Dump, Outliers: e.outliers.Collector}
+	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
 	e.idleTracker = &web.IdleCloser{Timeout: e.callerIdleTimeout}
 	return e, nil
 }
 
 func (e *entryHost) newDirectory(kv store.Store) *directory.Service {
 	s := e.settings
-	fetch := web.FetchState(e.peerClient)
 	return &directory.Service{
 		Store: store.WithCause(kv, store.CauseMember, e.metrics), Timer: e.timer, Log: e.log, Metrics: e.metrics, Clock: clock.Now,
 		Decoder: directory.Decoder{
 			DocumentKey: platform.KeyDocument, Document: platform.DecodeDocument,
 			UpstreamPrefix: platform.PrefixUpstream, Upstream: platform.DecodeUpstream, HostPrefix: s.Store.Prefix + "hosts/",
 		},
-		FetchDump: func(ctx context.Context, peer api.Address, version store.Version) (*directory.Dump, error) {
-			ctx, cancel := context.WithTimeout(ctx, relayTimeout)
-			defer cancel()
-			return fetch(ctx, peer, version)
-		},
+		FetchUpdate: web.FetchUpdate(e.peerClient), MaxAge: s.Store.MaxAge,
 		Seeds: s.Peer.Seeds,
 		Self: fleet.Host{
 			ID: s.Host.ID, DataCentre: s.Host.DataCentre, CallerAddress: s.Caller.Advertise, PeerAddress: s.Peer.Advertise,
--- a/internal/data/store/store.go
+++ b/internal/data/store/store.go
@@ -102,6 +102,26 @@
 	Watch(ctx context.Context, prefix string, from Version, f func([]Event)) error
 }
 
+// watchWaitKey is the context key of WithWatchWait.
+type watchWaitKey struct{}
+
+// WithWatchWait returns a context for Watch in which one call of a service that uses long
+// polling waits at most d for a change. With d = 0 the wait of the settings applies.
+func WithWatchWait(ctx context.Context, d time.Duration) context.Context {
+	if d <= 0 {
+		return ctx
+	}
+	return context.WithValue(ctx, watchWaitKey{}, d)
+}
+
+// WatchWait returns the wait set by WithWatchWait, or fallback.
+func WatchWait(ctx context.Context, fallback time.Duration) time.Duration {
+	if d, ok := ctx.Value(watchWaitKey{}).(time.Duration); ok {
+		return min(d, fallback)
+	}
+	return fallback
+}
+
 var namespace = errorx.NewNamespace("store")
 
 // ErrUnavailable is the error type for calls of which nothing was applied.
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,14 +27,17 @@
 	outageThreshold = time.Second
 	// relayDelay is how long the store must be unreachable before other hosts are asked.
 	relayDelay = 300 * time.Millisecond
-	// relayPeriod is the interval of requests to other hosts. Several requests fit into
-	// the two seconds within which a draining upstream must be known.
-	relayPeriod = 400 * time.Millisecond
 	// expirePeriod is the interval of checks for missing entries to remove.
 	expirePeriod = 100 * time.Millisecond
 	// debounceTime is the delay after a change before the next watch call, so that
 	// several quick changes need only one call.
 	debounceTime = 250 * time.Millisecond
+	// joinTime is the time after the start of a host during which other hosts probably start
+	// too, and joinDebounce the delay between its calls until then.
+	joinTime = 2 * time.Second
+	// maxUpstreamLines is the number of changed upstreams up to which each gets a log line.
+	maxUpstreamLines = 32
+	joinDebounce     = 600 * time.Millisecond
 )
 
 // Service keeps a local view of the store up to date. Set the exported fields before Run.
@@ -48,9 +52,12 @@
 	Metrics *metric.Set
 	// Clock returns the current time, including time in suspend; nil means time.Now.
 	Clock func() time.Time
-	// FetchDump requests a state newer than version from another host; it returns nil if
-	// that host has none. A nil FetchDump disables these requests.
-	FetchDump func(ctx context.Context, peer api.Address, version store.Version) (*Dump, error)
+	// FetchUpdate requests the changes after a revision from another host, which may hold
+	// the request until there are some. A nil FetchUpdate disables these requests, and the
+	// host reads the store itself.
+	FetchUpdate func(ctx context.Context, peer api.Address, after store.Version, hold time.Duration) (*Update, error)
+	// MaxAge is the time within which each change must be known; 0 means defaultMaxAge.
+	MaxAge time.Duration
 	// Seeds are addresses of hosts to ask if no host is known yet.
 	Seeds []api.Address
 	// Self is the registration of this host.
@@ -59,22 +66,36 @@
 	OnChange func(*View)
 
 	view         atomic.Pointer[View]
+	role         atomic.Pointer[Role]
 	registration registration
 
 	mu    sync.Mutex
 	state State
-	// disconnectedAt is the time since which the store is unreachable; zero while connected.
+	// confirmedAt is the latest time at which the state is known to have been complete at
+	// the store, and feedConfirmedAt the latest that a source has shown.
+	confirmedAt, feedConfirmedAt time.Time
+	// startedAt is the start of Run.
+	startedAt time.Time
+	// history holds the changes since historyFrom, in order.
+	history     []store.Event
+	historyFrom store.Version
+	// changeSignal is closed at the next change or confirmation; nil if nobody waits.
+	changeSignal chan struct{}
+	// source is the host that this host follows; empty if it follows none.
+	source api.Address
+	// sourcesLost is true after all sources have failed, until one supplies changes again.
+	sourcesLost bool
+	// dumpsInProgress is the number of whole states that are being sent.
+	dumpsInProgress int
+	// readFailed is true if the last call to the store failed.
+	readFailed bool
+	// disconnectedAt is the time since which the store is unreachable, for this host and for
+	// the one that it follows; zero while connected.
 	disconnectedAt time.Time
 	// graceUntil is the end of the grace period after an outage.
 	graceUntil time.Time
 }
 
-// Dump is a complete state, sent from one host to another.
-type Dump struct {
-	Version store.Version `json:"version"`
-	Entries []store.Entry `json:"entries"`
-}
-
 func (s *Service) now() time.Time {
 	if s.Clock != nil {
 		return s.Clock()
@@ -94,11 +115,16 @@
 func (s *Service) Run(ctx context.Context) error {
 	s.mu.Lock()
 	s.state.Decoder, s.state.OnMalformed = s.Decoder, s.reportMalformed
-	s.disconnectedAt = s.now()
+	s.startedAt = s.now()
+	s.disconnectedAt = s.startedAt
 	s.mu.Unlock()
 	defer s.Timer.Every(expirePeriod, func(time.Time) { s.expire() })()
-	defer s.Timer.Every(relayPeriod, func(time.Time) { s.relay(ctx) })()
+	var following sync.WaitGroup
+	if s.FetchUpdate != nil {
+		following.Go(func() { s.followSources(ctx) })
+	}
 	s.followStore(ctx)
+	following.Wait()
 	return ctx.Err()
 }
 
@@ -107,13 +133,18 @@
 	s.Log.Warn().Str("key", key).Err(err).Msg("entry_malformed")
 }
 
-// followStore reads the prefix and watches it for changes, with retries, until ctx
-// is canceled.
+// followStore reads the prefix and watches it for changes, with retries, until ctx is
+// canceled. It pauses while this host gets the changes from another one.
 func (s *Service) followStore(ctx context.Context) {
 	backoff := minBackoff
-	next := store.Version(0)
-	for ctx.Err() == nil {
-		if next == 0 {
+	readAll := true
+	for {
+		s.awaitDirectRead(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if readAll || s.View().Version == 0 {
+			start := s.now()
 			entries, version, err := s.Store.ReadAll(ctx, s.Prefix)
 			if err != nil {
 				s.storeFailed(err)
@@ -121,30 +152,158 @@
 				continue
 			}
 			s.storeRecovered()
-			s.replace(entries, version)
-			next = version + 1
+			s.replace(entries, version, start)
+			readAll = false
+			s.debounce(ctx)
+			continue
 		}
-		err := s.Store.Watch(ctx, s.Prefix, next, func(events []store.Event) {
-			backoff = minBackoff
-			s.storeRecovered()
-			if len(events) == 0 {
-				return
-			}
-			next = max(next, events[len(events)-1].Version+1)
-			s.apply(events)
-			sleep(ctx, debounceTime)
-		})
-		if ctx.Err() != nil {
+		err := s.watch(ctx, func() { backoff = minBackoff })
+		switch {
+		case ctx.Err() != nil:
 			return
+		case err == nil:
+		case store.IsErrCompacted(err):
+			s.Log.Info().Int64("from", int64(s.View().Version)).Msg("store_history_dropped")
+			readAll = true
+		default:
+			s.storeFailed(err)
+			backoff = waitBackoff(ctx, backoff)
 		}
-		if store.IsErrCompacted(err) {
-			s.Log.Info().Int64("from", int64(next)).Msg("store_history_dropped")
-			next = 0
-			continue
+	}
+}
+
+// watch applies the changes of the store until a call fails, or until this host gets them
+// from another one or its calls should wait for another time; then it returns nil. It calls succeeded after each call.
+func (s *Service) watch(ctx context.Context, succeeded func()) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	stopped := false
+	wait := s.watchWait()
+	start := s.now()
+	err := s.Store.Watch(store.WithWatchWait(ctx, wait), s.Prefix, s.View().Version+1, func(events []store.Event) {
+		succeeded()
+		s.storeRecovered()
+		s.recordWatch(events, start, wait)
+		if len(events) > 0 {
+			s.debounce(ctx)
 		}
-		s.storeFailed(err)
-		backoff = waitBackoff(ctx, backoff)
+		if s.untilDirectRead() > 0 || s.watchWait() != wait {
+			stopped = true
+			stop()
+			return
+		}
+		start = s.now()
+	})
+	if stopped {
+		return nil
 	}
+	return err
+}
+
+// watchWait returns the maximum wait of a watch call; 0 means that of the settings.
+func (s *Service) watchWait() time.Duration {
+	if len(s.View().Hosts) <= smallFleet {
+		return 0
+	}
+	return s.part(readerWaitRatio)
+}
+
+// debounce delays the next call after a change.
+func (s *Service) debounce(ctx context.Context) {
+	s.mu.Lock()
+	joining := s.now().Sub(s.startedAt) < joinTime
+	s.mu.Unlock()
+	if joining {
+		sleep(ctx, joinDebounce)
+		return
+	}
+	sleep(ctx, debounceTime)
+}
+
+// recordWatch applies the result of a watch call that started at start.
+func (s *Service) recordWatch(events []store.Event, start time.Time, wait time.Duration) {
+	s.mu.Lock()
+	confirmed := start
+	if len(events) == 0 && wait > 0 && s.now().Sub(start) >= wait {
+		// The store had no change for the whole wait, which began after start.
+		confirmed = start.Add(wait)
+	}
+	if len(events) == 0 {
+		s.confirm(confirmed)
+		s.mu.Unlock()
+		return
+	}
+	now := s.now()
+	s.recordHistory(s.state.Apply(events, now, s.missingEntryExpiry(now)))
+	s.confirm(confirmed)
+	s.publish()
+}
+
+// awaitDirectRead returns when this host has to read the store itself.
+func (s *Service) awaitDirectRead(ctx context.Context) {
+	jitter := rand.N(s.part(directReadJitter))
+	waited := false
+	for ctx.Err() == nil {
+		wait := s.untilDirectRead()
+		if wait <= 0 {
+			break
+		}
+		waited = true
+		s.waitForDirectRead(ctx, wait)
+	}
+	if waited && !s.currentRole().Reads {
+		sleep(ctx, jitter)
+	}
+	if waited && ctx.Err() == nil && !s.currentRole().Reads {
+		s.Metrics.Counter("directory.fallback_reads").Inc(1)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.Log.Warn().Str("source", string(s.source)).Int64("version", int64(s.state.Version())).
+			Int64("feed_age_ms", s.now().Sub(s.feedConfirmedAt).Milliseconds()).Msg("store_read_directly")
+	}
+}
+
+// untilDirectRead returns the time after which this host has to read the store itself, not
+// positive if it has to now.
+func (s *Service) untilDirectRead() time.Duration {
+	if s.FetchUpdate == nil || s.currentRole().Reads {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state.Version() == 0 || s.sourcesLost {
+		return 0
+	}
+	return s.part(followAgeRatio) - s.now().Sub(s.feedConfirmedAt)
+}
+
+// waitForDirectRead waits for d, or until this host has to read the store earlier.
+func (s *Service) waitForDirectRead(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		changed := s.changed()
+		s.mu.Unlock()
+		if s.untilDirectRead() <= 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-changed:
+		}
+	}
+}
+
+// currentRole returns the role of this host. A host that knows no other one reads the store.
+func (s *Service) currentRole() Role {
+	if role := s.role.Load(); role != nil {
+		return *role
+	}
+	return Role{Reads: true}
 }
 
 // waitBackoff waits for a random part of backoff and returns the next backoff.
@@ -167,6 +326,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.Metrics.Counter("directory.store_failures").Inc(1)
+	s.readFailed = true
+	s.signalChange()
 	if s.disconnectedAt.IsZero() {
 		s.disconnectedAt = s.now()
 		s.Log.Warn().Str("dependency", "store").Int64("version", int64(s.state.Version())).Err(err).Msg("dependency_lost")
@@ -178,6 +339,7 @@
 func (s *Service) storeRecovered() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.readFailed = false
 	if s.disconnectedAt.IsZero() {
 		return
 	}
@@ -205,17 +367,16 @@
 	return time.Time{}
 }
 
-func (s *Service) replace(entries []store.Entry, version store.Version) {
+// replace applies the result of a full read that started at start.
+func (s *Service) replace(entries []store.Entry, version store.Version, start time.Time) {
 	s.mu.Lock()
 	now := s.now()
-	s.state.Replace(entries, version, now, s.missingEntryExpiry(now))
-	s.publish()
-}
-
-func (s *Service) apply(events []store.Event) {
-	s.mu.Lock()
-	now := s.now()
-	s.state.Apply(events, now, s.missingEntryExpiry(now))
+	s.replaceState(entries, version, now, s.missingEntryExpiry(now))
+	s.confirm(start)
+	// A new host has this long to find a source.
+	if s.feedConfirmedAt.IsZero() {
+		s.feedConfirmedAt = now
+	}
 	s.publish()
 }
 
@@ -223,13 +384,32 @@
 func (s *Service) publish() {
 	old, view := s.view.Load(), s.state.View()
 	s.view.Store(view)
+	s.updateRole(old, view)
+	s.signalChange()
 	s.mu.Unlock()
 	s.logChanges(old, view)
+	if view.Snapshot != nil && (old == nil || old.Snapshot == nil) {
+		s.registration.start()
+	}
 	if s.OnChange != nil {
 		s.OnChange(view)
 	}
 }
 
+// updateRole updates the role of this host after a change of the hosts. The caller holds mu.
+func (s *Service) updateRole(old, view *View) {
+	before := s.role.Load()
+	if before != nil && old != nil && slices.Equal(old.Hosts, view.Hosts) {
+		return
+	}
+	role := RoleOf(view.Hosts, s.Self)
+	s.role.Store(&role)
+	if before == nil || before.Reads != role.Reads {
+		s.Log.Info().Bool("reads", role.Reads).Int("hosts", len(view.Hosts)).Int("sources", len(role.Sources)).
+			Int64("version", int64(view.Version)).Msg("store_reader_changed")
+	}
+}
+
 // logChanges logs the differences between two views.
 func (s *Service) logChanges(old, view *View) {
 	if old == nil {
@@ -239,20 +419,38 @@
 		s.Log.Info().Int64("revision", int64(view.Snapshot.Revision)).Int64("version", int64(view.Version)).Msg("document_in_force")
 		s.Metrics.Counter("directory.documents").Inc(1)
 	}
+	s.logUpstreams(old, view)
+	if len(old.Hosts) != len(view.Hosts) {
+		s.Log.Info().Int("hosts", len(view.Hosts)).Int("before", len(old.Hosts)).Int64("version", int64(view.Version)).Msg("hosts_changed")
+	}
+}
+
+// logUpstreams logs each changed upstream, or only their number if there are many: the first
+// view of a large fleet would take longer to log than to read.
+func (s *Service) logUpstreams(old, view *View) {
+	var changed []*fleet.Upstream
+	var gone []api.UpstreamID
 	for id, upstream := range view.upstreams {
 		before := old.upstreams[id]
 		if before == nil || before.State != upstream.State || before.Started != upstream.Started {
-			s.Log.Info().Str("upstream", string(id)).Str("service", string(upstream.Service)).Str("state", string(upstream.State)).
-				Int64("started", upstream.Started).Int64("version", int64(view.Version)).Msg("upstream_changed")
+			changed = append(changed, upstream)
 		}
 	}
 	for id := range old.upstreams {
 		if view.upstreams[id] == nil {
-			s.Log.Info().Str("upstream", string(id)).Int64("version", int64(view.Version)).Msg("upstream_gone")
+			gone = append(gone, id)
 		}
 	}
-	if len(old.Hosts) != len(view.Hosts) {
-		s.Log.Info().Int("hosts", len(view.Hosts)).Int("before", len(old.Hosts)).Int64("version", int64(view.Version)).Msg("hosts_changed")
+	if len(changed)+len(gone) > maxUpstreamLines {
+		s.Log.Info().Int("changed", len(changed)).Int("gone", len(gone)).Int("upstreams", len(view.upstreams)).Int64("version", int64(view.Version)).Msg("upstreams_changed")
+		return
+	}
+	for _, upstream := range changed {
+		s.Log.Info().Str("upstream", string(upstream.ID)).Str("service", string(upstream.Service)).Str("state", string(upstream.State)).
+			Int64("started", upstream.Started).Int64("version", int64(view.Version)).Msg("upstream_changed")
+	}
+	for _, id := range gone {
+		s.Log.Info().Str("upstream", string(id)).Int64("version", int64(view.Version)).Msg("upstream_gone")
 	}
 }
 
@@ -266,13 +464,3 @@
 	}
 	s.mu.Unlock()
 }
-
-// Dump returns the state if it is newer than version, otherwise nil.
-func (s *Service) Dump(version store.Version) *Dump {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.state.Version() <= version {
-		return nil
-	}
-	return &Dump{Version: s.state.Version(), Entries: s.state.Entries()}
-}
--- a/internal/service/directory/register.go
+++ b/internal/service/directory/register.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"redwingloft/internal/data/store"
@@ -21,14 +22,26 @@
 type registration struct {
 	mu    sync.Mutex
 	lease store.LeaseID
+	// startedAt is the time at which the lease was granted.
+	startedAt time.Time
 	// writtenVersion is the version of the last write of the entry; 0 if not written.
 	writtenVersion store.Version
 	// deregistered is set by Deregister; after that, the entry is not written again.
 	deregistered bool
+	// renewNow is set by Register and starts a renewal.
+	renewNow atomic.Pointer[func()]
 }
 
-// Register keeps the host registered until ctx is canceled, the returned function
-// is called, or Deregister is called.
+// start registers the host without waiting for the next period.
+func (r *registration) start() {
+	if renew := r.renewNow.Load(); renew != nil {
+		go (*renew)()
+	}
+}
+
+// Register keeps the host registered from its first routing document on until ctx is
+// canceled, the returned function is called, or Deregister is called. Callers would get no
+// service from a host without a document.
 func (s *Service) Register(ctx context.Context) (cancel func()) {
 	renew := func(time.Time) {
 		if err := s.renew(ctx, &s.registration); err != nil && ctx.Err() == nil {
@@ -36,7 +49,9 @@
 			s.Log.Debug().Err(err).Msg("registration_failed")
 		}
 	}
-	go renew(s.now())
+	now := func() { renew(s.now()) }
+	s.registration.renewNow.Store(&now)
+	s.registration.start()
 	return s.Timer.Every(renewPeriod, renew)
 }
 
@@ -45,7 +60,7 @@
 func (s *Service) renew(ctx context.Context, reg *registration) error {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	if reg.deregistered {
+	if reg.deregistered || s.View().Snapshot == nil {
 		return nil
 	}
 	if reg.lease != 0 {
@@ -64,12 +79,12 @@
 			return err
 		}
 		reg.lease, reg.writtenVersion = lease, 0
-		s.Self.Started = time.Now().UnixMilli()
+		reg.startedAt = time.Now()
 	}
 	if reg.writtenVersion != 0 && s.hasOwnEntry(reg.writtenVersion) {
 		return nil
 	}
-	version, err := s.writeRegistration(ctx, reg.lease)
+	version, err := s.writeRegistration(ctx, reg)
 	if store.IsErrLeaseNotFound(err) {
 		reg.lease = 0
 	}
@@ -94,12 +109,14 @@
 
 // writeRegistration writes the host's entry. Only this host writes it, so a write
 // without a reply can be repeated safely.
-func (s *Service) writeRegistration(ctx context.Context, lease store.LeaseID) (store.Version, error) {
-	value, err := json.Marshal(s.Self)
+func (s *Service) writeRegistration(ctx context.Context, reg *registration) (store.Version, error) {
+	host := s.Self
+	host.Started = reg.startedAt.UnixMilli()
+	value, err := json.Marshal(host)
 	if err != nil {
 		return 0, err
 	}
-	result, err := s.Store.Txn(ctx, store.Txn{Puts: []store.Put{{Key: s.registrationKey(), Value: value, Lease: lease}}})
+	result, err := s.Store.Txn(ctx, store.Txn{Puts: []store.Put{{Key: s.registrationKey(), Value: value, Lease: reg.lease}}})
 	if err != nil {
 		return 0, err
 	}
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -5,7 +5,9 @@
 package directory
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -20,6 +22,10 @@
 // registered again within two seconds.
 const missingEntryGrace = 2 * time.Second
 
+// removedKeyTTL is how long a key that a full read omits is reported as deleted by later full
+// reads. Its deletion reaches the watch within a few calls.
+const removedKeyTTL = time.Minute
+
 // Decoder decodes the entries of the store.
 type Decoder struct {
 	// DocumentKey is the key of the routing document.
@@ -76,6 +82,9 @@
 	records  map[string]*record
 	snapshot *fleet.Snapshot
 	document store.Entry
+	// removedAt holds the keys that full reads no longer contained and when this was seen. A
+	// full read may omit a key that is deleted only after the revision of the read.
+	removedAt map[string]time.Time
 	// drainedIncarnations holds the incarnations that were seen draining, which is final.
 	drainedIncarnations map[fleet.Incarnation]time.Time
 }
@@ -83,29 +92,61 @@
 // Version returns the store revision up to which the state is complete.
 func (s *State) Version() store.Version { return s.version }
 
-// Replace replaces the state with the result of a full read. Missing entries are
-// removed at expiry, or at once if it is zero.
-func (s *State) Replace(entries []store.Entry, version store.Version, now, expiry time.Time) {
+// Replace replaces the state with the result of a full read and returns the changes, sorted
+// by revision. Missing entries are removed at expiry, or at once if it is zero.
+func (s *State) Replace(entries []store.Entry, version store.Version, now, expiry time.Time) []store.Event {
+	var events []store.Event
 	seen := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		seen[entry.Key] = true
+		if entry.Version > s.version {
+			events = append(events, store.Event{Entry: entry})
+		}
 		s.putEntry(entry, now)
 	}
 	for key, existing := range s.records {
 		if !seen[key] && existing.entry.Version <= version {
+			if s.removedAt == nil {
+				s.removedAt = map[string]time.Time{}
+			}
+			s.removedAt[key] = now
 			s.removeEntry(key, expiry)
 		}
 	}
+	for key, at := range s.removedAt {
+		switch {
+		case seen[key] || now.Sub(at) > removedKeyTTL:
+			delete(s.removedAt, key)
+		default:
+			// Reported again by each read: a host that follows this one may have been at the
+			// revision of the earlier read already.
+			events = append(events, store.Event{Entry: store.Entry{Key: key, Version: version}, Deleted: true})
+		}
+	}
 	s.version = max(s.version, version)
+	slices.SortStableFunc(events, func(a, b store.Event) int { return cmp.Compare(a.Version, b.Version) })
+	return events
 }
 
-// Apply applies the events of a watch. Deleted entries are removed at expiry, or
-// at once if it is zero.
-func (s *State) Apply(events []store.Event, now, expiry time.Time) {
+// Apply applies the events of a watch and returns those that are new. Deleted entries are
+// removed at expiry, or at once if it is zero.
+func (s *State) Apply(events []store.Event, now, expiry time.Time) []store.Event {
+	complete := s.version
+	for _, event := range events {
+		complete = max(complete, event.Version)
+	}
+	return s.ApplyUpdate(events, complete, now, expiry)
+}
+
+// ApplyUpdate applies events after which the state is complete up to a revision, and returns
+// those that are new. Events may be newer than that revision.
+func (s *State) ApplyUpdate(events []store.Event, complete store.Version, now, expiry time.Time) []store.Event {
+	var applied []store.Event
 	for _, event := range events {
 		if event.Version <= s.version {
 			continue // already included in a state received from another host
 		}
+		applied = append(applied, event)
 		if event.Deleted {
 			if existing := s.records[event.Key]; existing != nil && existing.entry.Version < event.Version {
 				s.removeEntry(event.Key, expiry)
@@ -113,12 +154,11 @@
 		} else {
 			s.putEntry(event.Entry, now)
 		}
-		// Keys written in one transaction share a revision, so the version is advanced
-		// only after all events.
-	}
-	for _, event := range events {
-		s.version = max(s.version, event.Version)
 	}
+	// Keys written in one transaction share a revision, so the version is advanced only
+	// after all events.
+	s.version = max(s.version, complete)
+	return applied
 }
 
 // Expire removes missing entries whose grace period has ended and reports whether
--- a/internal/web/entry/peers.go
+++ b/internal/web/entry/peers.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/helper/clock"
@@ -19,22 +20,22 @@
 	"redwingloft/pkg/api"
 )
 
-// pathState returns the directory state if it is newer than a given version.
-const pathState = "/v1/state"
+// pathUpdates returns the changes of the directory after a given revision.
+const pathUpdates = "/v1/updates"
 
 const (
 	// maxMessageBytes limits the request body of a call of another host.
 	maxMessageBytes = 1 << 20
-	// maxDumpBytes limits the response body with a directory state.
-	maxDumpBytes = 64 << 20
+	// maxUpdateBytes limits the response body with changes of the directory or its whole state.
+	maxUpdateBytes = 64 << 20
 )
 
 // PeerHandler holds the HTTP handlers of the calls of other hosts.
 type PeerHandler struct {
 	// Scheduler returns the scheduler of a group on this host.
 	Scheduler func(group stage.Group) *stage.Scheduler
-	// Dump returns the directory state if it is newer than a version, or else nil.
-	Dump func(version store.Version) *directory.Dump
+	// Directory supplies the changes that other hosts follow.
+	Directory *directory.Service
 	// Outliers collects the observations of upstreams from all hosts.
 	Outliers *outlier.Collector
 	// InProgress is the number of jobs of other hosts in progress.
@@ -47,7 +48,7 @@
 	mux.HandleFunc("POST "+stage.PathJobs, p.handleJob)
 	mux.HandleFunc("POST "+stage.PathRelease, p.handleRelease)
 	mux.HandleFunc("POST "+outlier.Path, p.handleOutliers)
-	mux.HandleFunc("GET "+pathState, p.handleState)
+	mux.HandleFunc("GET "+pathUpdates, p.handleUpdates)
 	return mux
 }
 
@@ -106,24 +107,27 @@
 	}
 }
 
-func (p *PeerHandler) handleState(w http.ResponseWriter, r *http.Request) {
-	version, err := strconv.ParseInt(r.URL.Query().Get("version"), 10, 64)
-	if err != nil {
-		http.Error(w, "the version is not a number", http.StatusBadRequest)
+func (p *PeerHandler) handleUpdates(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, afterErr := strconv.ParseInt(query.Get("after"), 10, 64)
+	holdMs, holdErr := strconv.ParseInt(query.Get("hold_ms"), 10, 64)
+	if err := errors.Join(afterErr, holdErr); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	dump := p.Dump(store.Version(version))
-	if dump == nil {
-		w.WriteHeader(http.StatusNoContent)
+	update, sent := p.Directory.Updates(r.Context(), store.Version(after), time.Duration(holdMs)*time.Millisecond)
+	if update == nil {
+		http.Error(w, "too many hosts are being sent the whole state", http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(w, http.StatusOK, dump)
+	defer sent()
+	writeJSON(w, http.StatusOK, update)
 }
 
-// FetchState returns a function that requests a newer directory state from another host.
-func FetchState(client *http.Client) func(ctx context.Context, peer api.Address, version store.Version) (*directory.Dump, error) {
-	return func(ctx context.Context, peer api.Address, version store.Version) (*directory.Dump, error) {
-		target := fmt.Sprintf("http://%s%s?version=%d", peer, pathState, version)
+// FetchUpdate returns a function that requests the changes of the directory of another host.
+func FetchUpdate(client *http.Client) func(ctx context.Context, peer api.Address, after store.Version, hold time.Duration) (*directory.Update, error) {
+	return func(ctx context.Context, peer api.Address, after store.Version, hold time.Duration) (*directory.Update, error) {
+		target := fmt.Sprintf("http://%s%s?after=%d&hold_ms=%d", peer, pathUpdates, after, hold.Milliseconds())
 		request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 		if err != nil {
 			return nil, err
@@ -133,17 +137,13 @@
 			return nil, err
 		}
 		defer response.Body.Close()
-		switch response.StatusCode {
-		case http.StatusNoContent:
-			return nil, nil
-		case http.StatusOK:
-		default:
+		if response.StatusCode != http.StatusOK {
 			return nil, fmt.Errorf("the other host returned status %d", response.StatusCode)
 		}
-		var dump directory.Dump
-		if err := json.NewDecoder(io.LimitReader(response.Body, maxDumpBytes)).Decode(&dump); err != nil {
+		var update directory.Update
+		if err := json.NewDecoder(io.LimitReader(response.Body, maxUpdateBytes)).Decode(&update); err != nil {
 			return nil, err
 		}
-		return &dump, nil
+		return &update, nil
 	}
 }
