Limit every part of a response, in bytes and in memory

An upstream that sent a header, informational responses, an event line or comments without end was read until it stopped; on a host of 184 MB that ends the process.

Cause: http.ReadResponse and bufio.Reader.ReadBytes have no limit of their own, the loop over informational responses had none, and a comment or an empty event counted as progress of a stream, so that its engine was never given up.

Change: the connection to an upstream counts the bytes of each part of a response (head with its informational responses, body, skipped body) and ends at a named limit; a line of an event is read in pieces; comments and empty events are passed on but are no progress, and are withheld before the first event. Bodies in memory share a quarter of memory_limit. At a limit the connection closes, the attempt counts as failed and possibly run, and limit.NAME counts it. All HTTP clients limit response headers to 64 KiB (net/http: 10 MB), all listeners request headers. A completion, an event of the client library and a service response have limits too; the latter was cut at its limit and delivered as complete.

Ruled out: counting in the parser (textproto reports the cut line as its own error, so the connection is asked). Not covered: bytes that no kind of read ends before the deadline of a request that has no other engine left; they end with the deadline.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -40,13 +40,13 @@
 	// response-time objective at another one.
 	peerDialTimeout = 300 * time.Millisecond
 	peerPingTimeout = stage.MaxSchedulerPause / 2
+	// bufferMemoryRatio is the part of the host's memory limit that response bodies may hold.
+	bufferMemoryRatio = 0.25
 	// sweepInterval is the interval at which idle connections and unused state are removed.
 	sweepInterval = time.Second
 	// serverCloseTimeout bounds the shutdown of each listener. exitMargin is long enough
 	// to shut down all of them.
 	serverCloseTimeout = 60 * time.Millisecond
-	// entryMaxHeaderBytes bounds request headers; routing documents set a lower limit.
-	entryMaxHeaderBytes = 64 << 10
 	// entryReadHeaderTimeout bounds the time to read the headers of a request.
 	entryReadHeaderTimeout = 10 * time.Second
 )
@@ -87,14 +87,17 @@
 	}
 	e := &entryHost{
 		settings: s, settingsPath: path, log: logger, timer: &timer.Service{}, metrics: metric.New(),
-		pool: &forward.Pool{Dial: dial.New(upstreamDialTimeout)}, health: &forward.HealthTable{},
+		health: &forward.HealthTable{},
 		codec: forward.Codec{
 			WriteRequestHeader: platform.WriteRequestHeader, DecodeReply: platform.DecodeReply, CopyResponseHeader: platform.CopyResponseHeader, WriteInternalRequest: platform.WriteInternalRequest,
 		},
 		peerClient: newPeerClient(), schedulers: map[stage.Group]*stage.Scheduler{},
 	}
 	e.directory = e.newDirectory(kv)
-	e.pool.IdleLimit = e.maxIdleConns
+	e.pool = &forward.Pool{
+		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics,
+		BufferLimit: int64(bufferMemoryRatio * s.Host.MemoryLimit * megabyte),
+	}
 	e.callerHandler = &web.CallerHandler{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
 	}
@@ -222,7 +225,7 @@
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dial.New(peerDialTimeout), Protocols: protocols, DisableCompression: true,
+		DialContext: dial.New(peerDialTimeout), Protocols: protocols, DisableCompression: true, MaxResponseHeaderBytes: dial.MaxHeaderBytes,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: peerPingTimeout, PingTimeout: peerPingTimeout},
 	}}
 }
@@ -261,7 +264,6 @@
 func (e *entryHost) newCallerServer() *http.Server {
 	server := e.newServer(e.callerHandler)
 	server.ConnState = e.idleTracker.Track
-	server.MaxHeaderBytes = entryMaxHeaderBytes
 	return server
 }
 
@@ -274,7 +276,7 @@
 }
 
 func (e *entryHost) newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: entryReadHeaderTimeout}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: entryReadHeaderTimeout, MaxHeaderBytes: dial.MaxHeaderBytes}
 }
 
 // addListener adds a server to the group; an empty address disables it.
--- a/internal/helper/dial/dial.go
+++ b/internal/helper/dial/dial.go
@@ -23,6 +23,10 @@
 	keepAliveCount    = 2
 )
 
+// MaxHeaderBytes bounds the header of an HTTP response, with the informational responses
+// before it, and that of a request. The default of net/http is 10 MB for responses.
+const MaxHeaderBytes = 64 << 10
+
 // Func opens a connection, like net.Dialer.DialContext.
 type Func = func(ctx context.Context, network, address string) (net.Conn, error)
 
--- a/internal/plugin/etcd/etcd.go
+++ b/internal/plugin/etcd/etcd.go
@@ -17,6 +17,7 @@
 	"github.com/joomcode/errorx"
 
 	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/dial"
 	"redwingloft/internal/kernel"
 )
 
@@ -54,9 +55,10 @@
 		timeout = defaultTimeout
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     30 * time.Second,
+		DialContext:            (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConnsPerHost:    8,
+		IdleConnTimeout:        30 * time.Second,
+		MaxResponseHeaderBytes: dial.MaxHeaderBytes,
 	}
 	client := &http.Client{
 		Transport: transport,
--- a/internal/plugin/openai/chat.go
+++ b/internal/plugin/openai/chat.go
@@ -190,6 +190,9 @@
 		if choice.Delta.Content == "" || r.limitReached {
 			continue
 		}
+		if r.text.Len()+len(choice.Delta.Content) > maxResponse {
+			return fmt.Errorf("the completion has more than %d bytes", maxResponse)
+		}
 		r.text.WriteString(choice.Delta.Content)
 		r.out.Tokens++
 		if err := r.emit(work.Token{Text: choice.Delta.Content, Count: 1}); err != nil {
--- a/internal/plugin/openai/chat_test.go
+++ b/internal/plugin/openai/chat_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -143,3 +144,13 @@
 		assert.Equal(t, output.Text, emitted.String())
 	})
 }
+
+// TestCompletionWithoutEnd guards against an engine whose completion never ends and exhausts the
+// memory of the host, for a request without a limit of tokens.
+func TestCompletionWithoutEnd(t *testing.T) {
+	chunk := fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", strings.Repeat("x", 1<<16))
+	body := strings.NewReader(strings.Repeat(chunk, maxResponse>>16+2))
+	output, err := readChat(body, work.Input{}, func(work.Token) error { return nil })
+	assert.ErrorContains(t, err, "more than")
+	assert.Assert(t, len(output.Text) <= maxResponse)
+}
--- a/internal/service/forward/event.go
+++ b/internal/service/forward/event.go
@@ -8,9 +8,6 @@
 	"strconv"
 )
 
-// maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
-
 // errTruncatedEvent is returned for a stream that ended within an event.
 var errTruncatedEvent = errors.New("stream ended within an event")
 
@@ -19,6 +16,9 @@
 	raw []byte
 	// id is empty if the event has none.
 	id string
+	// progress is true if the event has a field. Comments and empty events have none:
+	// an engine can send them for ever without any progress.
+	progress bool
 }
 
 // numericID returns the id as an integer and reports whether it is one.
@@ -41,11 +41,7 @@
 func (r *eventReader) next() (event, error) {
 	var e event
 	for {
-		line, err := r.reader.ReadBytes('\n')
-		e.raw = append(e.raw, line...)
-		if len(e.raw) > maxEventBytes {
-			return event{}, errTooLong
-		}
+		line, err := r.readLine(&e)
 		if err != nil {
 			if err == io.EOF && len(e.raw) > 0 {
 				return event{}, errTruncatedEvent
@@ -59,5 +55,22 @@
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 			e.id = string(bytes.TrimPrefix(value, []byte(" ")))
 		}
+		e.progress = e.progress || line[0] != ':'
+	}
+}
+
+// readLine reads a line and appends it to the raw bytes of an event. A line may be longer
+// than the buffer of the reader, but an event at most maxEventBytes.
+func (r *eventReader) readLine(e *event) ([]byte, error) {
+	start := len(e.raw)
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		if len(e.raw)+len(part) > maxEventBytes {
+			return nil, &limitError{limitEvent, maxEventBytes}
+		}
+		e.raw = append(e.raw, part...)
+		if err != bufio.ErrBufferFull {
+			return e.raw[start:], err
+		}
 	}
 }
--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync/atomic"
 
@@ -26,10 +25,6 @@
 }
 
 const (
-	// maxSkippedResponses bounds the responses to other requests that are skipped on a connection.
-	maxSkippedResponses = 2
-	// maxSkippedBodyBytes bounds the body of a skipped response.
-	maxSkippedBodyBytes = 1 << 20
 	// maxInlineBodyBytes is the size up to which a body is written before the response is
 	// read. Upstreams may respond to a longer body before they have received all of it.
 	maxInlineBodyBytes = 2 << 10
@@ -46,10 +41,7 @@
 	SentSome SendState = "some"
 )
 
-var (
-	errTooLong            = errors.New("response exceeds the size limit")
-	errMismatchedResponse = errors.New("received only responses to other requests")
-)
+var errMismatchedResponse = errors.New("received only responses to other requests")
 
 // exchange is one request and its response on a connection.
 type exchange struct {
@@ -61,7 +53,9 @@
 	written atomic.Bool
 	// outOfSync is set if the connection carried a response to another request.
 	outOfSync bool
-	stop      func() bool
+	// reserved is the memory that is reserved for the body, in bytes.
+	reserved int64
+	stop     func() bool
 }
 
 // attemptError is the error of an attempt without a usable response.
@@ -88,6 +82,7 @@
 		return nil, &attemptError{SentSome, err}
 	}
 	if err := x.readHeader(codec, a.Request.Method, a.Request.ID); err != nil {
+		countLimit(p.Metrics, err)
 		x.close()
 		return nil, &attemptError{SentSome, err}
 	}
@@ -125,38 +120,46 @@
 // readHeader reads the header of the response to the request with the given id. Responses
 // with the id of another request are skipped.
 func (x *exchange) readHeader(codec *Codec, method string, id api.RequestID) error {
+	x.conn.bounded.limit(limitHead, maxHeadBytes)
 	for skipped := 0; skipped <= maxSkippedResponses; {
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: method})
 		if err != nil {
-			return fmt.Errorf("read response: %w", err)
+			return fmt.Errorf("read response: %w", x.conn.bounded.reached(err))
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
 		}
+		x.conn.bounded.unlimit()
 		x.response, x.reply = response, codec.DecodeReply(response)
 		if id == "" || x.reply.ID == id || (x.reply.ID == "" && !x.conn.used) {
 			return nil
 		}
 		x.outOfSync = true
 		skipped++
+		x.conn.bounded.limit(limitSkippedBody, wireRatio*maxSkippedBodyBytes)
 		if err := drain(response.Body, maxSkippedBodyBytes); err != nil {
 			return fmt.Errorf("skip response to another request: %w", err)
 		}
+		x.conn.bounded.limit(limitHead, maxHeadBytes)
 	}
 	return errMismatchedResponse
 }
 
 // readAll reads the whole body of at most limit bytes. A response without a length is
-// complete only if its connection was closed, not reset.
+// complete only if its connection was closed, not reset. The memory of the body is reserved
+// until release is called.
 func (x *exchange) readAll(limit int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(x.response.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(data)) > limit {
-		return nil, errTooLong
-	}
-	return data, nil
+	x.conn.bounded.limit(limitBody, wireRatio*limit+maxHeadBytes)
+	data, reserved, err := x.pool.readBody(x.response.Body, limit)
+	x.conn.bounded.unlimit()
+	x.reserved += reserved
+	return data, err
+}
+
+// release returns the memory that is reserved for the body.
+func (x *exchange) release() {
+	x.pool.release(x.reserved)
+	x.reserved = 0
 }
 
 // finish ends an exchange whose body was read completely. The connection returns to the
@@ -176,9 +179,6 @@
 	x.conn.Close()
 }
 
-// maxCallResponseBytes bounds the response body of an internal request.
-const maxCallResponseBytes = 1 << 20
-
 // Call sends an internal request to an upstream and returns the response. The response
 // carries no request id, so that a late response to another request on an idle connection
 // can't be distinguished: set reuse only if the response does not matter.
@@ -202,10 +202,14 @@
 		return nil, &attemptError{SentSome, err}
 	}
 	if err := x.readHeader(codec, http.MethodPost, ""); err != nil {
+		countLimit(p.Metrics, err)
 		return nil, &attemptError{SentSome, err}
 	}
 	data, err := x.readAll(maxCallResponseBytes)
+	// The response to an internal request is decoded at once.
+	x.release()
 	if err != nil {
+		countLimit(p.Metrics, err)
 		return nil, &attemptError{SentSome, err}
 	}
 	if reuse {
--- a/internal/service/forward/forward_test.go
+++ b/internal/service/forward/forward_test.go
@@ -73,6 +73,7 @@
 			return &StageResults{Inputs: []fleet.ResultRef{"1.2.3.4:5/r"}, Release: func() {}}, nil
 		},
 	}
+	f.Pool.Metrics = f.Metrics
 	return f
 }
 
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// maxBufferedBytes bounds a non-streaming response. It is buffered, so that a truncated
-	// response is not forwarded and the request can be retried.
-	maxBufferedBytes = 8 << 20
 	// attemptObjectiveFactor is the time limit of an attempt that can be retried, in
 	// response-time objectives of the route.
 	attemptObjectiveFactor = 2
@@ -28,6 +25,11 @@
 // serveBuffered serves a request whose response is forwarded as a whole.
 func (c *call) serveBuffered(ctx context.Context) error {
 	var last *bufferedResponse
+	defer func() {
+		if last != nil {
+			last.release()
+		}
+	}()
 	for {
 		upstream := LeastLoaded(c.candidates(), c.request.ID, c.exclude, clock.Now())
 		if upstream == nil {
@@ -40,6 +42,9 @@
 		c.history.Add(result)
 		c.exclude[upstream.ID] = true
 		if response != nil {
+			if last != nil {
+				last.release()
+			}
 			last = response
 		}
 		action := NextAction(c.route, c.history, result, c.left())
@@ -65,6 +70,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// release returns the memory of the body.
+	release func()
 }
 
 // tryBuffered makes one attempt and records its outcome.
@@ -102,15 +109,18 @@
 	}
 	body, err := x.readAll(maxBufferedBytes)
 	if err != nil {
+		countLimit(c.Metrics, err)
+		x.release()
 		x.close()
 		return nil, ResultLost, err
 	}
 	x.finish()
 	result := classify(x.response.StatusCode, x.reply)
 	if result == ResultNotRun || result == ResultLost {
+		x.release()
 		return nil, result, errors.New("upstream responded with status " + strconv.Itoa(x.response.StatusCode))
 	}
-	return &bufferedResponse{x.response.StatusCode, x.response.Header, body}, result, nil
+	return &bufferedResponse{x.response.StatusCode, x.response.Header, body, x.release}, result, nil
 }
 
 // outcomeOf returns the outcome that a result has for the health of the upstream.
--- a/internal/service/forward/pool.go
+++ b/internal/service/forward/pool.go
@@ -8,12 +8,14 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/dial"
+	"redwingloft/internal/helper/metric"
 	"redwingloft/pkg/api"
 )
 
@@ -36,6 +38,14 @@
 	// IdleLimit returns how many idle connections to an upstream this host may keep; nil
 	// means maxIdleConns.
 	IdleLimit func(upstream *fleet.Upstream) int
+	// BufferLimit bounds the response bodies that are held in memory at the same time, in
+	// bytes over all requests; 0 means no limit.
+	BufferLimit int64
+	// Metrics counts the responses that exceed a limit, by limit; it may be nil.
+	Metrics *metric.Set
+
+	// buffered is the size of the response bodies that are held in memory.
+	buffered atomic.Int64
 
 	mu   sync.Mutex
 	idle map[endpoint][]*conn
@@ -66,7 +76,9 @@
 // conn is a connection to an upstream. It carries one request at a time.
 type conn struct {
 	net.Conn
+	// reader reads from bounded, which limits the parts of a response.
 	reader   *bufio.Reader
+	bounded  *boundedReader
 	endpoint endpoint
 	// expiresAt is the time after which the idle connection is not reused.
 	expiresAt time.Time
@@ -91,7 +103,8 @@
 	if p.IdleLimit != nil {
 		limit = p.IdleLimit(upstream)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, bufferSize), endpoint: endpointOf(upstream), idleLimit: limit}, nil
+	bounded := &boundedReader{conn: raw}
+	return &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferSize), endpoint: endpointOf(upstream), idleLimit: limit}, nil
 }
 
 func (p *Pool) takeIdle(to endpoint) *conn {
@@ -183,7 +196,7 @@
 func drain(body io.Reader, limit int64) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
 	if err == nil && n > limit {
-		return errTooLong
+		return &limitError{limitSkippedBody, limit}
 	}
 	return err
 }
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -231,11 +231,13 @@
 	if s.canSwitchEngine() {
 		return ResultLost, 0, err
 	}
+	defer x.release()
 	body, readErr := x.readAll(maxBufferedBytes)
 	if readErr != nil {
+		countLimit(s.Metrics, readErr)
 		return ResultLost, 0, readErr
 	}
-	if err := s.deliver(&bufferedResponse{status, x.response.Header, body}); err != nil {
+	if err := s.deliver(&bufferedResponse{status, x.response.Header, body, x.release}); err != nil {
 		return ResultLost, 0, err
 	}
 	return ResultAnswered, 0, nil
@@ -246,14 +248,25 @@
 func (s *streamCall) forwardEvents(x *exchange, stall *stallTimer, startTime time.Time, upstream *fleet.Upstream) (time.Duration, error) {
 	reader := newEventReader(x.response.Body)
 	var first time.Duration
+	// withheld holds bytes without progress that arrived before the first event.
+	var withheld []byte
 	for {
 		e, err := reader.next()
 		if err == io.EOF {
-			return first, s.complete(x, first)
+			return first, s.complete(x, first, withheld)
 		}
 		if err != nil {
+			countLimit(s.Metrics, err)
 			return first, err
 		}
+		if !e.progress {
+			if withheld, err = s.forwardFiller(&e, withheld); err != nil {
+				countLimit(s.Metrics, err)
+				return first, err
+			}
+			continue
+		}
+		e.raw, withheld = append(withheld, e.raw...), nil
 		if first == 0 {
 			first = max(clock.Now().Sub(startTime), 1)
 			s.Health.Prefilled(upstream, s.request.PromptTokens)
@@ -266,8 +279,20 @@
 	}
 }
 
+// forwardFiller forwards comments and empty events, which are part of the body but no progress
+// of the stream. Before the first event they are withheld, so that another engine can be tried.
+func (s *streamCall) forwardFiller(e *event, withheld []byte) ([]byte, error) {
+	if s.started {
+		return nil, s.write(e.raw)
+	}
+	if len(withheld)+len(e.raw) > maxEventBytes {
+		return nil, &limitError{limitEvent, maxEventBytes}
+	}
+	return append(withheld, e.raw...), nil
+}
+
 // complete ends a stream after its last event was forwarded.
-func (s *streamCall) complete(x *exchange, first time.Duration) error {
+func (s *streamCall) complete(x *exchange, first time.Duration, withheld []byte) error {
 	if s.started {
 		return nil
 	}
@@ -276,7 +301,7 @@
 	}
 	// A stream that is resumed after its last event is empty.
 	s.startResponse(x)
-	return nil
+	return s.write(withheld)
 }
 
 func (s *streamCall) startResponse(x *exchange) {
@@ -307,10 +332,7 @@
 	if !s.started {
 		s.startResponse(x)
 	}
-	if _, err := s.writer.Write(e.raw); err != nil {
-		return err
-	}
-	if err := http.NewResponseController(s.writer).Flush(); err != nil {
+	if err := s.write(e.raw); err != nil {
 		return err
 	}
 	s.forwarded++
@@ -320,6 +342,17 @@
 	return nil
 }
 
+// write sends bytes to the caller at once.
+func (s *streamCall) write(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	if _, err := s.writer.Write(data); err != nil {
+		return err
+	}
+	return http.NewResponseController(s.writer).Flush()
+}
+
 // errStalled is the cancel cause of an attempt whose engine stopped sending events.
 var errStalled = errors.New("engine sent no event in time")
 
--- a/internal/service/member/client.go
+++ b/internal/service/member/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"redwingloft/internal/helper/dial"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/pkg/api"
@@ -78,11 +79,12 @@
 // NewClient returns a client that authenticates with the given secret.
 func NewClient(secret string, metrics *metric.Set) *Client {
 	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		ResponseHeaderTimeout: answerTimeout,
-		IdleConnTimeout:       idleConnTimeout,
-		MaxIdleConnsPerHost:   2,
-		DisableCompression:    true,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		ResponseHeaderTimeout:  answerTimeout,
+		IdleConnTimeout:        idleConnTimeout,
+		MaxIdleConnsPerHost:    2,
+		MaxResponseHeaderBytes: dial.MaxHeaderBytes,
+		DisableCompression:     true,
 	}
 	return &Client{Secret: secret, Metrics: metrics, scheme: "http://", http: &http.Client{Transport: transport, Timeout: answerTimeout}}
 }
--- a/internal/service/request/request_test.go
+++ b/internal/service/request/request_test.go
@@ -335,3 +335,14 @@
 	assert.Equal(t, summary.Total.Attained, int64(1))
 	assert.DeepEqual(t, summary.Total.Missed, map[api.Kind]int64{api.KindStageFailed: 1, api.KindHostIsolated: 1})
 }
+
+// TestLongServiceResponseIsNotCut guards against a response above the limit whose beginning
+// reaches the caller as a complete response.
+func TestLongServiceResponseIsNotCut(t *testing.T) {
+	whole := strings.Repeat("x", maxServiceResponse)
+	data, err := readServiceResponse(strings.NewReader(whole))
+	assert.NilError(t, err)
+	assert.Equal(t, len(data), maxServiceResponse)
+	_, err = readServiceResponse(strings.NewReader(whole + "x"))
+	assert.ErrorContains(t, err, "more than")
+}
--- a/internal/service/request/service.go
+++ b/internal/service/request/service.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -192,7 +193,7 @@
 			return call.request(ctx, base)
 		},
 		Read: func(status int, _ http.Header, body io.Reader) error {
-			data, err := io.ReadAll(io.LimitReader(body, maxServiceResponse))
+			data, err := readServiceResponse(body)
 			outcome = order.Outcome{Status: status, Body: data}
 			return err
 		},
@@ -201,6 +202,16 @@
 	return outcome, err
 }
 
+// readServiceResponse reads a response body. A body above the limit is an error: a part of it
+// would look complete to the caller.
+func readServiceResponse(body io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxServiceResponse+1))
+	if err == nil && len(data) > maxServiceResponse {
+		return nil, fmt.Errorf("the response has more than %d bytes", maxServiceResponse)
+	}
+	return data, err
+}
+
 func (c callAttempt) request(ctx context.Context, base string) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, c.call.Method, base+c.call.Path, bytes.NewReader(c.body))
 	if err != nil {
--- a/internal/service/upstream/pool.go
+++ b/internal/service/upstream/pool.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"redwingloft/internal/helper/dial"
 )
 
 const (
@@ -85,9 +87,10 @@
 // newTransport keeps connections alive even if it is used for a single request: for
 // a request that asks to close the connection, the server responds with
 // "Connection: close", which would look like part of a drain notice.
-func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+func newTransport(connect func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
 	return &http.Transport{
-		DialContext: dial, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		DialContext: connect, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, DisableCompression: true,
+		MaxResponseHeaderBytes: dial.MaxHeaderBytes,
 	}
 }
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -105,10 +105,11 @@
 		c.transport = c.Transport
 		if c.transport == nil {
 			c.transport = &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-				MaxIdleConnsPerHost: 64,
-				IdleConnTimeout:     30 * time.Second,
-				TLSClientConfig:     c.TLS,
+				DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				MaxIdleConnsPerHost:    64,
+				IdleConnTimeout:        30 * time.Second,
+				TLSClientConfig:        c.TLS,
+				MaxResponseHeaderBytes: maxHeaderBytes,
 			}
 		}
 	})
--- a/pkg/client/stream.go
+++ b/pkg/client/stream.go
@@ -18,7 +18,10 @@
 	"redwingloft/pkg/api"
 )
 
-// maxEventBytes limits one line of an event stream. The resume token contains the input of the last stage.
+// maxHeaderBytes limits the header of a response.
+const maxHeaderBytes = 64 << 10
+
+// maxEventBytes limits one event of a stream. The resume token contains the input of the last stage.
 const maxEventBytes = 64 << 20
 
 // Answer is the complete response of a pipeline.
@@ -96,7 +99,9 @@
 	for scanner.Scan() {
 		line := scanner.Bytes()
 		if len(line) > 0 {
-			event.addLine(line)
+			if event.addLine(line); len(event.data) > maxEventBytes {
+				return errEventTooLong
+			}
 			continue
 		}
 		done, err := s.handle(event)
@@ -111,6 +116,9 @@
 	return io.ErrUnexpectedEOF
 }
 
+// errEventTooLong is returned for an event of more than maxEventBytes.
+var errEventTooLong = fmt.Errorf("an event of the stream has more than %d bytes", maxEventBytes)
+
 // rawEvent is one server-sent event.
 type rawEvent struct {
 	eventType api.EventType
