--- a/internal/service/directory/feed.go
+++ b/internal/service/directory/feed.go
@@ -195,6 +195,15 @@
 	return s.now().Sub(s.confirmedAt), !s.confirmedAt.IsZero()
 }
 
+// ageMs returns the age in milliseconds, or -1 if it is not known.
+func (s *Service) ageMs() int64 {
+	age, known := s.Age()
+	if !known {
+		return -1
+	}
+	return age.Milliseconds()
+}
+
 // followSources requests changes from other hosts until ctx is canceled, while this host
 // does not read the store or can't reach it.
 func (s *Service) followSources(ctx context.Context) {
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -118,6 +118,13 @@
 	s.startedAt = s.now()
 	s.disconnectedAt = s.startedAt
 	s.mu.Unlock()
+	s.Metrics.GaugeFunc("directory.age_ms", s.ageMs)
+	s.Metrics.GaugeFunc("directory.reads_store", func() int64 {
+		if s.currentRole().Reads {
+			return 1
+		}
+		return 0
+	})
 	defer s.Timer.Every(expirePeriod, func(time.Time) { s.expire() })()
 	var following sync.WaitGroup
 	if s.FetchUpdate != nil {
