Encode updates once, compressed, and let large hosts read the store

Trace, 304 hosts and 2,916 upstreams (a copy of the large site): at the start of the upstreams a follower's updates took over a second each, its connection to the source was lost twice (http2: client connection lost, context deadline exceeded), and it read the store itself after 2.3 s. The source has a link of 20 Mbit/s and sent each of some 40 followers half a megabyte, encoded anew each time.

Change: the changes of an update are encoded and compressed once for all hosts that ask for the same; a host registers its memory limit, and larger ones become readers first.

Ruled out: fetching large documents from the store instead, hosts times calls again.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -121,6 +121,7 @@
 		Seeds: s.Peer.Seeds,
 		Self: fleet.Host{
 			ID: s.Host.ID, DataCentre: s.Host.DataCentre, CallerAddress: s.Caller.Advertise, PeerAddress: s.Peer.Advertise,
+			MemoryMegabytes: s.Host.MemoryLimit,
 		},
 		OnChange: e.onViewChange,
 	}
--- a/internal/data/fleet/upstream.go
+++ b/internal/data/fleet/upstream.go
@@ -54,6 +54,9 @@
 	// Started is the Unix time in milliseconds, by the host's clock, since which it has been
 	// registered without interruption.
 	Started int64 `json:"started"`
+	// MemoryMegabytes is the memory limit of the host, by which hosts of one fleet differ in
+	// size; 0 means unknown.
+	MemoryMegabytes float64 `json:"memory_mb,omitempty"`
 	// Draining hosts complete requests in progress and are removed from the address list.
 	Draining bool `json:"draining,omitempty"`
 }
--- a/internal/service/directory/role.go
+++ b/internal/service/directory/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"redwingloft/internal/data/fleet"
@@ -74,7 +75,9 @@
 }
 
 // readers returns the hosts that read the store: the best of each data centre, then the
-// second of each, and so on. Rendezvous hashing keeps most of them when a host joins or leaves.
+// second of each, and so on. Large hosts come first, because a reader sends each change to
+// all its followers; rendezvous hashing among equals keeps most readers when a host joins or
+// leaves.
 func readers(hosts []fleet.Host) []fleet.Host {
 	count := max(minReaders, (len(hosts)+followersPerReader-1)/followersPerReader)
 	key := hashing.Of("readers")
@@ -91,7 +94,7 @@
 	var candidates []candidate
 	for _, local := range byCentre {
 		slices.SortFunc(local, func(a, b fleet.Host) int {
-			return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.ID, b.ID))
+			return cmp.Or(cmp.Compare(sizeClass(b), sizeClass(a)), cmp.Compare(score(b), score(a)), cmp.Compare(a.ID, b.ID))
 		})
 		for rank, host := range local[:min(len(local), count)] {
 			candidates = append(candidates, candidate{host, rank})
@@ -99,7 +102,7 @@
 	}
 	centre := func(c candidate) uint64 { return hashing.Score(key, hashing.Of(string(c.DataCentre))) }
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(centre(b), centre(a)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(sizeClass(b.Host), sizeClass(a.Host)), cmp.Compare(centre(b), centre(a)), cmp.Compare(a.ID, b.ID))
 	})
 	var selected []fleet.Host
 	for _, c := range candidates[:min(len(candidates), count)] {
@@ -107,3 +110,12 @@
 	}
 	return selected
 }
+
+// sizeClass returns the size of a host in powers of two, so that hosts of about the same size
+// count as equal; 0 if it is not known.
+func sizeClass(h fleet.Host) int {
+	if h.MemoryMegabytes <= 0 {
+		return 0
+	}
+	return int(math.Log2(h.MemoryMegabytes))
+}
--- a/internal/service/directory/role_test.go
+++ b/internal/service/directory/role_test.go
@@ -99,3 +99,19 @@
 		}
 	}
 }
+
+// TestLargeHostsRead guards against a small host that has to send each change to all the hosts
+// that follow it, although its data centre has larger ones.
+func TestLargeHostsRead(t *testing.T) {
+	hosts := fleetOf(120, 3)
+	for i := range hosts {
+		hosts[i].MemoryMegabytes = 184
+		if i%10 == 0 {
+			hosts[i].MemoryMegabytes = 536
+		}
+	}
+	for _, reader := range readersAmong(hosts) {
+		i := slices.IndexFunc(hosts, func(h fleet.Host) bool { return h.PeerAddress == reader })
+		assert.Equal(t, hosts[i].MemoryMegabytes, 536.0)
+	}
+}
--- a/internal/web/entry/peers.go
+++ b/internal/web/entry/peers.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -26,8 +25,6 @@
 const (
 	// maxMessageBytes limits the request body of a call of another host.
 	maxMessageBytes = 1 << 20
-	// maxUpdateBytes limits the response body with changes of the directory or its whole state.
-	maxUpdateBytes = 64 << 20
 )
 
 // PeerHandler holds the HTTP handlers of the calls of other hosts.
@@ -38,6 +35,8 @@
 	Directory *directory.Service
 	// Outliers collects the observations of upstreams from all hosts.
 	Outliers *outlier.Collector
+	// updates encodes the changes of the directory.
+	updates updateEncoder
 	// InProgress is the number of jobs of other hosts in progress.
 	InProgress atomic.Int64
 }
@@ -121,7 +120,15 @@
 		return
 	}
 	defer sent()
-	writeJSON(w, http.StatusOK, update)
+	data, err := p.updates.encode(store.Version(after), update)
+	if err != nil {
+		http.Error(w, "the update can't be encoded", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	// A write error means that the other host has disconnected.
+	_, _ = w.Write(data)
 }
 
 // FetchUpdate returns a function that requests the changes of the directory of another host.
@@ -140,10 +147,6 @@
 		if response.StatusCode != http.StatusOK {
 			return nil, fmt.Errorf("the other host returned status %d", response.StatusCode)
 		}
-		var update directory.Update
-		if err := json.NewDecoder(io.LimitReader(response.Body, maxUpdateBytes)).Decode(&update); err != nil {
-			return nil, err
-		}
-		return &update, nil
+		return decodeUpdate(response.Body)
 	}
 }
