Refuse, then close the listener at the end of a drain; fix a race in stages

TestPlannedStopUnderLoad plays a stop under load on kept and new connections, with one signal, two, and during a reload. It found two things.

A data race, by the race detector: a running call of a stage reads the upstream of its worker while a new view replaces it. The call now keeps the upstream it was made with.

New connections closed without an answer: the drain ended at the first moment without a request in progress, while the listener still accepted; a request that arrived then had 60 ms. Now requests are refused from that moment on, the listener closes, and the connections that it had accepted get up to half a second for their answers.

--- a/cmd/entry_drain.go
+++ b/cmd/entry_drain.go
@@ -19,6 +19,9 @@
 	drainAcceptDuration = 3 * time.Second
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 600 * time.Millisecond
+	// lastResponsesTimeout bounds the wait for the connections that were accepted before the
+	// caller listener closes. Their requests are refused at once.
+	lastResponsesTimeout = 500 * time.Millisecond
 	// drainRetryAfter is the delay after which a caller refused by a draining host may retry at another.
 	drainRetryAfter = 10 * time.Millisecond
 	// settingsPollInterval is the interval between checks of the settings file, which may change without a signal.
@@ -89,19 +92,33 @@
 	maxDuration := e.settings.Host.ShutdownTimeout - exitMargin
 	for time.Since(started) < maxDuration {
 		elapsed := time.Since(started)
-		if elapsed >= drainAcceptDuration {
-			e.refusing.Store(true)
-		}
-		if elapsed >= minDrainDuration && e.inProgress() == 0 {
+		idle := elapsed >= minDrainDuration && e.inProgress() == 0
+		if idle && e.refusing.Load() {
 			break
 		}
+		// Requests that arrive from here on are refused at once, so that none of them is in
+		// progress when the listeners close.
+		if idle || elapsed >= drainAcceptDuration {
+			e.refusing.Store(true)
+		}
 		if !sleep(ctx, drainPollInterval) {
 			return
 		}
 	}
+	e.stopAccepting(ctx, maxDuration-time.Since(started))
 	e.log.Info().Int64("in_progress", e.callerHandler.InProgress.Load()).Int64("after_ms", time.Since(started).Milliseconds()).Msg("drain_ended")
 }
 
+// stopAccepting closes the caller listener and waits for the responses to the requests that
+// were accepted before, but at most for left.
+func (e *entryHost) stopAccepting(ctx context.Context, left time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, max(min(left, lastResponsesTimeout), 0))
+	defer cancel()
+	if err := e.callerServer.Shutdown(ctx); err != nil {
+		e.log.Warn().Err(err).Int64("in_progress", e.callerHandler.InProgress.Load()).Msg("connections_cut")
+	}
+}
+
 // inProgress returns the number of caller requests and peer jobs in progress.
 func (e *entryHost) inProgress() int64 {
 	return e.callerHandler.InProgress.Load() + e.peerHandler.InProgress.Load()
--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -64,6 +64,7 @@
 	codec         forward.Codec
 	peerClient    *http.Client
 	callerHandler *web.CallerHandler
+	callerServer  *http.Server
 	peerHandler   *web.PeerHandler
 	outliers      *outlier.Exchanger
 	idleTracker   *web.IdleCloser
@@ -236,7 +237,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return e.timer.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return e.runDirectory(ctx) }, func(error) { cancel() })
-	e.addListener(group, e.settings.Caller.Listen, e.newCallerServer())
+	e.callerServer = e.newCallerServer()
+	e.addListener(group, e.settings.Caller.Listen, e.callerServer)
 	e.addListener(group, e.settings.Peer.Listen, e.newPeerServer())
 	directory := &web.DirectoryHandler{
 		View: e.directory.View, Self: e.settings.Caller.Advertise, AddressValidity: e.settings.Caller.AddressValidity, Ready: e.checkReady,
@@ -285,13 +287,22 @@
 	if address == "" {
 		return
 	}
+	interrupted := make(chan struct{})
 	group.Add(func() error {
 		listener, err := dial.Listen(context.Background(), address)
 		if err != nil {
 			return fmt.Errorf("listener %s: %w", address, err)
 		}
-		return fmt.Errorf("listener %s: %w", address, server.Serve(listener))
-	}, func(error) { closeServer(server) })
+		err = server.Serve(listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			// A drain closes the listener before the process ends.
+			<-interrupted
+		}
+		return fmt.Errorf("listener %s: %w", address, err)
+	}, func(error) {
+		close(interrupted)
+		closeServer(server)
+	})
 }
 
 // closeServer shuts a server down. Responses that are still being written have
--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -37,8 +39,35 @@
 	engine   *platform.Upstream
 	plain    *platform.Upstream
 	stopped  chan error
+	// log holds what the host has logged.
+	log logBuffer
 }
 
+// logBuffer collects log lines. It is safe for concurrent use.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// contains reports whether a text was logged.
+func (b *logBuffer) contains(text string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Contains(b.text.Bytes(), []byte(text))
+}
+
+// The plain upstream takes slowTime longer for paths with the suffix slowPath.
+const (
+	slowPath = "/slow"
+	slowTime = 400 * time.Millisecond
+)
+
 // eventTimeout bounds the wait of a test for an event.
 const eventTimeout = 10 * time.Second
 
@@ -69,6 +98,9 @@
 	t.Cleanup(server.Close)
 	s.plain = s.startUpstream(t, "plain", func(w *bufio.Writer, run platform.Request) bool {
 		time.Sleep(20 * time.Millisecond)
+		if strings.HasSuffix(run.Path, slowPath) {
+			time.Sleep(slowTime)
+		}
 		platform.WriteResponse(w, run.Header.Get(wire.HeaderRequestID), 200, "booked "+string(run.Body))
 		return true
 	})
@@ -108,7 +140,7 @@
 	var err error
 	s.settings, err = settings.Load(path)
 	assert.NilError(t, err)
-	s.host, err = newEntryHost(s.settings, path, logging.Discard())
+	s.host, err = newEntryHost(s.settings, path, logging.New(&s.log, "info", "host-1"))
 	assert.NilError(t, err)
 	var group run.Group
 	s.host.addActors(context.Background(), &group)
--- a/internal/service/stage/dispatch.go
+++ b/internal/service/stage/dispatch.go
@@ -90,7 +90,7 @@
 // centre of the upstream. Items that still wait for an upstream in their preferred data centre stay
 // in the queue. Returns nil if no item qualifies or there is no room for a result.
 func (p *plan) fill(w *worker, service api.ServiceName, requireLocal bool, now time.Time) *Call {
-	call := &Call{Worker: w, Started: now}
+	call := &Call{Worker: w, upstream: w.upstream, Started: now}
 	freeBytes := w.freeBytes(now)
 	limit := w.limits.MaxItems
 	if w.slowdown >= slowThreshold && now.Sub(w.lastCall) >= probeInterval {
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -52,6 +52,9 @@
 	// Expected is the expected duration.
 	Expected time.Duration
 
+	// upstream is the upstream at the time of the call. The entry of Worker changes under the
+	// lock of the scheduler, which a running call does not hold.
+	upstream      *fleet.Upstream
 	items         []*item
 	reservedBytes int64
 	// hedged is set once the items were also sent to another upstream.
@@ -59,7 +62,7 @@
 }
 
 // Upstream returns the upstream of the call.
-func (c *Call) Upstream() *fleet.Upstream { return c.Worker.upstream }
+func (c *Call) Upstream() *fleet.Upstream { return c.upstream }
 
 // StragglerAfter returns the duration after which the call counts as a straggler.
 func (c *Call) StragglerAfter() time.Duration {
--- a/internal/service/stage/room.go
+++ b/internal/service/stage/room.go
@@ -17,6 +17,9 @@
 type FreeCall struct {
 	Worker  *worker
 	Results []fleet.ResultRef
+
+	// upstream is the upstream at the time of the call, as in Call.
+	upstream *fleet.Upstream
 }
 
 // freeCalls returns the calls that free results now: for all upstreams if all is set, else for
@@ -27,7 +30,7 @@
 		if len(w.pendingFree) == 0 || w.freeInFlight || (!all && !w.aboveHighWater()) {
 			continue
 		}
-		list = append(list, &FreeCall{w, w.pendingFree})
+		list = append(list, &FreeCall{Worker: w, Results: w.pendingFree, upstream: w.upstream})
 		w.pendingFree, w.freeInFlight = nil, true
 	}
 	return list
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -424,7 +424,7 @@
 func (s *Scheduler) runFree(f *FreeCall) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
-	upstream := f.Worker.upstream
+	upstream := f.upstream
 	body, err := s.Codec.EncodeFree(f.Results)
 	if err == nil {
 		_, err = s.Pool.Call(ctx, s.Forward, upstream, s.Codec.FreePath, body, true)
--- a/standin/platform/upstream.go
+++ b/standin/platform/upstream.go
@@ -72,6 +72,17 @@
 	return append([]Request(nil), u.requests...)
 }
 
+// RequestIDs returns the ids of the requests handled so far.
+func (u *Upstream) RequestIDs() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	ids := make([]string, 0, len(u.requests))
+	for _, request := range u.requests {
+		ids = append(ids, request.Header.Get(wire.HeaderRequestID))
+	}
+	return ids
+}
+
 // OpenConns returns the number of open connections.
 func (u *Upstream) OpenConns() int {
 	u.mu.Lock()
