--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,4 @@
 	$(BIN)/standin bench
 	$(BIN)/standin failures
 	go test -run XXX -bench Decisions -benchtime 1x -count=1 ./internal/service/stage
+	go test -count=1 -v -run TestCompareWithoutFeed ./internal/service/directory -args -all-sizes
