Refuse times below a millisecond within which changes must be known

Waits are parts of that time; a part of zero ends the process in the draw of a random pause. Found by reading the feed again. TestEveryBoundTakesEveryForm has the value 1e-05 now, which names its key.

--- a/cmd/entry_settings_test.go
+++ b/cmd/entry_settings_test.go
@@ -43,7 +43,7 @@
 	for name := range names {
 		key := boundKeys[name]
 		assert.Assert(t, key != "", "%s has no key", name)
-		for _, value := range []string{"0", "1", "35.833333333333336", "0.001", "1e-07", "1.5e+03", "4000.0", "123456789", "1e+300", "-1", "NaN", "true", "false", ""} {
+		for _, value := range []string{"0", "1", "35.833333333333336", "0.001", "1e-05", "1e-07", "1.5e+03", "4000.0", "123456789", "1e+300", "-1", "NaN", "true", "false", ""} {
 			t.Run(name+"="+value, func(t *testing.T) {
 				values := platformValues()
 				values[name] = value
--- a/internal/data/settings/platform.go
+++ b/internal/data/settings/platform.go
@@ -41,11 +41,20 @@
 	return st
 }
 
+// minMaxAge is the shortest time within which a change can be required to take effect. Parts
+// of it are used as wait times.
+const minMaxAge = time.Millisecond
+
 // loadMaxAge returns the shortest of the times within which a change must take effect.
 func loadMaxAge(s *section) time.Duration {
 	shortest := time.Duration(0)
 	for _, key := range []string{"in_force_within", "drained_within", "revoked_within"} {
-		if limit := s.duration(key, 0, 0, time.Hour); limit > 0 && (shortest == 0 || limit < shortest) {
+		limit := s.duration(key, 0, 0, time.Hour)
+		switch {
+		case limit == 0:
+		case limit < minMaxAge:
+			s.faultf(key, "%s is not 0 or between %s and %s", limit, minMaxAge, time.Hour)
+		case shortest == 0 || limit < shortest:
 			shortest = limit
 		}
 	}
