Let the soak meet responses without an end

The kinds of endless responses move from the test of the limits to the stand-in of an upstream, and one in forty responses of the soak is one of them.

--- a/internal/service/forward/limit_test.go
+++ b/internal/service/forward/limit_test.go
@@ -18,22 +18,6 @@
 	"redwingloft/standin/platform"
 )
 
-// endless returns a handler that writes a head with the request id, then repeats a text until
-// the caller closes the connection or maxEndless is reached, and counts what it wrote.
-func endless(head, text string, written *atomic.Int64) func(*bufio.Writer, platform.Request) bool {
-	return func(w *bufio.Writer, run platform.Request) bool {
-		head := strings.ReplaceAll(head, "ID", run.Header.Get(wire.HeaderRequestID))
-		n, err := w.WriteString(head)
-		written.Add(int64(n))
-		chunk := strings.Repeat(text, max(1, 4096/len(text)))
-		for err == nil && written.Load() < maxEndless {
-			n, err = w.WriteString(chunk)
-			written.Add(int64(n))
-		}
-		return false
-	}
-}
-
 const (
 	// maxEndless ends an answer that the host would read for ever.
 	maxEndless = 256 << 20
@@ -47,37 +31,19 @@
 // TestBytesWithoutEnd guards against a host that reads, and keeps in memory, whatever an
 // upstream sends until the upstream stops.
 func TestBytesWithoutEnd(t *testing.T) {
-	for name, c := range map[string]struct {
-		head, text string
-		limit      limitName
-		stream     bool
-	}{
-		"status line":            {"HTTP/1.1 200 ", "x", limitHead, false},
-		"header line":            {okHead + "X-Long: ", "x", limitHead, false},
-		"header fields":          {okHead, "X-Field: value\r\n", limitHead, false},
-		"informational":          {"", "HTTP/1.1 100 Continue\r\n\r\n", limitHead, false},
-		"early hints":            {"HTTP/1.1 103 Early Hints\r\n", "Link: x\r\n", limitHead, false},
-		"no protocol":            {"", "x", limitHead, false},
-		"body":                   {okHead + "\r\n", "x", limitBody, false},
-		"chunks":                 {chunkedHead, "1\r\nx\r\n", limitBody, false},
-		"chunk extension":        {chunkedHead + "1;", "x", "", false},
-		"trailer":                {chunkedHead + "1\r\nx\r\n0\r\n", "X-Field: value\r\n", "", false},
-		"skipped response":       {strings.ReplaceAll(okHead, "ID", "other") + "\r\n", "x", limitSkippedBody, false},
-		"head of a stream":       {okHead + "X-Long: ", "x", limitHead, true},
-		"event line":             {eventHead + "data: ", "x", limitEvent, true},
-		"event of many lines":    {eventHead, "data: x\n", limitEvent, true},
-		"comment line":           {eventHead + ":", "x", limitEvent, true},
-		"comments":               {eventHead, ": x\n\n", limitEvent, true},
-		"empty events":           {eventHead, "\n", limitEvent, true},
-		"error body of a stream": {strings.Replace(okHead, "200 OK", "500 No", 1) + "\r\n", "x", limitBody, true},
-	} {
-		t.Run(name, func(t *testing.T) {
+	limits := map[platform.Part]limitName{
+		platform.PartHead: limitHead, platform.PartBody: limitBody, platform.PartSkipped: limitSkippedBody, platform.PartEvent: limitEvent,
+	}
+	for _, c := range platform.EndlessResponses {
+		t.Run(c.Name, func(t *testing.T) {
 			var written atomic.Int64
 			route := fleet.Route{Kind: fleet.KindNonIdempotent}
-			if c.stream {
+			if c.Stream {
 				route.Kind = fleet.KindStreaming
 			}
-			f := newFixture(t, route, endless(c.head, c.text, &written))
+			f := newFixture(t, route, func(w *bufio.Writer, run platform.Request) bool {
+				return c.Handle(w, run, maxEndless, &written)
+			})
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			started := time.Now()
@@ -89,8 +55,8 @@
 			allocated := after.TotalAlloc - before.TotalAlloc
 			// A buffer that doubles up to the limit allocates four times the limit at most.
 			assert.Assert(t, allocated <= 4*maxBufferedBytes+socketBytes, "%d bytes were allocated", allocated)
-			if c.limit != "" {
-				assert.Equal(t, f.Metrics.Counter("limit."+string(c.limit)).Count(), int64(1))
+			if limit, ours := limits[c.Part]; ours {
+				assert.Equal(t, f.Metrics.Counter("limit."+string(limit)).Count(), int64(1))
 			}
 			assert.Equal(t, f.Pool.buffered.Load(), int64(0))
 			health := f.Health.Get(&f.upstreams[0].Entry)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -17,6 +17,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -205,6 +206,9 @@
 	case s.oneIn(25):
 		s.recordRun(id)
 		return false // it ran, but its response is lost
+	case s.oneIn(40):
+		s.recordRun(id)
+		return s.respondEndlessly(out, run, false)
 	}
 	s.recordRun(id)
 	platform.WriteResponse(out, id, http.StatusOK, "done "+id)
@@ -214,12 +218,33 @@
 	return true
 }
 
+// maxEndless ends an endless response that a host does not close.
+const maxEndless = 64 << 20
+
+// respondEndlessly writes a random response without an end, which no host may deliver.
+func (s *testSite) respondEndlessly(out *bufio.Writer, run platform.Request, stream bool) bool {
+	var fitting []platform.Endless
+	for _, response := range platform.EndlessResponses {
+		if response.Stream == stream {
+			fitting = append(fitting, response)
+		}
+	}
+	s.mu.Lock()
+	chosen := fitting[s.random.IntN(len(fitting))]
+	s.mu.Unlock()
+	var written atomic.Int64
+	return chosen.Handle(out, run, maxEndless, &written)
+}
+
 func (s *testSite) serveEngine(out *bufio.Writer, run platform.Request) bool {
 	id, last := run.Header.Get(wire.HeaderRequestID), 0
 	_, _ = fmt.Sscan(run.Header.Get(wire.HeaderLastEvent), &last)
-	if s.oneIn(10) {
+	switch {
+	case s.oneIn(10):
 		platform.WriteEvents(out, id, last+1, min(last+3, 9), false, time.Millisecond)
 		return false
+	case s.oneIn(40):
+		return s.respondEndlessly(out, run, true)
 	}
 	platform.WriteEvents(out, id, last+1, 10, true, time.Millisecond)
 	return true
