--- a/internal/service/directory/feed.go
+++ b/internal/service/directory/feed.go
@@ -257,7 +257,7 @@
 		if !s.readFailed {
 			return nil, 0, feedHold
 		}
-		if wait := relayDelay - s.now().Sub(s.disconnectedAt); wait > 0 {
+		if wait := followDelay - s.now().Sub(s.disconnectedAt); wait > 0 {
 			return nil, 0, wait
 		}
 	}
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -1,6 +1,6 @@
 // Package directory maintains an entry host's view of the fleet: the routing document,
-// the upstreams and the other hosts. It watches the platform's store and, while the
-// store is unreachable, requests the state from other hosts. It also keeps the host's
+// the upstreams and the other hosts. A few hosts of a fleet watch the platform's store; the
+// others follow them, and read the store themselves when that fails. It also keeps the host's
 // own registration alive.
 package directory
 
