Log how far a lost stream had come and the shared parts of its prompt

The log could not tell apart whether one request was sent from engine to engine, whether requests with a common part of their prompts crash engines, or whether engines crash by themselves: attempt_failed showed neither the prompt nor the progress of the response. It now has the events of the attempt and, for a lost response, the ids of the prompt's shared parts. No decision changes.

--- a/internal/data/fleet/request.go
+++ b/internal/data/fleet/request.go
@@ -46,6 +46,15 @@
 	ItemKey string
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the last
+// one, which is specific to the request or its session.
+func (r *Request) SharedParts() []PromptPart {
+	if len(r.Prompt) == 0 {
+		return nil
+	}
+	return r.Prompt[:len(r.Prompt)-1]
+}
+
 // Attempt is one attempt to send a caller's request to an upstream.
 type Attempt struct {
 	Request  *Request
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -83,16 +83,17 @@
 }
 
 // sharedPrefix returns the id and the token count of the longest prefix that other requests
-// may share. The last prompt part is specific to the request.
+// may share.
 func sharedPrefix(request *fleet.Request) (string, int) {
-	if len(request.Prompt) < 2 {
+	parts := request.SharedParts()
+	if len(parts) == 0 {
 		return string(request.ID), 0
 	}
 	shared := 0
-	for _, part := range request.Prompt[:len(request.Prompt)-1] {
+	for _, part := range parts {
 		shared += part.Tokens
 	}
-	return request.Prompt[len(request.Prompt)-2].ID, shared
+	return parts[len(parts)-1].ID, shared
 }
 
 // rendezvousOwner returns the upstream that rendezvous hashing selects for key.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -251,13 +251,18 @@
 
 // logFailedAttempt counts and logs a failed attempt and the action taken.
 func (c *call) logFailedAttempt(upstream *fleet.Upstream, result Result, action Action, err error) {
+	c.failedAttemptEntry(upstream, result, action, err).Msg("attempt_failed")
+}
+
+// failedAttemptEntry counts a failed attempt and returns its log entry.
+func (c *call) failedAttemptEntry(upstream *fleet.Upstream, result Result, action Action, err error) *log.Entry {
 	c.Metrics.Counter("attempt." + string(result)).Inc(1)
 	entry := c.Log.Info().Str("request", string(c.request.ID)).Str("upstream", string(upstream.ID)).Str("result", string(result)).
 		Str("action", string(action)).Int("ran", c.history.MayHaveRun).Int("unsent", c.history.NotRun).Int64("left_ms", c.left().Milliseconds())
 	if err != nil {
 		entry = entry.Err(err)
 	}
-	entry.Msg("attempt_failed")
+	return entry
 }
 
 const (
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -66,7 +67,7 @@
 		if ctx.Err() != nil && action == ActionRetry {
 			action = finalAction(c.history)
 		}
-		c.logFailedAttempt(upstream, result, action, err)
+		s.logFailedAttempt(upstream, result, action, err)
 		if action != ActionRetry {
 			return s.fail(c.finalError(finalAction(c.history), err))
 		}
@@ -112,6 +113,27 @@
 	idStep int64
 	// forwarded counts the forwarded events.
 	forwarded int
+	// events counts the events of the current attempt.
+	events int
+}
+
+// logFailedAttempt logs a failed attempt with the events that it produced. If the response was
+// lost, it also logs the parts of the prompt that other requests may share.
+func (s *streamCall) logFailedAttempt(upstream *fleet.Upstream, result Result, action Action, err error) {
+	entry := s.failedAttemptEntry(upstream, result, action, err).Int("events", s.events)
+	if result == ResultLost {
+		entry = entry.Str("prompt", joinParts(s.request.SharedParts()))
+	}
+	entry.Msg("attempt_failed")
+}
+
+// joinParts returns the ids of prompt parts, separated by commas.
+func joinParts(parts []fleet.PromptPart) string {
+	ids := make([]string, len(parts))
+	for i, part := range parts {
+		ids[i] = part.ID
+	}
+	return strings.Join(ids, ",")
 }
 
 // errInputsGone is returned if an input no longer existed when the engine fetched it.
@@ -152,6 +174,7 @@
 func (s *streamCall) tryUpstream(ctx context.Context, upstream *fleet.Upstream) (Result, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	s.events = 0
 	tokens := s.request.PromptTokens
 	s.Health.Begin(upstream, tokens)
 	stall := &stallTimer{firstTimeout: s.firstEventTimeout(upstream), cancel: cancel, enabled: s.canSwitchEngine()}
@@ -267,6 +290,7 @@
 			continue
 		}
 		e.raw, withheld = append(withheld, e.raw...), nil
+		s.events++
 		if first == 0 {
 			first = max(clock.Now().Sub(startTime), 1)
 			s.Health.Prefilled(upstream, s.request.PromptTokens)
