--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -32,7 +32,9 @@
 
 // site is an entry host with stand-ins for the platform's store and upstreams.
 type site struct {
-	store    *platform.Store
+	store *platform.Store
+	// address is the address of the store.
+	address  string
 	settings *settings.Settings
 	host     *entryHost
 	stage    *platform.Upstream
@@ -130,37 +132,51 @@
 "stages":[{"service":"stage","after":[],"bytes":1000},{"service":"stage","after":[0],"bytes":1000}]}],
 "services":[{"name":"plain"},{"name":"engine"},{"name":"stage","segments":{"slots":1,"queue":2,"batch":8,"callMs":20,"itemMs":1,"headroomMb":1,"handleS":4}}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"w","apiKeys":["k"]}]}`)
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	s.host, s.settings = s.startHost(t, "host-1", s.stopped)
+	return s
+}
+
+// startHost starts an entry host of the site, whose result is sent to stopped, and waits until
+// it is ready.
+func (s *site) startHost(t *testing.T, id string, stopped chan<- error) (*entryHost, *settings.Settings) {
+	t.Helper()
 	values := map[string]string{
-		"node": "host-1", "zone": "a", "bounds.graceS": "8", "bounds.configMs": "2000", "limits.memoryMb": "284", "listen.front": freeAddress(t), "listen.control": freeAddress(t),
+		"node": id, "zone": "a", "bounds.graceS": "8", "bounds.configMs": "2000", "limits.memoryMb": "284", "listen.front": freeAddress(t), "listen.control": freeAddress(t),
 		"seeds": "", "ip": "127.0.0.1", "portRange.0": strings.TrimPrefix(freeAddress(t), "127.0.0.1:"), "listen.directory": freeAddress(t),
-		"listen.ready": freeAddress(t), "platform.address": strings.TrimPrefix(server.URL, "http://"), "bounds.retryRatio": "0.2",
+		"listen.ready": freeAddress(t), "platform.address": s.address, "bounds.retryRatio": "0.2",
 		"bounds.retrySlack": "54", "bounds.retryWindowS": "10",
 	}
 	path := renderSettings(t, values)
-	var err error
-	s.settings, err = settings.Load(path)
+	loaded, err := settings.Load(path)
 	assert.NilError(t, err)
-	s.host, err = newEntryHost(s.settings, path, logging.New(&s.log, "info", "host-1"))
+	host, err := newEntryHost(loaded, path, logging.New(&s.log, "info", id))
 	assert.NilError(t, err)
 	var group run.Group
-	s.host.addActors(context.Background(), &group)
-	go func() { s.stopped <- group.Run() }()
+	host.addActors(context.Background(), &group)
+	go func() { stopped <- group.Run() }()
 	s.eventually(t, "readiness", func() bool {
-		response, err := http.Get("http://" + s.settings.Directory.ReadyListen + wire.PathReadiness)
+		response, err := http.Get("http://" + loaded.Directory.ReadyListen + wire.PathReadiness)
 		if err != nil {
 			return false
 		}
 		defer response.Body.Close()
 		return response.StatusCode == http.StatusOK
 	})
-	return s
+	return host, loaded
 }
 
 // startUpstream starts a stand-in of an upstream of the given service and writes its
 // entry to the store.
 func (s *site) startUpstream(t *testing.T, service string, handle func(*bufio.Writer, platform.Request) bool) *platform.Upstream {
 	t.Helper()
-	u := &platform.Upstream{Handle: handle, Entry: fleet.Upstream{ID: api.UpstreamID("i-" + service)}}
+	return s.startUpstreamAs(t, service, service, handle)
+}
+
+// startUpstreamAs starts one of several upstreams of a service.
+func (s *site) startUpstreamAs(t *testing.T, name, service string, handle func(*bufio.Writer, platform.Request) bool) *platform.Upstream {
+	t.Helper()
+	u := &platform.Upstream{Handle: handle, Entry: fleet.Upstream{ID: api.UpstreamID("i-" + name)}}
 	assert.NilError(t, u.Start())
 	t.Cleanup(u.Close)
 	s.writeUpstream(t, u, service, "ready")
@@ -190,7 +206,13 @@
 // call sends a request with the headers that callers of the platform send.
 func (s *site) call(t *testing.T, path, id string, header map[string]string) (int, string, http.Header) {
 	t.Helper()
-	request, err := http.NewRequest(http.MethodPost, "http://"+s.settings.Caller.Listen+path, strings.NewReader("x"))
+	return callHost(t, s.settings.Caller.Listen, path, id, header)
+}
+
+// callHost sends a request to the host with the given address.
+func callHost(t *testing.T, address, path, id string, header map[string]string) (int, string, http.Header) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, strings.NewReader("x"))
 	assert.NilError(t, err)
 	request.Host = "h"
 	request.Header.Set(wire.HeaderRequestID, id)
