Count streams without a length and without an event as lost by their engine

An engine that crashes before the first event of a response with neither a length nor chunks ends it without an error. The host treated it as lost and retried it, but did not report it as evidence against the prompt, so that a site whose engines send such streams would not have found a part that crashes them.

TestLostResponsesAreEvidence failed for this case (0 of 1 losses) and passes; its other cases passed before. TestQuarantinedPromptIsNotRetried shows that a quarantine also stops retries, and that such a request is not called not run.

--- a/internal/service/forward/prompt.go
+++ b/internal/service/forward/prompt.go
@@ -47,7 +47,7 @@
 
 // closedByUpstream reports whether the other end closed the connection within a response.
 func closedByUpstream(err error) bool {
-	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, closed := range []error{io.EOF, io.ErrUnexpectedEOF, errTruncatedEvent, errNoEvent, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(err, closed) {
 			return true
 		}
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -327,13 +327,16 @@
 	return append(withheld, e.raw...), nil
 }
 
+// errNoEvent is returned if a stream ended without an event.
+var errNoEvent = errors.New("stream ended without an event")
+
 // complete ends a stream after its last event was forwarded.
 func (s *streamCall) complete(x *exchange, first time.Duration, withheld []byte) error {
 	if s.started {
 		return nil
 	}
 	if first == 0 && s.request.LastEventID == "" && s.lastEventID == "" {
-		return errors.New("stream ended without an event")
+		return errNoEvent
 	}
 	// A stream that is resumed after its last event is empty.
 	s.startResponse(x)
