Don't call a request not run if its retry is refused

A request that an upstream had lost was refused with 503 and run=no when its retry could not be made: when the stages of the retry were refused, or when no upstream was left. An upstream may have run it, so that the promise was false; a caller could take it as leave to send an order again, had it been one. A complete error response that had arrived before was dropped.

Cause: the refusal of a retry was returned as if it were that of the request. It is now an error of which it is unknown whether the request ran, or the last complete response.

Evidence: TestRefusalAfterLostResponseIsNotCalledNotRun failed in all three of its cases and passes. Ruled out: routes that may not be repeated were not affected, since they get no second attempt after one that may have run.

--- a/internal/service/forward/decide_test.go
+++ b/internal/service/forward/decide_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -9,7 +11,10 @@
 	"pgregory.net/rapid"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/service/directory"
 	"redwingloft/pkg/api"
+	"redwingloft/standin/platform"
 )
 
 // TestNext guards against a retry of a non-idempotent request that may have run, and
@@ -171,3 +176,46 @@
 	assert.Assert(t, LeastLoaded(nil, "x", nil, now) == nil)
 	assert.Equal(t, LeastLoaded(list[:1], "x", map[api.UpstreamID]bool{"e0": true}, now).ID, api.UpstreamID("e0"))
 }
+
+// TestRefusalAfterLostResponseIsNotCalledNotRun guards against a request that an upstream may have
+// run, and whose retry is refused, being called not run.
+func TestRefusalAfterLostResponseIsNotCalledNotRun(t *testing.T) {
+	refusal := fault.New(api.KindDeadlineUnreachable, "the stages can't be run in time")
+	lose := func(*bufio.Writer, platform.Request) bool {
+		// The inputs are released after this time.
+		time.Sleep(2 * inputFetchTime)
+		return false
+	}
+	noUpstream := func(f *fixture) {
+		full := f.View()
+		f.View = func() *directory.View {
+			if f.totalRuns() > 0 {
+				return &directory.View{Snapshot: full.Snapshot}
+			}
+			return full
+		}
+	}
+	for name, example := range map[string]struct {
+		route  fleet.Route
+		change func(f *fixture)
+	}{
+		"stages of the retry are refused": {fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2, Stages: []fleet.Stage{{Service: "stage"}}}, func(f *fixture) {
+			f.RunStages = func(context.Context, *StageWork) (*StageResults, error) {
+				if f.totalRuns() > 0 {
+					return nil, refusal
+				}
+				return &StageResults{Inputs: []fleet.ResultRef{"1.2.3.4:5/r"}, Release: func() {}}, nil
+			}
+		}},
+		"no engine is left":   {fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2}, noUpstream},
+		"no upstream is left": {fleet.Route{Kind: fleet.KindIdempotent, MaxAttempts: 2}, noUpstream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, example.route, lose, lose)
+			example.change(f)
+			_, err := f.serve(t, func(r *fleet.Request) { r.Items = []int{1} })
+			assert.Equal(t, f.totalRuns(), 1)
+			assert.Equal(t, fault.RunStateOf(err), api.RunUnknown, "%v", err)
+		})
+	}
+}
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -32,14 +32,11 @@
 	}()
 	for {
 		if err := c.checkPrompt(); err != nil {
-			if last != nil {
-				return c.deliver(last)
-			}
-			return c.afterAttempts(err)
+			return c.deliverOrRefuse(last, err)
 		}
 		upstream := LeastLoaded(c.candidates(), c.request.ID, c.exclude, clock.Now())
 		if upstream == nil {
-			return fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the service has no ready upstream"), busyRetryAfter)
+			return c.deliverOrRefuse(last, fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the service has no ready upstream"), busyRetryAfter))
 		}
 		if !c.takeAttempt() {
 			return c.deliverLast(last, errors.New("retry budget exhausted"))
@@ -156,6 +153,15 @@
 	return OutcomeFailed
 }
 
+// deliverOrRefuse forwards the last complete response. If there is none, it returns the refusal of
+// a further attempt.
+func (c *call) deliverOrRefuse(last *bufferedResponse, refusal error) error {
+	if last != nil {
+		return c.deliver(last)
+	}
+	return c.afterAttempts(refusal)
+}
+
 // deliverLast forwards the last complete response. Returns an error if there is none.
 func (c *call) deliverLast(last *bufferedResponse, cause error) error {
 	if last != nil {
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -55,7 +55,7 @@
 		candidates := c.candidates()
 		upstream := SelectEngine(candidates, c.request, prepared.DataCentre, c.exclude, clock.Now())
 		if upstream == nil {
-			return s.fail(fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the service has no ready engine"), busyRetryAfter))
+			return s.fail(c.afterAttempts(fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the service has no ready engine"), busyRetryAfter)))
 		}
 		if !c.takeAttempt() {
 			return s.fail(c.finalError(finalAction(c.history), errors.New("retry budget exhausted")))
@@ -77,7 +77,7 @@
 		c.Metrics.Counter("retry." + string(result)).Inc(1)
 		if errors.Is(err, errInputsGone) || s.inputsReleased.Load() {
 			if err := s.rerunStages(ctx); err != nil {
-				return s.fail(err)
+				return s.fail(c.afterAttempts(err))
 			}
 			prepared = s.prepared
 		}
