Log the rate limits that upstreams name

Nothing showed whether a host had read the limit that an upstream names in its responses. The adapter decodes it, a table keeps the last one known of each upstream, and upstream_limit_changed tells when it changes. No decision uses it.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -26,6 +26,7 @@
 	"redwingloft/internal/service/outlier"
 	"redwingloft/internal/service/quarantine"
 	"redwingloft/internal/service/stage"
+	"redwingloft/internal/service/throttle"
 	"redwingloft/internal/web/admin"
 	web "redwingloft/internal/web/entry"
 	"redwingloft/pkg/api"
@@ -64,6 +65,7 @@
 	health        *forward.HealthTable
 	prompts       *quarantine.Tracker
 	publisher     *quarantine.Publisher
+	throttle      *throttle.Table
 	codec         forward.Codec
 	peerClient    *http.Client
 	callerHandler *web.CallerHandler
@@ -99,8 +101,9 @@
 	}
 	e.directory = e.newDirectory(kv)
 	e.prompts = &quarantine.Tracker{Stored: e.quarantinedParts}
+	e.throttle = &throttle.Table{Log: logger, Metrics: e.metrics}
 	e.pool = &forward.Pool{
-		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics,
+		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
 		BufferLimit: int64(bufferMemoryRatio * s.Host.MemoryLimit * megabyte),
 	}
 	e.callerHandler = &web.CallerHandler{
@@ -195,6 +198,12 @@
 	}
 }
 
+// sweepThrottle drops the rate limits of upstreams that are gone.
+func (e *entryHost) sweepThrottle(time.Time) {
+	view := e.directory.View()
+	e.throttle.Sweep(view.Has)
+}
+
 func (e *entryHost) sweepSchedulers(now time.Time) {
 	e.schedulersMu.Lock()
 	defer e.schedulersMu.Unlock()
@@ -276,6 +285,7 @@
 	e.timer.Every(sweepInterval, e.pool.Sweep)
 	e.timer.Every(sweepInterval, e.idleTracker.Sweep)
 	e.timer.Every(sweepInterval, func(time.Time) { e.health.Sweep(clock.Now()) })
+	e.timer.Every(sweepInterval, e.sweepThrottle)
 	e.timer.Every(outlier.ExchangeInterval, e.outliers.Run)
 	e.timer.Every(quarantine.PublishInterval, e.publisher.Run)
 	e.timer.Every(stage.SweepInterval, e.sweepSchedulers)
--- a/internal/data/fleet/request.go
+++ b/internal/data/fleet/request.go
@@ -76,6 +76,9 @@
 	IdleTimeout time.Duration
 	// Load is nil if the upstream does not report it.
 	Load *Load
+	// RateLimit is the number of requests a second that the upstream accepts from all hosts
+	// together; nil if it names no limit.
+	RateLimit *float64
 }
 
 // Load is the load reported by an upstream.
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -71,6 +71,12 @@
 	return v.ready[service]
 }
 
+// Has reports whether an incarnation of an upstream is registered.
+func (v *View) Has(incarnation fleet.Incarnation) bool {
+	upstream := v.upstreams[incarnation.ID]
+	return upstream != nil && upstream.Started == incarnation.Started
+}
+
 // record is an entry of the store with its decoded value.
 type record struct {
 	entry store.Entry
--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/clock"
 	"redwingloft/pkg/api"
 )
 
@@ -86,9 +87,18 @@
 		x.close()
 		return nil, &attemptError{SentSome, err}
 	}
+	p.observeLimit(a.Upstream, x.reply, x.reply.HasDigest || x.reply.NotRun)
 	return x, nil
 }
 
+// observeLimit records the rate limit that a response names. Only a genuine response shows that
+// its upstream names none.
+func (p *Pool) observeLimit(upstream *fleet.Upstream, reply fleet.ResponseInfo, genuine bool) {
+	if p.Throttle != nil && (reply.RateLimit != nil || genuine) {
+		p.Throttle.Observe(upstream, reply.RateLimit, clock.Now())
+	}
+}
+
 // send writes the header and the body. A long body is written in the background.
 func (x *exchange) send(writeHeader func(*bufio.Writer) error, body []byte) error {
 	w := bufio.NewWriterSize(x.conn, bufferSize)
@@ -205,6 +215,7 @@
 		countLimit(p.Metrics, err)
 		return nil, &attemptError{SentSome, err}
 	}
+	p.observeLimit(upstream, x.reply, x.reply.NotRun || x.response.StatusCode == http.StatusOK)
 	data, err := x.readAll(maxCallResponseBytes)
 	// The response to an internal request is decoded at once.
 	x.release()
--- a/internal/service/forward/pool.go
+++ b/internal/service/forward/pool.go
@@ -16,6 +16,7 @@
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/dial"
 	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/service/throttle"
 	"redwingloft/pkg/api"
 )
 
@@ -43,6 +44,8 @@
 	BufferLimit int64
 	// Metrics counts the responses that exceed a limit, by limit; it may be nil.
 	Metrics *metric.Set
+	// Throttle holds the rate limits that upstreams name; it may be nil.
+	Throttle *throttle.Table
 
 	// buffered is the size of the response bodies that are held in memory.
 	buffered atomic.Int64
