Share the rate limits that upstreams name among the hosts

Callers saw nothing yet: engines that asked for fewer requests got as many as before, up to 18 in four seconds where 16 are allowed.

Cause: backpressure that was not heeded. The limit in a response was copied to the caller and read by nobody; an upstream's load was judged by its response time and failures only.

Change: a table of limits, fed by responses and by the exchange of failure rates, so that all hosts know a limit within a second. ceil(limit) + 2 hosts by rendezvous hashing share it in equal parts with a bucket of tokens each; the others send nothing. Scheduling hosts keep the limits of stage upstreams, calls that free results included. If no upstream accepts a request, it is refused as not run with the time of the next free one.

TestRateLimitOfStageUpstream failed without the change of the plan (16 calls in 4 s, 14 allowed) and passes.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -101,7 +101,7 @@
 	}
 	e.directory = e.newDirectory(kv)
 	e.prompts = &quarantine.Tracker{Stored: e.quarantinedParts}
-	e.throttle = &throttle.Table{Log: logger, Metrics: e.metrics}
+	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, Log: logger, Metrics: e.metrics}
 	e.pool = &forward.Pool{
 		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
 		BufferLimit: int64(bufferMemoryRatio * s.Host.MemoryLimit * megabyte),
@@ -110,7 +110,7 @@
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
 	}
 	e.outliers = &outlier.Exchanger{
-		Self: s.Host.ID, View: e.directory.View, HTTP: e.peerClient, Health: e.health, Prompts: e.prompts, Collector: &outlier.Collector{}, Log: logger, Metrics: e.metrics,
+		Self: s.Host.ID, View: e.directory.View, HTTP: e.peerClient, Health: e.health, Prompts: e.prompts, Throttle: e.throttle, Collector: &outlier.Collector{}, Log: logger, Metrics: e.metrics,
 	}
 	e.outliers.Collector.Prompts.Stored = e.quarantinedParts
 	e.publisher = &quarantine.Publisher{
@@ -166,7 +166,9 @@
 	return &forward.Budget{Ratio: r.Ratio, Slack: r.Slack, Window: r.Window, Hosts: hosts}
 }
 
-func (e *entryHost) hostCount() int { return len(e.directory.View().Hosts) }
+func (e *entryHost) hosts() []fleet.Host { return e.directory.View().Hosts }
+
+func (e *entryHost) hostCount() int { return len(e.hosts()) }
 
 // scheduler returns this host's scheduler for a group of upstreams, created on first use.
 func (e *entryHost) scheduler(group stage.Group) *stage.Scheduler {
@@ -176,7 +178,7 @@
 		return existing
 	}
 	created := &stage.Scheduler{
-		Pool: e.pool, Forward: &e.codec, Log: e.log, Metrics: e.metrics, View: e.directory.View,
+		Pool: e.pool, Forward: &e.codec, Throttle: e.throttle, Log: e.log, Metrics: e.metrics, View: e.directory.View,
 		Budget:    e.newRetryBudget(func() int { return len(stage.Groups(e.directory.View())) }),
 		Upstreams: func(view *directory.View) []*fleet.Upstream { return stage.UpstreamsInGroup(view, group) },
 		Role:      func(view *directory.View) stage.Role { return stage.RoleOf(view, group, e.settings.Host.ID) },
@@ -202,6 +204,7 @@
 func (e *entryHost) sweepThrottle(time.Time) {
 	view := e.directory.View()
 	e.throttle.Sweep(view.Has)
+	e.outliers.Collector.Limits.Sweep(view.Has)
 }
 
 func (e *entryHost) sweepSchedulers(now time.Time) {
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -9,8 +9,6 @@
 
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/clock"
-	"redwingloft/internal/helper/fault"
-	"redwingloft/pkg/api"
 )
 
 const (
@@ -34,9 +32,11 @@
 		if err := c.checkPrompt(); err != nil {
 			return c.deliverOrRefuse(last, err)
 		}
-		upstream := LeastLoaded(c.candidates(), c.request.ID, c.exclude, clock.Now())
-		if upstream == nil {
-			return c.deliverOrRefuse(last, fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the service has no ready upstream"), busyRetryAfter))
+		upstream, err := c.selectUpstream(func(candidates []Candidate) *fleet.Upstream {
+			return LeastLoaded(candidates, c.request.ID, c.exclude, clock.Now())
+		})
+		if err != nil {
+			return c.deliverOrRefuse(last, err)
 		}
 		if !c.takeAttempt() {
 			return c.deliverLast(last, errors.New("retry budget exhausted"))
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -180,17 +180,46 @@
 // left returns the time until the deadline. Time in which the machine was suspended counts.
 func (c *call) left() time.Duration { return c.deadline.Sub(clock.Now()) }
 
-// candidates returns the ready upstreams of the service with their health. It uses the
-// current view, so upstreams that are no longer ready are not tried.
+// candidates returns the ready upstreams of the service with their health, without those that
+// may get no request now because of their rate limits. It uses the current view, so upstreams
+// that are no longer ready are not tried.
 func (c *call) candidates() []Candidate {
 	ready := c.View().Ready(c.service)
-	list := make([]Candidate, len(ready))
-	for i, upstream := range ready {
-		list[i] = Candidate{upstream, c.Health.Get(upstream)}
+	now := clock.Now()
+	list := make([]Candidate, 0, len(ready))
+	for _, upstream := range ready {
+		if wait, shared := c.Pool.Throttle.Wait(upstream, now); shared && wait == 0 {
+			list = append(list, Candidate{upstream, c.Health.Get(upstream)})
+		}
 	}
 	return list
 }
 
+// selectUpstream returns the upstream that choose selects and counts the request against its rate
+// limit.
+func (c *call) selectUpstream(choose func([]Candidate) *fleet.Upstream) (*fleet.Upstream, error) {
+	for {
+		upstream := choose(c.candidates())
+		if upstream == nil {
+			return nil, c.afterAttempts(c.noCandidateError())
+		}
+		if c.Pool.Throttle.Take(upstream, clock.Now()) {
+			return upstream, nil
+		}
+	}
+}
+
+// noCandidateError returns the error if no upstream may get a request now.
+func (c *call) noCandidateError() error {
+	ready := c.View().Ready(c.service)
+	if len(ready) == 0 {
+		return fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the service has no ready upstream"), busyRetryAfter)
+	}
+	c.Metrics.Counter("throttle.refused." + string(c.service)).Inc(1)
+	delay := max(c.Pool.Throttle.RetryDelay(ready, clock.Now()), busyRetryAfter)
+	return fault.AddRetryAfter(fault.New(api.KindOverloaded, "all %d upstreams get as many requests as they accept", len(ready)), delay)
+}
+
 // newAttempt returns an attempt at an upstream.
 func (c *call) newAttempt(upstream *fleet.Upstream) *fleet.Attempt {
 	c.upstream = upstream.ID
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -52,10 +52,11 @@
 		if err := c.checkPrompt(); err != nil {
 			return s.fail(c.afterAttempts(err))
 		}
-		candidates := c.candidates()
-		upstream := SelectEngine(candidates, c.request, prepared.DataCentre, c.exclude, clock.Now())
-		if upstream == nil {
-			return s.fail(c.afterAttempts(fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the service has no ready engine"), busyRetryAfter)))
+		upstream, err := c.selectUpstream(func(candidates []Candidate) *fleet.Upstream {
+			return SelectEngine(candidates, c.request, prepared.DataCentre, c.exclude, clock.Now())
+		})
+		if err != nil {
+			return s.fail(err)
 		}
 		if !c.takeAttempt() {
 			return s.fail(c.finalError(finalAction(c.history), errors.New("retry budget exhausted")))
--- a/internal/service/outlier/outlier.go
+++ b/internal/service/outlier/outlier.go
@@ -20,6 +20,7 @@
 	"redwingloft/internal/service/peer"
 	"redwingloft/internal/service/quarantine"
 	"redwingloft/internal/service/stage"
+	"redwingloft/internal/service/throttle"
 	"redwingloft/pkg/api"
 )
 
@@ -51,6 +52,8 @@
 	Observations []forward.Observation `json:"seen"`
 	// Prompts is the evidence on prompts that crash engines; nil if there is none.
 	Prompts *quarantine.Report `json:"prompts,omitempty"`
+	// Limits holds the rate limits that upstreams named.
+	Limits throttle.Report `json:"limits"`
 }
 
 // Reply holds the failure rates of the failing upstreams.
@@ -58,12 +61,16 @@
 	Rates []forward.Rate `json:"rates"`
 	// Prompts is the verdict on prompts that crash engines.
 	Prompts quarantine.Verdict `json:"prompts"`
+	// Limits holds the rate limits that upstreams named to other hosts.
+	Limits throttle.Update `json:"limits"`
 }
 
 // Collector aggregates the outcomes that hosts observe. The zero value is ready to use.
 type Collector struct {
 	// Prompts finds the prompts that crash engines.
 	Prompts quarantine.Collector
+	// Limits merges the rate limits of upstreams.
+	Limits throttle.Collector
 
 	mu     sync.Mutex
 	counts map[fleet.Incarnation]*outcomeCounts
@@ -81,7 +88,7 @@
 
 // Exchange adds the outcomes of a host and returns the failing upstreams.
 func (c *Collector) Exchange(message *Message, now time.Time) *Reply {
-	verdict := c.Prompts.Exchange(message.Prompts, now)
+	verdict, limits := c.Prompts.Exchange(message.Prompts, now), c.Limits.Exchange(message.Limits, now)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.counts == nil {
@@ -97,7 +104,7 @@
 		counted.ok += float64(observation.OK)
 		counted.failed += float64(observation.Failed)
 	}
-	reply := &Reply{Prompts: *verdict}
+	reply := &Reply{Prompts: *verdict, Limits: limits}
 	for incarnation, counted := range c.counts {
 		counted.decay(now)
 		total := counted.ok + counted.failed
@@ -120,7 +127,9 @@
 	HTTP   *http.Client
 	Health *forward.HealthTable
 	// Prompts holds the evidence of this host on prompts that crash engines.
-	Prompts   *quarantine.Tracker
+	Prompts *quarantine.Tracker
+	// Throttle holds the rate limits of upstreams.
+	Throttle  *throttle.Table
 	Collector *Collector
 	Log       *log.Logger
 	Metrics   *metric.Set
@@ -135,8 +144,8 @@
 // Run makes one exchange. It does nothing if there is nothing to report.
 func (e *Exchanger) Run(time.Time) {
 	now := clock.Now()
-	message := &Message{Observations: e.Health.Observations(), Prompts: e.Prompts.Report(e.Self, now)}
-	if len(message.Observations) == 0 && message.Prompts == nil {
+	message := &Message{Observations: e.Health.Observations(), Prompts: e.Prompts.Report(e.Self, now), Limits: e.Throttle.Report(now)}
+	if len(message.Observations) == 0 && message.Prompts == nil && len(message.Limits.Statements) == 0 {
 		return
 	}
 	collector, found := e.collector(now)
@@ -178,6 +187,7 @@
 
 func (e *Exchanger) apply(message *Message, reply *Reply, now time.Time) {
 	e.Health.SetSharedRates(reply.Rates, now)
+	e.Throttle.Apply(message.Limits, &reply.Limits, now)
 	for _, part := range e.Prompts.Apply(message.Prompts, &reply.Prompts, now) {
 		e.Metrics.Counter("quarantine.parts").Inc(1)
 		e.Log.Warn().Str("part", part.Part).Int("crashes", part.Crashes).Str("until", part.Until.UTC().Format(time.RFC3339)).Msg("prompt_quarantined")
--- a/internal/service/outlier/outlier_test.go
+++ b/internal/service/outlier/outlier_test.go
@@ -13,6 +13,7 @@
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
 	"redwingloft/internal/service/quarantine"
+	"redwingloft/internal/service/throttle"
 	"redwingloft/pkg/api"
 )
 
@@ -54,7 +55,7 @@
 	collector.Exchange(&Message{Observations: []forward.Observation{{Incarnation: bad.Incarnation(), Failed: 9}}}, now)
 	health.Begin(good, 0)
 	health.End(good, forward.OutcomeAnswered, 80*time.Millisecond, now)
-	e := &Exchanger{Health: health, Prompts: &quarantine.Tracker{}, Collector: collector, View: func() *directory.View { return &directory.View{} }, Log: logging.Discard(), Metrics: metric.New()}
+	e := &Exchanger{Health: health, Prompts: &quarantine.Tracker{}, Throttle: &throttle.Table{}, Collector: collector, View: func() *directory.View { return &directory.View{} }, Log: logging.Discard(), Metrics: metric.New()}
 	e.Run(now)
 	for i := range 50 {
 		candidates := []forward.Candidate{{Upstream: bad, Health: health.Get(bad)}, {Upstream: good, Health: health.Get(good)}}
--- a/internal/service/stage/compare_test.go
+++ b/internal/service/stage/compare_test.go
@@ -279,7 +279,7 @@
 // dispatchAll makes the calls that the plans return.
 func (s *simulation) dispatchAll(all bool) {
 	for _, sched := range s.plans {
-		for _, f := range sched.freeCalls(all) {
+		for _, f := range sched.freeCalls(all, s.now) {
 			u := s.upstreams[f.Worker.upstream.ID]
 			for _, result := range f.Results {
 				u.drop(result)
--- a/internal/service/stage/dispatch.go
+++ b/internal/service/stage/dispatch.go
@@ -27,7 +27,7 @@
 		p.queues[service] = append(queue, p.queues[service]...)
 		for _, requireLocal := range []bool{true, false} {
 			for _, w := range idle {
-				if len(p.queues[service]) == 0 || !w.idle(now) || p.tooSlow(w, len(queue), now) {
+				if len(p.queues[service]) == 0 || !p.idle(w, now) || p.tooSlow(w, len(queue), now) {
 					continue
 				}
 				if call := p.fill(w, service, requireLocal, now); call != nil {
@@ -53,11 +53,16 @@
 	return slices.DeleteFunc(retained, func(it *item) bool { return it.job.ended || it.phase != phaseQueued })
 }
 
+// idle reports whether an upstream can take a call now, also by its rate limit.
+func (p *plan) idle(w *worker, now time.Time) bool {
+	return w.idle(now) && p.throttle.WaitAlone(w.upstream, now) == 0
+}
+
 // idleWorkers returns the upstreams of a service that can take a call, fastest first.
 func (p *plan) idleWorkers(service api.ServiceName, now time.Time) []*worker {
 	var idle []*worker
 	for _, w := range p.workers {
-		if w.upstream.Service == service && w.idle(now) {
+		if w.upstream.Service == service && p.idle(w, now) {
 			idle = append(idle, w)
 		}
 	}
@@ -76,7 +81,7 @@
 	var rate float64
 	for _, other := range p.workers {
 		if other != w && other.upstream.Service == w.upstream.Service && other.usable(now) && other.slowdown < slowThreshold {
-			rate += other.rate()
+			rate += p.itemRate(other)
 		}
 	}
 	if rate == 0 {
@@ -116,6 +121,8 @@
 		return nil
 	}
 	p.queues[service] = rest
+	// dispatch has found that the rate limit allows the call.
+	p.throttle.TakeAlone(w.upstream, now)
 	for _, it := range call.items {
 		it.phase = phaseRunning
 		it.attempts++
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -146,8 +146,13 @@
 		}
 		served = true
 		if w.usable(now) {
-			rate += w.rate()
+			rate += p.itemRate(w)
 		}
 	}
 	return rate, served
 }
+
+// itemRate returns the items per second of an upstream with full calls, within its rate limit.
+func (p *plan) itemRate(w *worker) float64 {
+	return min(w.rate(), p.throttle.Limit(w.upstream)*float64(w.limits.MaxItems))
+}
--- a/internal/service/stage/made_test.go
+++ b/internal/service/stage/made_test.go
@@ -117,7 +117,7 @@
 	b := newBatchHarness(batchedService("first", 8))
 	first := b.add("first", "a")
 	b.worker(first).releaseForeign("f/9")
-	freeCalls := b.freeCalls(true)
+	freeCalls := b.freeCalls(true, b.now)
 	assert.Equal(t, len(freeCalls), 1)
 	assert.DeepEqual(t, freeCalls[0].Results, []fleet.ResultRef{"f/9"})
 }
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/service/throttle"
 	"redwingloft/pkg/api"
 )
 
@@ -86,6 +87,8 @@
 	// retry reports whether one more item of a service may be retried, and charges the retry
 	// budget.
 	retry func(api.ServiceName) bool
+	// throttle holds the rate limits of upstreams; nil means that there are none.
+	throttle *throttle.Table
 }
 
 func newPlan(retry func(api.ServiceName) bool) *plan {
--- a/internal/service/stage/plan_test.go
+++ b/internal/service/stage/plan_test.go
@@ -9,6 +9,9 @@
 	"pgregory.net/rapid"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/service/throttle"
 	"redwingloft/pkg/api"
 )
 
@@ -106,7 +109,7 @@
 	b.now = b.running[next]
 	delete(b.running, next)
 	b.complete(next, b.newResults(next), FailureNone, b.now)
-	for _, f := range b.freeCalls(true) {
+	for _, f := range b.freeCalls(true, b.now) {
 		b.completeFree(f, true, b.now)
 	}
 	b.dispatchNow(slow)
@@ -235,7 +238,7 @@
 	for _, result := range b.outcomes["r"].Results() {
 		b.worker(u).release(result)
 	}
-	freeCalls := b.freeCalls(false)
+	freeCalls := b.freeCalls(false, b.now)
 	assert.Equal(t, len(freeCalls), 1)
 	assert.Equal(t, len(b.dispatchNow(nil)), 0, "the results are not freed yet")
 	b.completeFree(freeCalls[0], true, b.now)
@@ -408,7 +411,7 @@
 			if !b.now.Before(end) {
 				delete(b.running, call)
 				b.complete(call, b.newResults(call), FailureNone, b.now)
-				for _, f := range b.freeCalls(true) {
+				for _, f := range b.freeCalls(true, b.now) {
 					b.completeFree(f, true, b.now)
 				}
 			}
@@ -495,7 +498,7 @@
 				delete(b.running, next)
 				b.complete(next, b.newResults(next), FailureNone, b.now)
 			}
-			for _, f := range b.freeCalls(true) {
+			for _, f := range b.freeCalls(true, b.now) {
 				b.completeFree(f, true, b.now)
 			}
 		}
@@ -522,7 +525,7 @@
 	b.now = b.now.Add(fetchTime)
 	b.releaseFetched(b.now)
 	assert.Equal(t, len(b.worker(first).pendingFree), 4)
-	for _, f := range b.freeCalls(true) {
+	for _, f := range b.freeCalls(true, b.now) {
 		b.completeFree(f, true, b.now)
 	}
 	// The call is lost afterwards, so its inputs are recomputed.
@@ -597,3 +600,50 @@
 	assert.Assert(t, !f.meetsTarget(&job, b.now), "the forecast is %s", f.onTime)
 	assert.Equal(t, f.onTime, 4*time.Second+b.callTime("s"))
 }
+
+// TestRateLimitOfStageUpstream guards against calls to an upstream of a stage beyond the limit
+// that it names, those that free results included, and against a queue that is not served.
+func TestRateLimitOfStageUpstream(t *testing.T) {
+	const rate, window = 1.5, 4 * time.Second
+	b := newBatchHarness(batchedService("s", 8))
+	b.throttle = &throttle.Table{Log: logging.Discard(), Metrics: metric.New()}
+	u, named := b.add("s", "a"), rate
+	b.throttle.Observe(u, &named, b.now)
+	var sent []time.Time
+	for step := range 2000 {
+		b.now = b.now.Add(10 * time.Millisecond)
+		if step%10 == 0 {
+			b.submit(b.job(fmt.Sprint("j", step), 1, 3*time.Second, 6*time.Second, Spec{Service: "s", Items: 1, ResultBytes: 1000}), b.now, func(Outcome, error) {})
+		}
+		for _, call := range b.dispatch(b.now) {
+			sent = append(sent, b.now)
+			b.running[call] = b.now.Add(call.Expected)
+		}
+		for call, end := range b.running {
+			if !b.now.Before(end) {
+				delete(b.running, call)
+				results := make([]fleet.ItemResult, len(call.Items))
+				for i := range results {
+					results[i].Result = fleet.ResultRef(fmt.Sprint("r", step, "/", i))
+				}
+				b.complete(call, results, FailureNone, b.now)
+			}
+		}
+		for _, f := range b.freeCalls(step%25 == 0, b.now) {
+			sent = append(sent, b.now)
+			b.completeFree(f, true, b.now)
+		}
+	}
+	for i, first := range sent {
+		count := 0
+		for _, at := range sent[i:] {
+			if at.Sub(first) < window {
+				count++
+			}
+		}
+		assert.Assert(t, float64(count) <= 1.5*rate*window.Seconds()+5, "%d calls in %s", count, window)
+	}
+	assert.Assert(t, float64(len(sent)) > 0.8*rate*20, "only %d calls", len(sent))
+	perSecond, _ := b.rate("s", b.now)
+	assert.Assert(t, perSecond <= rate*8, "the forecast expects %.1f items a second", perSecond)
+}
--- a/internal/service/stage/room.go
+++ b/internal/service/stage/room.go
@@ -1,6 +1,7 @@
 package stage
 
 import (
+	"math"
 	"time"
 
 	"redwingloft/internal/data/fleet"
@@ -24,10 +25,10 @@
 
 // freeCalls returns the calls that free results now: for all upstreams if all is set, else for
 // those above the high-water mark.
-func (p *plan) freeCalls(all bool) []*FreeCall {
+func (p *plan) freeCalls(all bool, now time.Time) []*FreeCall {
 	var list []*FreeCall
 	for _, w := range p.workers {
-		if len(w.pendingFree) == 0 || w.freeInFlight || (!all && !w.aboveHighWater()) {
+		if len(w.pendingFree) == 0 || w.freeInFlight || (!all && !w.aboveHighWater()) || !p.mayFree(w, now) {
 			continue
 		}
 		list = append(list, &FreeCall{Worker: w, Results: w.pendingFree, upstream: w.upstream})
@@ -36,6 +37,18 @@
 	return list
 }
 
+// mayFree reports whether the rate limit of an upstream allows a call that frees results, and
+// counts it. Queued items go first, unless they lack the room.
+func (p *plan) mayFree(w *worker, now time.Time) bool {
+	if math.IsInf(p.throttle.Limit(w.upstream), 1) {
+		return true
+	}
+	if len(p.queues[w.upstream.Service]) > 0 && !w.aboveHighWater() {
+		return false
+	}
+	return p.throttle.TakeAlone(w.upstream, now)
+}
+
 // completeFree applies the end of a call that frees results. If the call was lost, they occupy
 // capacity until they expire.
 func (p *plan) completeFree(f *FreeCall, succeeded bool, now time.Time) {
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -15,6 +15,7 @@
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
+	"redwingloft/internal/service/throttle"
 	"redwingloft/pkg/api"
 )
 
@@ -58,8 +59,10 @@
 	Forward *forward.Codec
 	Codec   Codec
 	Budget  *forward.Budget
-	Log     *log.Logger
-	Metrics *metric.Set
+	// Throttle holds the rate limits that upstreams name; it may be nil.
+	Throttle *throttle.Table
+	Log      *log.Logger
+	Metrics  *metric.Set
 	// Upstreams returns the upstreams that belong to this scheduler.
 	Upstreams func(*directory.View) []*fleet.Upstream
 	// Role returns the role of this host in the group.
@@ -174,6 +177,7 @@
 func (s *Scheduler) refresh() {
 	if s.plan == nil {
 		s.plan = newPlan(s.takeRetry)
+		s.plan.throttle = s.Throttle
 	}
 	now := clock.Now()
 	if paused := now.Sub(s.lastRun); !s.lastRun.IsZero() && paused > MaxSchedulerPause {
@@ -214,7 +218,7 @@
 	s.mu.Lock()
 	s.refresh()
 	s.releaseStored(list)
-	freeCalls := s.plan.freeCalls(false)
+	freeCalls := s.plan.freeCalls(false, clock.Now())
 	s.mu.Unlock()
 	s.startFreeCalls(freeCalls)
 }
@@ -249,7 +253,7 @@
 	s.refresh()
 	now := clock.Now()
 	s.plan.releaseFetched(now)
-	freeCalls := s.plan.freeCalls(false)
+	freeCalls := s.plan.freeCalls(false, clock.Now())
 	calls := s.plan.dispatch(now)
 	s.mu.Unlock()
 	s.startFreeCalls(freeCalls)
@@ -272,7 +276,7 @@
 	s.handBackJobs()
 	calls := s.plan.dispatch(now)
 	s.scheduleWake(now)
-	freeCalls := s.plan.freeCalls(false)
+	freeCalls := s.plan.freeCalls(false, clock.Now())
 	s.mu.Unlock()
 	s.startFreeCalls(freeCalls)
 	s.logFailedItems(call, results)
@@ -345,12 +349,16 @@
 	s.startCalls(calls)
 }
 
-// scheduleWake schedules a dispatch at the end of the next cooldown. The caller holds mu.
+// scheduleWake schedules a dispatch at the end of the next cooldown or of the next wait for a rate limit. The caller holds mu.
 func (s *Scheduler) scheduleWake(now time.Time) {
 	var next time.Time
 	for _, w := range s.plan.workers {
-		if !w.removed && now.Before(w.cooldownUntil) && (next.IsZero() || w.cooldownUntil.Before(next)) {
-			next = w.cooldownUntil
+		usableAt := w.cooldownUntil
+		if throttledUntil := now.Add(s.Throttle.WaitAlone(w.upstream, now)); throttledUntil.After(usableAt) {
+			usableAt = throttledUntil
+		}
+		if !w.removed && now.Before(usableAt) && (next.IsZero() || usableAt.Before(next)) {
+			next = usableAt
 		}
 	}
 	if next.IsZero() || (now.Before(s.wakeAt) && !next.Before(s.wakeAt)) {
@@ -380,7 +388,7 @@
 	}
 	s.refresh()
 	s.handBackJobs()
-	freeCalls := s.plan.freeCalls(true)
+	freeCalls := s.plan.freeCalls(true, clock.Now())
 	calls := s.plan.dispatch(clock.Now())
 	s.mu.Unlock()
 	s.startFreeCalls(freeCalls)
@@ -438,7 +446,7 @@
 	s.plan.completeFree(f, err == nil, clock.Now())
 	// Queued items may be waiting for the freed capacity.
 	calls := s.plan.dispatch(clock.Now())
-	freeCalls := s.plan.freeCalls(false)
+	freeCalls := s.plan.freeCalls(false, clock.Now())
 	s.mu.Unlock()
 	s.startCalls(calls)
 	s.startFreeCalls(freeCalls)
