Quarantine a part again that crashes engines after its quarantine has ended

A quarantine that has ended stays in the store for a minute, until its key is removed. In that time the collecting host took crashes under the part as explained by it, and a new decision as already stored, so that engines crashed on.

Cause: presence in the store was taken for a quarantine in force. Its end is compared now.

TestPartIsQuarantinedAgainAfterItsEnd failed (no request refused) and passes. Found while reading the change.

--- a/internal/service/quarantine/collector.go
+++ b/internal/service/quarantine/collector.go
@@ -119,7 +119,7 @@
 	defer c.mu.Unlock()
 	var list []fleet.QuarantinedPart
 	for id, part := range c.decided {
-		if _, known := stored[id]; known || !now.Before(part.Until) {
+		if !stored[id].Until.Before(part.Until) || !now.Before(part.Until) {
 			delete(c.decided, id)
 			continue
 		}
@@ -191,7 +191,7 @@
 // while another one is the more likely cause.
 func (c *Collector) evaluate(now time.Time) {
 	for {
-		c.markExplained()
+		c.markExplained(now)
 		candidates := c.candidates(now)
 		c.setSuspects(candidates)
 		if len(candidates) == 0 {
@@ -221,13 +221,11 @@
 }
 
 // markExplained marks the losses in crashes under which a quarantined part was lost.
-func (c *Collector) markExplained() {
+func (c *Collector) markExplained(now time.Time) {
 	stored := c.stored()
 	for _, cause := range c.losses {
 		quarantined := slices.ContainsFunc(cause.parts, func(part string) bool {
-			_, isStored := stored[part]
-			_, isDecided := c.decided[part]
-			return isStored || isDecided
+			return now.Before(stored[part].Until) || now.Before(c.decided[part].Until)
 		})
 		if !quarantined {
 			continue
--- a/internal/service/quarantine/publisher.go
+++ b/internal/service/quarantine/publisher.go
@@ -55,12 +55,12 @@
 			p.Log.Error().Str("part", part.Part).Err(err).Msg("quarantine_not_encoded")
 			continue
 		}
-		txn.Puts = append(txn.Puts, store.Put{Key: p.key(part.Part), Value: value})
+		txn.Puts = append(txn.Puts, store.Put{Key: Key(p.Prefix, part.Part), Value: value})
 	}
 	if p.Removes() {
 		for id, part := range p.Stored() {
 			if now.Sub(part.Until) > removalDelay && len(txn.Deletes) < maxWrites {
-				txn.Deletes = append(txn.Deletes, p.key(id))
+				txn.Deletes = append(txn.Deletes, Key(p.Prefix, id))
 			}
 		}
 	}
@@ -78,7 +78,5 @@
 	p.Metrics.Counter("quarantine.written").Inc(int64(len(txn.Puts)))
 }
 
-// key returns the key of a part, whose id may be longer than a key.
-func (p *Publisher) key(part string) string {
-	return p.Prefix + fmt.Sprintf("%016x", hashing.Of(part))
-}
+// Key returns the key in the store of a part, whose id may be longer than a key.
+func Key(prefix, part string) string { return prefix + fmt.Sprintf("%016x", hashing.Of(part)) }
--- a/internal/service/quarantine/quarantine_test.go
+++ b/internal/service/quarantine/quarantine_test.go
@@ -315,3 +315,23 @@
 		}
 	}
 }
+
+// TestPartIsQuarantinedAgainAfterItsEnd guards against a part that crashes engines again while its
+// earlier quarantine, which has ended, is still in the store.
+func TestPartIsQuarantinedAgainAfterItsEnd(t *testing.T) {
+	s := newSimulation(1, 6, 12)
+	ended := map[string]fleet.QuarantinedPart{crashingPart: {Part: crashingPart, Until: s.now.Add(-time.Second)}}
+	stored := func() map[string]fleet.QuarantinedPart { return ended }
+	s.collectors[0].Stored = stored
+	for _, host := range s.hosts {
+		host.Stored = stored
+	}
+	s.rate, s.crashingRate = 30, 0.6
+	s.run(20*time.Second, nil)
+	assert.Assert(t, s.refused[crashingPart] > 0)
+	assert.Equal(t, len(s.collectors[0].Unstored(s.now)), 1)
+
+	again := s.collectors[0].Unstored(s.now)[0]
+	ended = map[string]fleet.QuarantinedPart{crashingPart: again}
+	assert.Equal(t, len(s.collectors[0].Unstored(s.now)), 0)
+}
--- a/internal/service/quarantine/tracker.go
+++ b/internal/service/quarantine/tracker.go
@@ -94,12 +94,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
-		found, known := stored[part.ID]
-		if !known {
-			found, known = t.decided[part.ID]
-		}
-		if known && now.Before(found.Until) {
-			return &found
+		for _, known := range []map[string]fleet.QuarantinedPart{stored, t.decided} {
+			if found := known[part.ID]; now.Before(found.Until) {
+				return &found
+			}
 		}
 	}
 	return nil
@@ -203,14 +201,11 @@
 func (t *Tracker) addDecided(parts []fleet.QuarantinedPart, now time.Time) []fleet.QuarantinedPart {
 	stored := t.stored()
 	maps.DeleteFunc(t.decided, func(id string, part fleet.QuarantinedPart) bool {
-		_, isStored := stored[id]
-		return isStored || !now.Before(part.Until)
+		return !stored[id].Until.Before(part.Until) || !now.Before(part.Until)
 	})
 	var added []fleet.QuarantinedPart
 	for _, part := range parts {
-		_, isStored := stored[part.Part]
-		_, known := t.decided[part.Part]
-		if isStored || known {
+		if !stored[part.Part].Until.Before(part.Until) || t.decided[part.Part] == part {
 			continue
 		}
 		if t.decided == nil {
