--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -27,9 +27,6 @@
 	// sweepInterval is the interval of the calls that free results at upstreams without other
 	// calls.
 	sweepInterval = 250 * time.Millisecond
-	// wakeSlack is added to the end of a cooldown, so that the upstream is usable when the timer
-	// fires.
-	wakeSlack = time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the retry delay of refused callers, which takes a third
 	// of their time at most.
 	minRetryAfter = 200 * time.Millisecond
@@ -349,35 +346,6 @@
 	s.startCalls(calls)
 }
 
-// scheduleWake schedules a dispatch at the end of the next cooldown or of the next wait for a rate limit. The caller holds mu.
-func (s *Scheduler) scheduleWake(now time.Time) {
-	var next time.Time
-	for _, w := range s.plan.workers {
-		usableAt := w.cooldownUntil
-		if throttledUntil := now.Add(s.Throttle.WaitAlone(w.upstream, now)); throttledUntil.After(usableAt) {
-			usableAt = throttledUntil
-		}
-		if !w.removed && now.Before(usableAt) && (next.IsZero() || usableAt.Before(next)) {
-			next = usableAt
-		}
-	}
-	if next.IsZero() || (now.Before(s.wakeAt) && !next.Before(s.wakeAt)) {
-		return
-	}
-	s.wakeAt = next
-	time.AfterFunc(next.Sub(now)+wakeSlack, s.wake)
-}
-
-func (s *Scheduler) wake() {
-	s.mu.Lock()
-	now := clock.Now()
-	s.refresh()
-	calls := s.plan.dispatch(now)
-	s.scheduleWake(now)
-	s.mu.Unlock()
-	s.startCalls(calls)
-}
-
 // Sweep frees released results at upstreams that get no other call, and dispatches calls to
 // upstreams that are due for a probe.
 func (s *Scheduler) Sweep(time.Time) {
--- a/internal/service/throttle/throttle.go
+++ b/internal/service/throttle/throttle.go
@@ -119,12 +119,20 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known := t.limits[upstream.Incarnation()]; known != nil && known.rate > 0 {
+	if known := t.limited(upstream); known != nil {
 		return known.rate
 	}
 	return math.Inf(1)
 }
 
+// limited returns the limit of an upstream, or nil if it names none. The caller holds mu.
+func (t *Table) limited(upstream *fleet.Upstream) *limit {
+	if known := t.limits[upstream.Incarnation()]; known != nil && known.rate > 0 {
+		return known
+	}
+	return nil
+}
+
 // Wait returns the time until this host may send the upstream a request: 0 if it may now, and
 // false if other hosts share the limit of the upstream.
 func (t *Table) Wait(upstream *fleet.Upstream, now time.Time) (time.Duration, bool) {
@@ -133,8 +141,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.limits[upstream.Incarnation()]
-	if known == nil || known.rate == 0 {
+	known := t.limited(upstream)
+	if known == nil {
 		return 0, true
 	}
 	rate := t.share(upstream.ID, known)
@@ -151,12 +159,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.limits[upstream.Incarnation()]
-	if known == nil || known.rate == 0 {
-		return true
-	}
-	rate := t.share(upstream.ID, known)
-	return rate > 0 && known.take(rate, now)
+	known := t.limited(upstream)
+	return known == nil || known.take(t.share(upstream.ID, known), now)
 }
 
 // WaitAlone is like Wait for an upstream that gets requests from this host only.
@@ -166,11 +170,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.limits[upstream.Incarnation()]
-	if known == nil || known.rate == 0 {
-		return 0
+	if known := t.limited(upstream); known != nil {
+		return known.wait(known.rate, now)
 	}
-	return known.wait(known.rate, now)
+	return 0
 }
 
 // TakeAlone is like Take for an upstream that gets requests from this host only.
@@ -180,8 +183,8 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := t.limits[upstream.Incarnation()]
-	return known == nil || known.rate == 0 || known.take(known.rate, now)
+	known := t.limited(upstream)
+	return known == nil || known.take(known.rate, now)
 }
 
 // RetryDelay returns the time after which a caller that is refused because of the limits should
@@ -196,8 +199,8 @@
 	var chosenAt time.Time
 	var chosenRate, total float64
 	for _, upstream := range upstreams {
-		known := t.limits[upstream.Incarnation()]
-		if known == nil || known.rate == 0 {
+		known := t.limited(upstream)
+		if known == nil {
 			return 0
 		}
 		total += known.rate
@@ -240,9 +243,10 @@
 	return seconds((1 - l.tokens) / rate)
 }
 
+// take takes a token at the given rate, of which there are none if it is 0.
 func (l *limit) take(rate float64, now time.Time) bool {
 	l.fill(rate, now)
-	if l.tokens < 1 {
+	if rate == 0 || l.tokens < 1 {
 		return false
 	}
 	l.tokens--
