--- a/internal/service/outlier/outlier.go
+++ b/internal/service/outlier/outlier.go
@@ -1,6 +1,7 @@
 // Package outlier detects failing upstreams from the outcomes that all hosts observe.
 // With many hosts, each host sends an upstream a request only every few seconds and would
-// detect its failures late.
+// detect its failures late. The exchange also carries the evidence on prompts that crash engines
+// and the rate limits that upstreams name.
 package outlier
 
 import (
