List and lift quarantines on the command line

An operator whose engines were replaced had to delete a key whose name is a hash. redwingloft quarantine list shows the parts with the end of their quarantine, redwingloft quarantine lift PART ends it for all hosts.

TestLiftedQuarantine writes a quarantine to the store, sees it refused, lists it, lifts it and sees the request served. No decision of the hosts changes, so nothing was measured.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -20,7 +20,6 @@
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/helper/timer"
-	"redwingloft/internal/kernel"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
 	"redwingloft/internal/service/outlier"
@@ -83,11 +82,7 @@
 }
 
 func newEntryHost(s *settings.Settings, path string, logger *log.Logger) (*entryHost, error) {
-	factory, err := kernel.Stores.Get(s.Store.Kind)
-	if err != nil {
-		return nil, fmt.Errorf("[store] kind: %w", err)
-	}
-	kv, err := factory(kernel.StoreOptions{Endpoints: s.Store.Endpoints, Timeout: s.Store.Timeout, WatchWait: s.Store.WatchWait})
+	kv, err := openStore(s)
 	if err != nil {
 		return nil, err
 	}
@@ -114,7 +109,7 @@
 	}
 	e.outliers.Collector.Prompts.Stored = e.quarantinedParts
 	e.publisher = &quarantine.Publisher{
-		Collector: &e.outliers.Collector.Prompts, Store: store.WithCause(kv, store.CauseQuarantine, e.metrics), Prefix: e.quarantinePrefix(),
+		Collector: &e.outliers.Collector.Prompts, Store: store.WithCause(kv, store.CauseQuarantine, e.metrics), Prefix: quarantinePrefix(s),
 		Stored: e.quarantinedParts, Removes: func() bool { return e.outliers.Collects() }, Log: logger, Metrics: e.metrics,
 	}
 	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
@@ -129,7 +124,7 @@
 		Decoder: directory.Decoder{
 			DocumentKey: platform.KeyDocument, Document: platform.DecodeDocument,
 			UpstreamPrefix: platform.PrefixUpstream, Upstream: platform.DecodeUpstream, HostPrefix: s.Store.Prefix + "hosts/",
-			QuarantinePrefix: e.quarantinePrefix(),
+			QuarantinePrefix: quarantinePrefix(s),
 		},
 		FetchUpdate: web.FetchUpdate(e.peerClient), MaxAge: s.Store.MaxAge,
 		Seeds: s.Peer.Seeds,
@@ -141,9 +136,6 @@
 	}
 }
 
-// quarantinePrefix returns the key prefix of quarantined parts of prompts.
-func (e *entryHost) quarantinePrefix() string { return e.settings.Store.Prefix + "quarantine/" }
-
 // quarantinedParts returns the quarantined parts of prompts in the store.
 func (e *entryHost) quarantinedParts() map[string]fleet.QuarantinedPart {
 	return e.directory.View().Quarantined
--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -33,8 +33,9 @@
 // site is an entry host with stand-ins for the platform's store and upstreams.
 type site struct {
 	store *platform.Store
-	// address is the address of the store.
+	// address is the address of the store, path that of the settings of the last host.
 	address  string
+	path     string
 	settings *settings.Settings
 	host     *entryHost
 	stage    *platform.Upstream
@@ -148,6 +149,7 @@
 		"bounds.retrySlack": "54", "bounds.retryWindowS": "10",
 	}
 	path := renderSettings(t, values)
+	s.path = path
 	loaded, err := settings.Load(path)
 	assert.NilError(t, err)
 	host, err := newEntryHost(loaded, path, logging.New(&s.log, "info", id))
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -29,6 +29,7 @@
 			settingsCommand(),
 			configCommand(),
 			hostsCommand(),
+			quarantineCommand(),
 			callCommand(),
 			replayCommand(),
 			versionCommand(),
