Use the requests that are left of a limit first

With the limits kept, callers on a grown site got late answers: engines that named a limit used 40% of it, and the others were overloaded.

Cause: four of 81 hosts share a limit of 1.2, and each chose a limited engine only for the prefixes that it owns, as another prefix costs a prefill of its shared part. A limited engine has the time for that, while the engines that own the prefixes get all the rest.

Change: an engine of whose limit a host has a request left costs no repeated prefill, and the shares of a limit sum to 1.2 of it, since not every host has a request whenever it may send one.

--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -12,6 +12,8 @@
 type Candidate struct {
 	Upstream *fleet.Upstream
 	Health   Health
+	// Limited is true if the upstream names a rate limit, of which this host has a request left.
+	Limited bool
 }
 
 const (
@@ -45,14 +47,15 @@
 // SelectEngine returns the engine for a generation. All hosts send requests with a
 // common prompt prefix to the engine selected by the hash of the prefix, unless its backlog
 // of prefill work costs more than a repeated prefill of the prefix on another engine. It
-// suits long shared prompts.
+// suits long shared prompts. An engine with a rate limit costs no repeated prefill: it has time
+// for it, and the requests that it accepts would be lost to engines that get all others.
 func SelectEngine(candidates []Candidate, request *fleet.Request, preferred api.DataCentre, exclude map[api.UpstreamID]bool, now time.Time) *fleet.Upstream {
 	prefix, shared := sharedPrefix(request)
 	owner := rendezvousOwner(candidates, prefix)
 	return best(candidates, request.ID, exclude, now, func(c *Candidate) float64 {
 		cost := float64(c.Health.PendingTokens) / prefillRate / 1000
 		cost += requestCost.Seconds() * float64(c.Health.Running)
-		if c.Upstream != owner {
+		if c.Upstream != owner && !c.Limited {
 			cost += float64(shared) / prefillRate / 1000
 		}
 		if c.Upstream.DataCentre != preferred && preferred != "" {
--- a/internal/service/forward/decide_test.go
+++ b/internal/service/forward/decide_test.go
@@ -219,3 +219,22 @@
 		})
 	}
 }
+
+// TestRequestsLeftOfLimitAreUsed guards against engines that name a limit and get less than it, as
+// other engines have the prefixes, while those get more than they can take.
+func TestRequestsLeftOfLimitAreUsed(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	used := 0
+	const requests = 100
+	for i := range requests {
+		request := &fleet.Request{ID: api.RequestID(fmt.Sprint(i)), Prompt: []fleet.PromptPart{{ID: fmt.Sprint("p", i), Tokens: 6300}, {ID: "own", Tokens: 2000}}}
+		candidates := []Candidate{{Upstream: &fleet.Upstream{ID: "limited"}, Limited: true}}
+		for n := range 30 {
+			candidates = append(candidates, Candidate{Upstream: &fleet.Upstream{ID: api.UpstreamID(fmt.Sprint("u", n))}, Health: Health{Running: 1}})
+		}
+		if SelectEngine(candidates, request, "", nil, now).ID == "limited" {
+			used++
+		}
+	}
+	assert.Equal(t, used, requests)
+}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -188,8 +188,8 @@
 	now := clock.Now()
 	list := make([]Candidate, 0, len(ready))
 	for _, upstream := range ready {
-		if wait, shared := c.Pool.Throttle.Wait(upstream, now); shared && wait == 0 {
-			list = append(list, Candidate{upstream, c.Health.Get(upstream)})
+		if limited, exhausted := c.Pool.Throttle.State(upstream, now); !exhausted {
+			list = append(list, Candidate{upstream, c.Health.Get(upstream), limited})
 		}
 	}
 	return list
--- a/internal/service/throttle/throttle.go
+++ b/internal/service/throttle/throttle.go
@@ -26,6 +26,9 @@
 	minRate = 0.1
 	// burstTime is the time whose share may be sent at once.
 	burstTime = 500 * time.Millisecond
+	// overcommit is the sum of the shares of a limit. Not every host has a request whenever it may
+	// send one, so that shares of exactly the limit would leave a part of it unused.
+	overcommit = 1.2
 )
 
 // limit is the rate limit of an upstream as last known.
@@ -133,23 +136,20 @@
 	return nil
 }
 
-// Wait returns the time until this host may send the upstream a request: 0 if it may now, and
-// false if other hosts share the limit of the upstream.
-func (t *Table) Wait(upstream *fleet.Upstream, now time.Time) (time.Duration, bool) {
+// State reports whether an upstream names a limit, and whether this host may send it no request
+// now because of it.
+func (t *Table) State(upstream *fleet.Upstream, now time.Time) (limited, exhausted bool) {
 	if t == nil {
-		return 0, true
+		return false, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.limited(upstream)
 	if known == nil {
-		return 0, true
+		return false, false
 	}
 	rate := t.share(upstream.ID, known)
-	if rate == 0 {
-		return 0, false
-	}
-	return known.wait(rate, now), true
+	return true, rate == 0 || known.wait(rate, now) > 0
 }
 
 // Take reports whether this host may send the upstream a request now, and counts it.
@@ -265,7 +265,10 @@
 	if !l.shares && len(t.nodes) > 0 {
 		return 0
 	}
-	return l.rate / float64(l.sharers)
+	if l.sharers <= 1 {
+		return l.rate
+	}
+	return overcommit * l.rate / float64(l.sharers)
 }
 
 // updateHosts computes the nodes if the list of hosts has changed. The caller holds mu.
--- a/internal/service/throttle/throttle_test.go
+++ b/internal/service/throttle/throttle_test.go
@@ -90,8 +90,7 @@
 }
 
 func (s *simulation) send(table *Table) {
-	wait, shared := table.Wait(s.upstream, s.now)
-	if !shared || wait > 0 {
+	if _, exhausted := table.State(s.upstream, s.now); exhausted {
 		return
 	}
 	if !table.Take(s.upstream, s.now) {
@@ -166,8 +165,8 @@
 	s.rate = nil
 	s.run(5 * time.Second)
 	for id, table := range s.tables {
-		wait, shared := table.Wait(s.upstream, s.now)
-		assert.Assert(t, shared && wait == 0, "%s still keeps the limit", id)
+		limited, _ := table.State(s.upstream, s.now)
+		assert.Assert(t, !limited, "%s still keeps the limit", id)
 	}
 }
 
