Log a quarantine once until it is in the store

Found while reading the change: a decision was compared with the one received before by its whole value. Where the zone of a time has no name, equal times differ after decoding, and each exchange of each host logged the decision anew until it was in the store, for about a second, or as long as the store is away.

TestRepeatedVerdictIsNotNew failed (logged twice) and passes.

--- a/internal/service/quarantine/quarantine_test.go
+++ b/internal/service/quarantine/quarantine_test.go
@@ -335,3 +335,14 @@
 	ended = map[string]fleet.QuarantinedPart{crashingPart: again}
 	assert.Equal(t, len(s.collectors[0].Unstored(s.now)), 0)
 }
+
+// TestRepeatedVerdictIsNotNew guards against a decision that is logged with each exchange until it
+// is in the store.
+func TestRepeatedVerdictIsNotNew(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	tracker := &Tracker{}
+	for i, zone := range []string{"first", "second"} {
+		verdict := &Verdict{Epoch: 1, Quarantined: []fleet.QuarantinedPart{{Part: "a", Until: now.Add(time.Minute).In(time.FixedZone(zone, 3600))}}}
+		assert.Equal(t, len(tracker.Apply(nil, verdict, now)), 1-i)
+	}
+}
--- a/internal/service/quarantine/tracker.go
+++ b/internal/service/quarantine/tracker.go
@@ -205,7 +205,7 @@
 	})
 	var added []fleet.QuarantinedPart
 	for _, part := range parts {
-		if !stored[part.Part].Until.Before(part.Until) || t.decided[part.Part] == part {
+		if !stored[part.Part].Until.Before(part.Until) || t.decided[part.Part].Until.Equal(part.Until) {
 			continue
 		}
 		if t.decided == nil {
