--- a/internal/service/stage/client_test.go
+++ b/internal/service/stage/client_test.go
@@ -55,10 +55,10 @@
 // TestConnectionResetRetriesSameHost guards against a second scheduling host beside one that only
 // lost a connection, and against a host that is kept despite repeated resets.
 func TestConnectionResetRetriesSameHost(t *testing.T) {
-	var calls atomic.Int64
-	var resets int64 = 1
+	var calls, resets atomic.Int64
+	resets.Store(1)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if calls.Add(1) <= resets {
+		if calls.Add(1) <= resets.Load() {
 			panic(http.ErrAbortHandler)
 		}
 		assert.Check(t, json.NewEncoder(w).Encode(Reply{Stored: []StoredResults{{Upstream: "u", Items: []StoredResult{{Result: "first"}}}}}))
@@ -73,7 +73,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, prepared.Inputs, []fleet.ResultRef{"first"})
 
-	resets = 100
+	resets.Store(100)
 	client := newTestClient(view)
 	prepared, err = client.Prepare(context.Background(), testWork())
 	assert.NilError(t, err)
