--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -74,12 +75,21 @@
 // eventTimeout bounds the wait of a test for an event.
 const eventTimeout = 10 * time.Second
 
+// freeAddress returns an address on which nothing listens. Its port is below those that outgoing
+// connections get, one of which could take it before the host does.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range 100 {
+		address := fmt.Sprint("127.0.0.1:", 10000+rand.IntN(20000))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, listener.Close())
+		return address
+	}
+	t.Fatal("no free port was found")
+	return ""
 }
 
 // renderSettings fills the template of the deploy folder as the platform does.
