Log why a response was broken off

A response that was broken off looked the same in the logs whether its caller had left, its deadline had passed, or no engine could go on: the error was that of the cancelled attempt ("use of closed network connection"), so that the hypotheses in docs/incidents/lost-streams.md could not be told apart.

request_done now has cause=deadline_exceeded, caller_gone or stage_failed, with a counter for each, and the error of an attempt that was cancelled for its silence says so. No decision changes. TestAbortedStreamNamesItsCause failed before (the cause was stage_failed) and passes.

--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -126,7 +126,10 @@
 	} else {
 		err = c.serveBuffered(ctx)
 	}
-	if err != nil && !IsAborted(err) {
+	switch {
+	case IsAborted(err):
+		err = errors.Join(errAborted, c.wrapContextError(ctx, err))
+	case err != nil:
 		err = c.wrapContextError(ctx, err)
 	}
 	c.logDone(err)
@@ -264,11 +267,12 @@
 
 // logDone counts and logs the outcome of a request.
 func (c *call) logDone(err error) {
-	outcome := "answered"
+	outcome, cause := "answered", ""
 	if err != nil {
 		outcome = string(fault.KindOf(err))
 		if IsAborted(err) {
-			outcome = "aborted"
+			outcome, cause = "aborted", outcome
+			c.Metrics.Counter("aborted." + cause).Inc(1)
 		}
 	}
 	took := clock.Now().Sub(c.request.Received)
@@ -281,6 +285,9 @@
 	if err != nil {
 		entry = entry.Err(err)
 	}
+	if cause != "" {
+		entry = entry.Str("cause", cause)
+	}
 	entry.Str("outcome", outcome).Msg("request_done")
 }
 
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -195,6 +195,7 @@
 	outcome := s.outcomeOf(ctx, result)
 	if errors.Is(context.Cause(ctx), errStalled) {
 		outcome = OutcomeFailed
+		err = errors.Join(errStalled, err)
 	}
 	s.Health.End(upstream, outcome, first, clock.Now())
 	if first > 0 {
--- a/internal/service/forward/stream_test.go
+++ b/internal/service/forward/stream_test.go
@@ -140,6 +140,19 @@
 	assert.Assert(t, time.Since(began) < 700*time.Millisecond)
 }
 
+// TestAbortedStreamNamesItsCause guards against logs from which the deadline, a caller that has
+// left and a lost engine can't be told apart.
+func TestAbortedStreamNamesItsCause(t *testing.T) {
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, Timeout: 200 * time.Millisecond}, func(w *bufio.Writer, run platform.Request) bool {
+		platform.WriteEvents(w, run.Header.Get(wire.HeaderRequestID), 1, 2, false, time.Second)
+		return false
+	})
+	_, err := f.serve(t, nil)
+	assert.Assert(t, IsAborted(err))
+	assert.Equal(t, fault.KindOf(err), api.KindDeadlineExceeded)
+	assert.Equal(t, f.Metrics.Counter("aborted.deadline_exceeded").Count(), int64(1))
+}
+
 // TestStagesAreRerun guards against a request that fails because a stage result was gone
 // before the engine fetched it.
 func TestStagesAreRerun(t *testing.T) {
