Give a begun stream's stages the time until its caller gives up

Callers saw streams of a hundred events and more end without their last event, with 11 to 16 s left: their engine was silent, the host cancelled the attempt and ran the stages again to go on elsewhere, and these were refused ("the stages need 2.78s, but only 1.319s remain until the deadline").

Cause: the deadline of stages was always that of the first event (counted from the arrival of the request), which a stream that has run for some seconds has passed, and their target was the response-time objective, which such a stream has met already. Class of fault: a decision that uses the bound of another phase of the request. A begun stream now has the time until its caller gives up on the next event, counted from the last one, for its deadline and its target.

Ruled out: the share of the time that late jobs may take (lateDeadlineShare); with the right deadline it is seldom reached.

--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -36,7 +36,9 @@
 	Rank int
 	// EngineDataCentre is the data centre of the engine that the hash of the prompt prefix selects.
 	EngineDataCentre api.DataCentre
-	// Deadline is when the caller is expected to give up on the first event.
+	// Target is when the results should be ready.
+	Target time.Time
+	// Deadline is when the caller is expected to give up on the next event.
 	Deadline time.Time
 }
 
@@ -82,11 +84,11 @@
 	budgeted bool
 }
 
-// firstEventDeadline returns when the caller of a stream is expected to give up on the
-// first event.
-func (c *call) firstEventDeadline() time.Time {
+// eventDeadline returns when the caller of a stream is expected to give up if it gets no event
+// from the given time on.
+func (c *call) eventDeadline(since time.Time) time.Time {
 	wait := max(minCallerWait, callerWaitObjectiveFactor*c.route.Objective, callerWaitGapFactor*c.route.MaxGap)
-	until := c.request.Received.Add(wait)
+	until := since.Add(wait)
 	if until.Before(c.deadline) {
 		return until
 	}
@@ -94,8 +96,9 @@
 }
 
 const (
-	// Callers of the platform disconnect from a stream without events after the longest of
-	// minCallerWait, a number of response-time objectives and a number of maximum gaps.
+	// Callers of the platform disconnect from a stream, before its first event or between two,
+	// after the longest of minCallerWait, a number of response-time objectives and a number of
+	// maximum gaps.
 	minCallerWait             = 2 * time.Second
 	callerWaitObjectiveFactor = 4
 	callerWaitGapFactor       = 8
@@ -126,11 +129,12 @@
 	} else {
 		err = c.serveBuffered(ctx)
 	}
-	switch {
-	case IsAborted(err):
-		err = errors.Join(errAborted, c.wrapContextError(ctx, err))
-	case err != nil:
+	if err != nil {
+		aborted := IsAborted(err)
 		err = c.wrapContextError(ctx, err)
+		if aborted && !IsAborted(err) {
+			err = errors.Join(errAborted, err)
+		}
 	}
 	c.logDone(err)
 	return err
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -42,7 +42,7 @@
 
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream(ctx context.Context) error {
-	prepared, err := c.prepare(ctx)
+	prepared, err := c.runStages(ctx, c.request.Received.Add(c.route.Objective), c.eventDeadline(c.request.Received))
 	if err != nil {
 		return err
 	}
@@ -85,8 +85,9 @@
 	}
 }
 
-// prepare runs the stages of the request.
-func (c *call) prepare(ctx context.Context) (*StageResults, error) {
+// runStages runs the stages of the request. Results should be ready at target and are useless after
+// deadline.
+func (c *call) runStages(ctx context.Context, target, deadline time.Time) (*StageResults, error) {
 	items := 0
 	for _, count := range c.request.Items {
 		items += count
@@ -98,7 +99,7 @@
 		return nil, fault.New(api.KindBadRequest, "request has items for %d stages, but the route has %d", len(c.request.Items), len(c.route.Stages))
 	}
 	prepared, err := c.RunStages(ctx, &StageWork{
-		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Deadline: c.firstEventDeadline(),
+		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Target: target, Deadline: deadline,
 		EngineDataCentre: PrefixDataCentre(c.candidates(), c.request, clock.Now()),
 	})
 	c.prepareTime = clock.Now().Sub(c.request.Received)
@@ -119,6 +120,8 @@
 	forwarded int
 	// events counts the events of the current attempt.
 	events int
+	// lastEventAt is when the last event was forwarded; zero before the first one.
+	lastEventAt time.Time
 }
 
 // logFailedAttempt logs a failed attempt with the events that it produced. If the response was
@@ -143,10 +146,27 @@
 // errInputsGone is returned if an input no longer existed when the engine fetched it.
 var errInputsGone = errors.New("an input of the request no longer exists")
 
+// nextDeadline returns when the caller is expected to give up on the next event.
+func (s *streamCall) nextDeadline() time.Time {
+	if s.lastEventAt.IsZero() {
+		return s.eventDeadline(s.request.Received)
+	}
+	return s.eventDeadline(s.lastEventAt)
+}
+
+// nextTarget returns when results of stages should be ready. A stream that has begun is cut if it
+// can't go on, so its stages are not late before its caller gives up.
+func (s *streamCall) nextTarget() time.Time {
+	if s.lastEventAt.IsZero() {
+		return s.request.Received.Add(s.route.Objective)
+	}
+	return s.nextDeadline()
+}
+
 // rerunStages runs the stages again to get inputs for another attempt.
 func (s *streamCall) rerunStages(ctx context.Context) error {
 	s.prepared.Release()
-	prepared, err := s.prepare(ctx)
+	prepared, err := s.runStages(ctx, s.nextTarget(), s.nextDeadline())
 	if err != nil {
 		s.prepared = &StageResults{Release: func() {}}
 		return err
@@ -377,6 +397,7 @@
 		return err
 	}
 	s.forwarded++
+	s.lastEventAt = clock.Now()
 	if e.id != "" {
 		s.lastEventID = e.id
 	}
--- a/internal/service/forward/stream_test.go
+++ b/internal/service/forward/stream_test.go
@@ -174,3 +174,31 @@
 	assert.Equal(t, f.prepared, 2)
 	assert.Equal(t, f.upstreams[0].Entry.Service, api.ServiceName("svc"))
 }
+
+// TestBegunStreamOutlivesFirstEventDeadline guards against a stream that is cut with its engine,
+// because the stages for another engine are refused by the deadline of the first event.
+func TestBegunStreamOutlivesFirstEventDeadline(t *testing.T) {
+	const interval = 600 * time.Millisecond
+	breaking := func(w *bufio.Writer, run platform.Request) bool {
+		if run.Header.Get(wire.HeaderLastEvent) == "" {
+			platform.WriteEvents(w, run.Header.Get(wire.HeaderRequestID), 1, 4, false, interval)
+			return false
+		}
+		platform.WriteEvents(w, run.Header.Get(wire.HeaderRequestID), 5, 6, true, 0)
+		return true
+	}
+	route := fleet.Route{
+		Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2, Objective: 300 * time.Millisecond, Stages: []fleet.Stage{{Service: "stage"}},
+	}
+	f := newFixture(t, route, breaking, breaking)
+	run := f.RunStages
+	f.RunStages = func(ctx context.Context, work *StageWork) (*StageResults, error) {
+		if now := clock.Now(); work.Deadline.Sub(now) < interval || work.Target.Before(now) {
+			return nil, fault.New(api.KindDeadlineUnreachable, "%s left", work.Deadline.Sub(now))
+		}
+		return run(ctx, work)
+	}
+	recorder, err := f.serve(t, func(r *fleet.Request) { r.Items, r.CallerTimeout = []int{1}, 20*time.Second })
+	assert.NilError(t, err)
+	assert.Equal(t, recorder.Body.String(), events(1, 6))
+}
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -186,7 +186,7 @@
 	m := &Message{
 		Request: work.Request.ID, Key: work.Request.ItemKey, Rank: work.Rank, Group: group, Home: work.EngineDataCentre,
 		DeadlineMs: (work.Deadline.Sub(now) - engineReserve).Milliseconds(),
-		TargetMs:   work.Request.Received.Add(work.Route.Objective).Sub(now).Milliseconds(),
+		TargetMs:   work.Target.Sub(now).Milliseconds(),
 	}
 	for i, stage := range work.Route.Stages {
 		m.Stages = append(m.Stages, Spec{
