Check the cause instead of the wall time of endless responses in a test

TestBytesWithoutEnd failed twice beside load (10.0 s on the present code, 10.85 s on with the race detector, load average 28): it took more than 10 s of wall time to mean that the deadline of 20 s had ended the request. Reading 16 MB in chunks of one byte with the race detector takes 5 s on a calm machine. The error now tells which of the two ended the request, so the test checks that it was not the deadline, which is 2 minutes; all other checks are the same.

--- a/internal/service/forward/limit_test.go
+++ b/internal/service/forward/limit_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/fault"
 	"redwingloft/pkg/api"
 	wire "redwingloft/platform"
 	"redwingloft/standin/platform"
@@ -46,11 +47,10 @@
 			})
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			started := time.Now()
-			recorder, err := f.serve(t, func(r *fleet.Request) { r.CallerTimeout = 20 * time.Second })
+			recorder, err := f.serve(t, func(r *fleet.Request) { r.CallerTimeout = 2 * time.Minute })
 			runtime.ReadMemStats(&after)
 			assert.Assert(t, err != nil, "%d %.20s", recorder.Code, recorder.Body)
-			assert.Assert(t, time.Since(started) < 10*time.Second, "ended by the deadline of 20 s")
+			assert.Assert(t, !fault.Is(err, api.KindDeadlineExceeded), "ended by the deadline: %v", err)
 			assert.Assert(t, written.Load() <= wireRatio*maxBufferedBytes+socketBytes, "%d bytes were read", written.Load())
 			allocated := after.TotalAlloc - before.TotalAlloc
 			// A buffer that doubles up to the limit allocates four times the limit at most.
