Give up a stalled attempt only once its replacement is certain

An engine that was silent for 1.5 s (1.2 s before its first event) lost its request: the attempt was cancelled first, and whether another one could follow was found out later. Callers got a cut stream where the stages were refused, the retry budget was used up, or no other engine accepted the request, and 502 for a lookup that its upstream would have answered, although the upstream was sound and went on after a moment.

Cause: the timer of an attempt knew only its upstream's silence. Class of fault: giving up what one has before one has its successor. The timer now first secures the replacement (an untried upstream that is reachable and within its rate limit, the retry budget, and new results of the stages if those of the attempt are gone) while the attempt continues. Only then is the attempt cancelled; if it makes progress in the meantime the replacement is given up and the budget refunded, and without a replacement the attempt continues and the timer tries again every 0.5 s. The health of the upstream learns of the silence at once in both cases. The same timer serves streams and buffered requests.

--- a/internal/service/forward/budget.go
+++ b/internal/service/forward/budget.go
@@ -67,6 +67,14 @@
 	return true
 }
 
+// Refund returns attempts that Allow has counted and that were not made.
+func (b *Budget) Refund(service api.ServiceName, count int, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, slot := b.window(service, now)
+	w.retries[slot] -= count
+}
+
 // window returns the counts of a service, with expired buckets cleared, and the current
 // slot. b.mu must be held.
 func (b *Budget) window(service api.ServiceName, now time.Time) (*slidingWindow, int) {
--- a/internal/service/forward/health.go
+++ b/internal/service/forward/health.go
@@ -180,6 +180,15 @@
 	t.entry(u).PendingTokens -= tokens
 }
 
+// Stalled records that a request makes no progress. The request remains counted until End, whose
+// outcome is then OutcomeCancelled if the request is given up.
+func (t *HealthTable) Stalled(u *fleet.Upstream, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(u, OutcomeFailed)
+	t.record(t.entry(u), OutcomeFailed, 0, now)
+}
+
 // End records the outcome of a request; latency is its response time, 0 if unknown.
 func (t *HealthTable) End(u *fleet.Upstream, outcome Outcome, latency time.Duration, now time.Time) {
 	t.mu.Lock()
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -12,12 +12,12 @@
 )
 
 const (
-	// attemptObjectiveFactor is the time limit of an attempt that can be retried, in
-	// response-time objectives of the route.
-	attemptObjectiveFactor = 2
-	// attemptLatencyFactor is the same limit in mean latencies of the upstream, for routes
-	// whose objective is shorter than the usual response time. The larger limit applies.
-	attemptLatencyFactor = 4
+	// stallObjectiveFactor is the time after which an attempt is replaced, in response-time
+	// objectives of the route.
+	stallObjectiveFactor = 2
+	// stallLatencyFactor is the same time in mean latencies of the upstream, for routes whose
+	// objective is shorter than the usual response time. The longer time applies.
+	stallLatencyFactor = 4
 )
 
 // serveBuffered serves a request whose response is forwarded as a whole.
@@ -28,18 +28,11 @@
 			last.release()
 		}
 	}()
+	defer c.dropReplacement()
 	for {
-		if err := c.checkPrompt(); err != nil {
-			return c.deliverOrRefuse(last, err)
-		}
-		upstream, err := c.selectUpstream(func(candidates []Candidate) *fleet.Upstream {
-			return LeastLoaded(candidates, c.request.ID, c.exclude, clock.Now())
-		})
+		upstream, err := c.nextUpstream(c.leastLoaded)
 		if err != nil {
-			return c.deliverOrRefuse(last, err)
-		}
-		if !c.takeAttempt() {
-			return c.deliverLast(last, errors.New("retry budget exhausted"))
+			return c.deliverOrFail(last, err)
 		}
 		response, result, err := c.tryBuffered(ctx, upstream)
 		c.history.Add(result)
@@ -68,6 +61,11 @@
 	}
 }
 
+// leastLoaded returns the candidate for the next attempt.
+func (c *call) leastLoaded(candidates []Candidate) *fleet.Upstream {
+	return LeastLoaded(candidates, c.request.ID, c.exclude, clock.Now())
+}
+
 // bufferedResponse is an upstream's response that was read completely.
 type bufferedResponse struct {
 	status int
@@ -79,11 +77,19 @@
 
 // tryBuffered makes one attempt and records its outcome.
 func (c *call) tryBuffered(ctx context.Context, upstream *fleet.Upstream) (*bufferedResponse, Result, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.attemptTimeout(upstream))
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	startTime := clock.Now()
 	c.Health.Begin(upstream, 0)
+	var stall *stallTimer
+	if c.route.Objective > 0 {
+		stall = c.newStallTimer(upstream, cancel, func(context.Context, time.Time) (*replacement, error) {
+			return c.secureUpstream(upstream, c.leastLoaded)
+		})
+	}
+	stall.start(c.stallTimeout(upstream))
 	response, result, err := c.exchangeBuffered(ctx, upstream)
+	c.replacement = stall.stop()
 	switch result {
 	case ResultAnswered:
 		c.recordProgress()
@@ -95,15 +101,9 @@
 	return response, result, err
 }
 
-// attemptTimeout returns the time limit of an attempt: the time left, or less if another
-// upstream could be tried.
-func (c *call) attemptTimeout(upstream *fleet.Upstream) time.Duration {
-	left := c.left()
-	if !c.route.Repeatable() || c.history.MayHaveRun+1 >= c.route.MaxAttempts || c.route.Objective == 0 {
-		return left
-	}
-	limit := max(attemptObjectiveFactor*c.route.Objective, attemptLatencyFactor*c.Health.Get(upstream).Latency)
-	return min(limit, left)
+// stallTimeout returns the time after which an attempt is replaced.
+func (c *call) stallTimeout(upstream *fleet.Upstream) time.Duration {
+	return max(stallObjectiveFactor*c.route.Objective, stallLatencyFactor*c.Health.Get(upstream).Latency)
 }
 
 func (c *call) exchangeBuffered(ctx context.Context, upstream *fleet.Upstream) (*bufferedResponse, Result, error) {
@@ -153,13 +153,13 @@
 	return OutcomeFailed
 }
 
-// deliverOrRefuse forwards the last complete response. If there is none, it returns the refusal of
-// a further attempt.
-func (c *call) deliverOrRefuse(last *bufferedResponse, refusal error) error {
+// deliverOrFail forwards the last complete response. If there is none, it returns the reason why
+// there is no further attempt.
+func (c *call) deliverOrFail(last *bufferedResponse, reason error) error {
 	if last != nil {
 		return c.deliver(last)
 	}
-	return c.afterAttempts(refusal)
+	return reason
 }
 
 // deliverLast forwards the last complete response. Returns an error if there is none.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -82,6 +82,9 @@
 	status  int
 	// budgeted is set after the first attempt was counted.
 	budgeted bool
+	// replacement is the attempt that follows the last one, which was cancelled for it; nil if the
+	// last attempt ended by itself.
+	replacement *replacement
 }
 
 // eventDeadline returns when the caller of a stream is expected to give up if it gets no event
--- /dev/null
+++ b/internal/service/forward/stall_test.go
@@ -0,0 +1,100 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+	"gotest.tools/v3/poll"
+
+	"redwingloft/internal/data/fleet"
+	wire "redwingloft/platform"
+	"redwingloft/standin/platform"
+)
+
+// pausing sends three events, pauses for longer than the timeout of a gap, and sends the rest.
+func pausing(w *bufio.Writer, run platform.Request) bool {
+	platform.WriteEvents(w, run.Header.Get(wire.HeaderRequestID), 1, 3, false, 0)
+	time.Sleep(minGapTimeout + 300*time.Millisecond)
+	rest := events(4, 6)
+	fmt.Fprintf(w, "%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+	return true
+}
+
+// TestSilentEngineWithoutReplacementGoesOn guards against a stream that is cut because its engine
+// was silent for a moment and no other one can go on.
+func TestSilentEngineWithoutReplacementGoesOn(t *testing.T) {
+	t.Parallel()
+	rerun := func(f *fixture, again func(ctx context.Context) (*StageResults, error)) {
+		first := f.RunStages
+		f.RunStages = func(ctx context.Context, work *StageWork) (*StageResults, error) {
+			if f.totalRuns() > 0 {
+				return again(ctx)
+			}
+			return first(ctx, work)
+		}
+	}
+	for name, example := range map[string]struct {
+		engines int
+		change  func(f *fixture)
+	}{
+		"no stages": {2, func(f *fixture) {
+			rerun(f, func(context.Context) (*StageResults, error) { return nil, errors.New("refused") })
+		}},
+		"slow stages": {2, func(f *fixture) {
+			rerun(f, func(ctx context.Context) (*StageResults, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			})
+		}},
+		"no retry budget": {2, func(f *fixture) { f.Budget = &Budget{Window: 10 * time.Second} }},
+		"no other engine": {1, func(*fixture) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			handlers := []func(*bufio.Writer, platform.Request) bool{pausing, pausing}[:example.engines]
+			f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2, Stages: []fleet.Stage{{Service: "stage"}}}, handlers...)
+			example.change(f)
+			recorder, err := f.serve(t, func(r *fleet.Request) { r.Items, r.CallerTimeout = []int{1}, 10*time.Second })
+			assert.NilError(t, err)
+			assert.Equal(t, recorder.Body.String(), events(1, 6))
+			assert.Equal(t, f.totalRuns(), 1)
+			poll.WaitOn(t, func(poll.LogT) poll.Result { return poll.Compare(cmp.Equal(f.Budget.retries(), 0)) })
+		})
+	}
+}
+
+// TestSlowUpstreamWithoutReplacementAnswers guards against a request that fails because its upstream
+// is slow and it can't be sent to another one.
+func TestSlowUpstreamWithoutReplacementAnswers(t *testing.T) {
+	t.Parallel()
+	slow := func(w *bufio.Writer, run platform.Request) bool {
+		time.Sleep(300 * time.Millisecond)
+		return respondOK(w, run)
+	}
+	f := newFixture(t, fleet.Route{Kind: fleet.KindIdempotent, MaxAttempts: 2, Objective: 50 * time.Millisecond}, slow, slow)
+	f.Budget = &Budget{Window: 10 * time.Second}
+	recorder, err := f.serve(t, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, recorder.Body.String(), "whole")
+	assert.Equal(t, f.totalRuns(), 1)
+	assert.Assert(t, f.Health.Get(&f.upstreams[0].Entry).FailureRate+f.Health.Get(&f.upstreams[1].Entry).FailureRate > 0)
+}
+
+// retries returns the retries of all services in the window.
+func (b *Budget) retries() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	total := 0
+	for _, w := range b.services {
+		for _, count := range w.retries {
+			total += count
+		}
+	}
+	return total
+}
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -43,24 +43,18 @@
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream(ctx context.Context) error {
 	prepared, err := c.runStages(ctx, c.request.Received.Add(c.route.Objective), c.eventDeadline(c.request.Received))
+	c.prepareTime = clock.Now().Sub(c.request.Received)
 	if err != nil {
 		return err
 	}
-	defer func() { prepared.Release() }()
 	s := &streamCall{call: c, prepared: prepared, lastEventID: c.request.LastEventID}
+	defer func() { s.prepared.Release() }()
+	defer s.dropReplacement()
 	for {
-		if err := c.checkPrompt(); err != nil {
-			return s.fail(c.afterAttempts(err))
-		}
-		upstream, err := c.selectUpstream(func(candidates []Candidate) *fleet.Upstream {
-			return SelectEngine(candidates, c.request, prepared.DataCentre, c.exclude, clock.Now())
-		})
+		upstream, err := s.nextUpstream(s.selectEngine(s.prepared))
 		if err != nil {
 			return s.fail(err)
 		}
-		if !c.takeAttempt() {
-			return s.fail(c.finalError(finalAction(c.history), errors.New("retry budget exhausted")))
-		}
 		result, err := s.tryUpstream(ctx, upstream)
 		c.history.Add(result)
 		if result == ResultAnswered {
@@ -76,15 +70,19 @@
 			return s.fail(c.finalError(finalAction(c.history), err))
 		}
 		c.Metrics.Counter("retry." + string(result)).Inc(1)
-		if errors.Is(err, errInputsGone) || s.inputsReleased.Load() {
-			if err := s.rerunStages(ctx); err != nil {
-				return s.fail(c.afterAttempts(err))
-			}
-			prepared = s.prepared
+		if err := s.prepareRetry(ctx, errors.Is(err, errInputsGone)); err != nil {
+			return s.fail(c.afterAttempts(err))
 		}
 	}
 }
 
+// selectEngine returns the choice of an engine for a request with the given results of its stages.
+func (c *call) selectEngine(prepared *StageResults) func([]Candidate) *fleet.Upstream {
+	return func(candidates []Candidate) *fleet.Upstream {
+		return SelectEngine(candidates, c.request, prepared.DataCentre, c.exclude, clock.Now())
+	}
+}
+
 // runStages runs the stages of the request. Results should be ready at target and are useless after
 // deadline.
 func (c *call) runStages(ctx context.Context, target, deadline time.Time) (*StageResults, error) {
@@ -98,12 +96,10 @@
 	if len(c.request.Items) != len(c.route.Stages) {
 		return nil, fault.New(api.KindBadRequest, "request has items for %d stages, but the route has %d", len(c.request.Items), len(c.route.Stages))
 	}
-	prepared, err := c.RunStages(ctx, &StageWork{
+	return c.RunStages(ctx, &StageWork{
 		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Target: target, Deadline: deadline,
 		EngineDataCentre: PrefixDataCentre(c.candidates(), c.request, clock.Now()),
 	})
-	c.prepareTime = clock.Now().Sub(c.request.Received)
-	return prepared, err
 }
 
 // streamCall is the state of a streaming request while it is served.
@@ -146,34 +142,58 @@
 // errInputsGone is returned if an input no longer existed when the engine fetched it.
 var errInputsGone = errors.New("an input of the request no longer exists")
 
-// nextDeadline returns when the caller is expected to give up on the next event.
-func (s *streamCall) nextDeadline() time.Time {
-	if s.lastEventAt.IsZero() {
-		return s.eventDeadline(s.request.Received)
+// rerunStages runs the stages of the request again. A stream that has begun is cut if it can't go
+// on, so its stages are not late before its caller gives up. lastEvent is the time of the last
+// event; zero if there was none.
+func (s *streamCall) rerunStages(ctx context.Context, lastEvent time.Time) (*StageResults, error) {
+	if lastEvent.IsZero() {
+		return s.runStages(ctx, s.request.Received.Add(s.route.Objective), s.eventDeadline(s.request.Received))
 	}
-	return s.eventDeadline(s.lastEventAt)
+	deadline := s.eventDeadline(lastEvent)
+	return s.runStages(ctx, deadline, deadline)
 }
 
-// nextTarget returns when results of stages should be ready. A stream that has begun is cut if it
-// can't go on, so its stages are not late before its caller gives up.
-func (s *streamCall) nextTarget() time.Time {
-	if s.lastEventAt.IsZero() {
-		return s.request.Received.Add(s.route.Objective)
+// prepareRetry provides the inputs of another attempt.
+func (s *streamCall) prepareRetry(ctx context.Context, inputsGone bool) error {
+	if s.replacement != nil {
+		s.usePrepared(s.replacement.prepared)
+		return nil
+	}
+	if !inputsGone && !s.inputsReleased.Load() {
+		return nil
 	}
-	return s.nextDeadline()
-}
-
-// rerunStages runs the stages again to get inputs for another attempt.
-func (s *streamCall) rerunStages(ctx context.Context) error {
 	s.prepared.Release()
-	prepared, err := s.runStages(ctx, s.nextTarget(), s.nextDeadline())
+	prepared, err := s.rerunStages(ctx, s.lastEventAt)
 	if err != nil {
-		s.prepared = &StageResults{Release: func() {}}
 		return err
 	}
+	s.usePrepared(prepared)
+	return nil
+}
+
+// usePrepared replaces the results of the stages; nil keeps those that there are.
+func (s *streamCall) usePrepared(prepared *StageResults) {
+	if prepared == nil {
+		return
+	}
+	s.prepared.Release()
 	s.prepared = prepared
 	s.inputsReleased.Store(false)
-	return nil
+	s.prepareTime = clock.Now().Sub(s.request.Received)
+}
+
+// secureEngine returns a replacement for a stalled attempt, with new inputs if the former ones may
+// no longer exist.
+func (s *streamCall) secureEngine(ctx context.Context, current *fleet.Upstream, prepared *StageResults, lastEvent time.Time) (*replacement, error) {
+	secured, err := s.secureUpstream(current, s.selectEngine(prepared))
+	if err != nil || !s.inputsReleased.Load() {
+		return secured, err
+	}
+	if secured.prepared, err = s.rerunStages(ctx, lastEvent); err != nil {
+		s.discard(secured)
+		return nil, err
+	}
+	return secured, nil
 }
 
 // release frees the inputs after the engine has fetched them.
@@ -201,34 +221,30 @@
 	s.events = 0
 	tokens := s.request.PromptTokens
 	s.Health.Begin(upstream, tokens)
-	stall := &stallTimer{firstTimeout: s.firstEventTimeout(upstream), cancel: cancel, enabled: s.canSwitchEngine()}
-	stall.start()
-	defer stall.stop()
+	prepared := s.prepared
+	stall := s.newStallTimer(upstream, cancel, func(ctx context.Context, lastEvent time.Time) (*replacement, error) {
+		return s.secureEngine(ctx, upstream, prepared, lastEvent)
+	})
+	stall.start(s.firstEventTimeout(upstream))
 	sent := clock.Now()
 	result, first, err := s.exchange(ctx, upstream, stall)
+	s.replacement = stall.stop()
 	if result == ResultLost && s.events < progressEvents {
 		s.recordLoss(ctx, upstream, sent, err)
 	}
 	if first == 0 {
 		s.Health.Prefilled(upstream, tokens)
 	}
-	outcome := s.outcomeOf(ctx, result)
 	if errors.Is(context.Cause(ctx), errStalled) {
-		outcome = OutcomeFailed
 		err = errors.Join(errStalled, err)
 	}
-	s.Health.End(upstream, outcome, first, clock.Now())
+	s.Health.End(upstream, s.outcomeOf(ctx, result), first, clock.Now())
 	if first > 0 {
 		s.Metrics.Histogram("engine.first_event").Update(first.Milliseconds())
 	}
 	return result, err
 }
 
-// canSwitchEngine reports whether the stream may continue on another engine.
-func (s *streamCall) canSwitchEngine() bool {
-	return s.route.Repeatable() && s.history.MayHaveRun+1 < s.route.MaxAttempts
-}
-
 func (s *streamCall) firstEventTimeout(upstream *fleet.Upstream) time.Duration {
 	return max(minFirstEventTimeout, firstEventLatencyFactor*s.Health.Get(upstream).Latency)
 }
@@ -283,7 +299,7 @@
 	}
 	// An error response is forwarded only if no other engine may be tried. The attempt
 	// counts as run.
-	if s.canSwitchEngine() {
+	if s.mayRepeat() {
 		return ResultLost, 0, err
 	}
 	defer x.release()
@@ -414,34 +430,3 @@
 	}
 	return http.NewResponseController(s.writer).Flush()
 }
-
-// errStalled is the cancel cause of an attempt whose engine stopped sending events.
-var errStalled = errors.New("engine sent no event in time")
-
-// stallTimer cancels an attempt that receives no event in time.
-type stallTimer struct {
-	// firstTimeout bounds the time to the first event.
-	firstTimeout time.Duration
-	cancel       context.CancelCauseFunc
-	enabled      bool
-	timer        *time.Timer
-}
-
-func (t *stallTimer) start() {
-	if t.enabled {
-		t.timer = time.AfterFunc(t.firstTimeout, func() { t.cancel(errStalled) })
-	}
-}
-
-// reset restarts the timer with the timeout for the next event.
-func (t *stallTimer) reset(timeout time.Duration) {
-	if t.timer != nil {
-		t.timer.Reset(timeout)
-	}
-}
-
-func (t *stallTimer) stop() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
