Answer requests that arrive while their connection expires

Callers saw the connection close.

Class of fault: acting on a state that is told late.

Connections now expire by their read deadline: a read either returns bytes of a request, which ends the idleness, or fails, so that nothing is read from a connection that is closed. A drain expires the idle connections in this way and waits until requests that are being read are in progress before it calls Shutdown. A shorter timeout applies to connections that become idle after the change. caller.idle_closed counts connections closed as idle.

TestRequestBeingReadIsAnswered and TestShorterIdleTimeoutSparesOpenConnections failed before ("error is not nil: unexpected EOF") and pass.

--- a/cmd/entry_drain.go
+++ b/cmd/entry_drain.go
@@ -114,6 +114,8 @@
 func (e *entryHost) stopAccepting(ctx context.Context, left time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, max(min(left, lastResponsesTimeout), 0))
 	defer cancel()
+	// Shutdown also closes idle connections on which a request is being read.
+	e.idleTracker.CloseIdle(ctx)
 	if err := e.callerServer.Shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Int64("in_progress", e.callerHandler.InProgress.Load()).Msg("connections_cut")
 	}
--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -113,7 +114,7 @@
 		Stored: e.quarantinedParts, Removes: e.outliers.Collects, Log: logger, Metrics: e.metrics,
 	}
 	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
-	e.idleTracker = &web.IdleCloser{Timeout: e.callerIdleTimeout}
+	e.idleTracker = &web.IdleCloser{Timeout: e.callerIdleTimeout, Metrics: e.metrics}
 	return e, nil
 }
 
@@ -260,7 +261,7 @@
 	group.Add(func() error { return e.timer.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return e.runDirectory(ctx) }, func(error) { cancel() })
 	e.callerServer = e.newCallerServer()
-	e.addListener(group, e.settings.Caller.Listen, e.callerServer)
+	e.addListenerFor(group, e.settings.Caller.Listen, e.callerServer, e.idleTracker.Listener)
 	e.addListener(group, e.settings.Peer.Listen, e.newPeerServer())
 	directory := &web.DirectoryHandler{
 		View: e.directory.View, Self: e.settings.Caller.Advertise, AddressValidity: e.settings.Caller.AddressValidity, Ready: e.checkReady,
@@ -308,6 +309,11 @@
 
 // addListener adds a server to the group; an empty address disables it.
 func (e *entryHost) addListener(group *run.Group, address string, server *http.Server) {
+	e.addListenerFor(group, address, server, func(l net.Listener) net.Listener { return l })
+}
+
+// addListenerFor adds a server whose listener is wrapped.
+func (e *entryHost) addListenerFor(group *run.Group, address string, server *http.Server, wrap func(net.Listener) net.Listener) {
 	if address == "" {
 		return
 	}
@@ -317,7 +323,7 @@
 		if err != nil {
 			return fmt.Errorf("listener %s: %w", address, err)
 		}
-		err = server.Serve(listener)
+		err = server.Serve(wrap(listener))
 		if errors.Is(err, http.ErrServerClosed) {
 			// A drain closes the listener before the process ends.
 			<-interrupted
