Don't lose a signal to stop among signals to reload

A host that got SIGTERM while signals to reload arrived in series went on as if nothing had been said, until the platform killed it with its requests in progress: callers saw connections end without an answer.

Cause: one channel of two places took all signals, and os/signal drops those that find it full. SIGTERM was dropped when two SIGHUPs waited while the settings were read. Class of fault: a message that must not be lost behind ones that may. Signals to stop and to reload now have a channel each; a dropped one finds one of its own kind waiting.

--- a/cmd/entry_drain.go
+++ b/cmd/entry_drain.go
@@ -32,10 +32,14 @@
 // reloads the settings on SIGHUP.
 func (e *entryHost) signalActor(ctx context.Context) (func() error, func(error)) {
 	ctx, cancel := context.WithCancel(ctx)
-	received := make(chan os.Signal, 2)
-	signal.Notify(received, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	// Signals that find their channel full are dropped, so those to reload must not fill the one
+	// for those to stop.
+	stopped, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(reload, syscall.SIGHUP)
 	execute := func() error {
-		defer signal.Stop(received)
+		defer signal.Stop(stopped)
+		defer signal.Stop(reload)
 		modified := e.settingsModTime()
 		stop := e.timer.Every(settingsPollInterval, func(time.Time) {
 			if current := e.settingsModTime(); !current.Equal(modified) {
@@ -48,11 +52,9 @@
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
-			case sig := <-received:
-				if sig == syscall.SIGHUP {
-					e.reloadSettings("signal")
-					continue
-				}
+			case <-reload:
+				e.reloadSettings("signal")
+			case <-stopped:
 				e.drain(ctx)
 				return errStopped
 			}
--- a/cmd/entry_stop_test.go
+++ b/cmd/entry_stop_test.go
@@ -116,3 +116,19 @@
 		})
 	}
 }
+
+// TestStopAmongReloads guards against a signal to stop that is dropped because signals to reload
+// arrive faster than the settings are read.
+func TestStopAmongReloads(t *testing.T) {
+	s := startSite(t)
+	reload := func() { assert.NilError(t, syscall.Kill(syscall.Getpid(), syscall.SIGHUP)) }
+	for range 200 {
+		reload()
+		time.Sleep(20 * time.Microsecond)
+	}
+	s.signal(t)
+	for range 10 {
+		reload()
+	}
+	s.awaitStop(t)
+}
