Keep the last document if stages of a new one wait for each other

What callers would see: after a document in which stages depend on each other (0 on 1, 1 on 0), all requests of the route waited for their deadline and got 504, until the next document.

Cause: the check of a document found only a stage that depends directly on itself. Longer circles were accepted, and their items stay blocked.

Evidence, on the code before: TestOddDocumentsAreInvalid: err is nil for After:[1], After:[0]; TestOddEntriesAreNotFollowed, whole host, the circular document after a sound one: 504 (status int) != 200 (int).

A document is valid now only if each stage can run after stages that can. The directory keeps the last good document for an invalid one, as before.

Ruled out: criticalPath in the scheduler recurses over the stages that depend on another, but no run of the test ended the process.

--- a/cmd/entry_odd_test.go
+++ b/cmd/entry_odd_test.go
@@ -51,10 +51,14 @@
 		_, err := s.store.Inner.Txn(context.Background(), store.Txn{Deletes: []string{wire.PrefixUpstream + "i-odd", wire.PrefixUpstream + injected}})
 		assert.NilError(t, err)
 	}
-	for _, document := range []string{"null", deep, `{"version":1e99}`} {
+	circular := `{"version":9,"routes":[{"host":"h","pathPrefix":"/book/","kind":"non_idempotent","service":"plain"},{"name":"plan","host":"h","pathPrefix":"/plan/","kind":"streaming","service":"engine",
+"stages":[{"service":"stage","after":[1]},{"service":"stage","after":[0]}]}],"services":[{"name":"stage","segments":{"callMs":1}}]}`
+	for _, document := range []string{"null", deep, `{"version":1e99}`, circular} {
 		s.write(t, wire.KeyDocument, document)
 		s.writeUpstream(t, second, "plain", "draining")
 		awaitReady("document "+document[:4], "i-plain")
+		status, _, _ := s.call(t, "/plan/1", "b", map[string]string{wire.HeaderItems: "1,1", wire.HeaderItemKey: "k"})
+		assert.Equal(t, status, 200, document[:4])
 		second.Entry.ID += "-"
 		s.writeUpstream(t, second, "plain", "ready")
 		awaitReady("later upstream", "i-plain", second.Entry.ID)
--- a/internal/data/fleet/document.go
+++ b/internal/data/fleet/document.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"redwingloft/pkg/api"
@@ -40,7 +41,7 @@
 type Stage struct {
 	Service api.ServiceName
 	// After holds the indexes of the stages whose results are inputs of this one; each is a
-	// valid index of Route.Stages.
+	// valid index of Route.Stages, and no stage depends on itself, also not over others.
 	After []int
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
@@ -161,13 +162,28 @@
 	case r.Kind != KindIdempotent && r.Kind != KindNonIdempotent && r.Kind != KindStreaming:
 		return fmt.Errorf("unknown kind %q", r.Kind)
 	}
-	for i, stage := range r.Stages {
-		for _, dependency := range stage.After {
-			// A stage that depends on itself could never run.
-			if dependency < 0 || dependency >= len(r.Stages) || dependency == i {
-				return fmt.Errorf("stage %d depends on stage %d, which is not another stage of the route", i, dependency)
+	return r.validateStages()
+}
+
+// validateStages reports stages that could never run, because they depend on themselves or on no
+// stage of the route.
+func (r *Route) validateStages() error {
+	// runnable marks the stages that are known to run; each round adds those that need only them.
+	runnable := make([]bool, len(r.Stages))
+	for range r.Stages {
+		for i, stage := range r.Stages {
+			ready := true
+			for _, dependency := range stage.After {
+				if dependency < 0 || dependency >= len(r.Stages) {
+					return fmt.Errorf("stage %d depends on stage %d, which is not a stage of the route", i, dependency)
+				}
+				ready = ready && runnable[dependency]
 			}
+			runnable[i] = ready
 		}
 	}
+	if i := slices.Index(runnable, false); i >= 0 {
+		return fmt.Errorf("stage %d depends on itself", i)
+	}
 	return nil
 }
