--- a/internal/data/fleet/document.go
+++ b/internal/data/fleet/document.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
+	"unicode"
 
 	"redwingloft/pkg/api"
 )
@@ -150,6 +152,12 @@
 			return fmt.Errorf("route %q: %w", d.Routes[i].Name, err)
 		}
 	}
+	for _, workspace := range d.Workspaces {
+		// The name is sent as a header field.
+		if strings.ContainsFunc(string(workspace.Name), unicode.IsControl) {
+			return fmt.Errorf("workspace %q has a control character in its name", workspace.Name)
+		}
+	}
 	return nil
 }
 
--- a/internal/data/fleet/snapshot_test.go
+++ b/internal/data/fleet/snapshot_test.go
@@ -8,7 +8,8 @@
 	"redwingloft/pkg/api"
 )
 
-// TestOddDocumentsAreInvalid guards against a document whose stages wait for each other.
+// TestOddDocumentsAreInvalid guards against a document whose stages wait for each other, or whose
+// workspaces end a header field.
 func TestOddDocumentsAreInvalid(t *testing.T) {
 	document := func(workspace string, after ...[]int) *Document {
 		route := Route{PathPrefix: "/", Kind: KindStreaming, Services: []WeightedService{{Service: "s"}}}
@@ -19,7 +20,7 @@
 	}
 	for _, doc := range []*Document{
 		document("w", []int{0}), document("w", []int{1}, []int{0}), document("w", []int{2}, []int{0}, []int{1}), document("w", nil, []int{2}, []int{0, 1}),
-		document("w", []int{-1}), document("w", []int{1}),
+		document("w", []int{-1}), document("w", []int{1}), document("w\r\nX: y"), document("w\x00"),
 	} {
 		_, err := Compile(doc)
 		assert.Assert(t, err != nil, "%+v", doc)
