Keep no connection that carried a refusal, and retry on a new one

What callers saw (reported): "not run, try again" for a request that an upstream ran. Here it happens on idempotent routes: a request is refused, and sent again to the same upstream (the only one, or all were tried) over the same kept connection with the same id. An upstream that writes the earlier refusal once more, before the answer, is taken at its word; the retries are refused because it is full with that very request, and the caller gets 503.

Cause: a response is matched to a request by its id and its connection, and two attempts of a request shared both.

Evidence, on the code before: TestRefusalAgain failed in its 10 cases of idempotent requests and refusals with an id (503, 429, 421, 408, 400; whole or in two parts): "no upstream accepted the request, cause: upstream responded with status 503"; TestRefusalBetweenRequests: "1 (int) != 0 (int): a connection that carried a refusal was kept"; TestRetryOpensConnection: "the retry used the connection of the attempt before"; TestStageCallOpensConnection: "1 (int) != 0 (int)".

A connection that carried a refusal is closed, so that no copy can follow on it, and each later attempt of a request opens a connection, on which nothing was sent before. Both hold for all kinds, statuses and results.

Ruled out: requests that may run once (no idle connection, ever), streams (a refused attempt closed its connection before too; their cases passed), refusals without an id on a used connection (skipped), and stage calls (a run opens a connection of its own, and the response to a release does not matter). A refusal that an upstream writes on a new connection can't be told from a genuine one.

--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -173,10 +173,11 @@
 }
 
 // finish ends an exchange whose body was read completely. The connection returns to the
-// pool if it is still in sync and the whole request was written.
+// pool if it is still in sync and the whole request was written. A connection that carried a
+// refusal is closed: a copy of the refusal could be taken for that of a later request.
 func (x *exchange) finish() {
 	stopped := x.stop()
-	if !stopped || x.outOfSync || x.response.Close || !x.written.Load() {
+	if !stopped || x.outOfSync || x.reply.NotRun || x.response.Close || !x.written.Load() {
 		x.conn.Close()
 		return
 	}
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -107,9 +107,7 @@
 }
 
 func (c *call) exchangeBuffered(ctx context.Context, upstream *fleet.Upstream) (*bufferedResponse, Result, error) {
-	// Requests that must not run twice never reuse an idle connection: if it is already
-	// dead, it is unknown whether the request was run.
-	x, err := c.Pool.start(ctx, &c.Codec, c.newAttempt(upstream), c.route.Repeatable())
+	x, err := c.Pool.start(ctx, &c.Codec, c.newAttempt(upstream), c.mayReuse())
 	if err != nil {
 		if IsNotSent(err) {
 			return nil, ResultNotSent, err
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -228,6 +228,11 @@
 	}
 }
 
+// mayReuse reports whether the next attempt may use an idle connection. Requests that must not
+// run twice never do: if it is already dead, it is unknown whether the request was run. Nor do
+// later attempts, as a copy of the response to an earlier one has the id of the request too.
+func (c *call) mayReuse() bool { return c.route.Repeatable() && c.history == AttemptCounts{} }
+
 // takeAttempt reports whether another attempt may be made. Attempts after the first are
 // charged to the retry budget.
 func (c *call) takeAttempt() bool {
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -224,7 +224,7 @@
 		fetched := time.AfterFunc(inputFetchTime, func() { s.release(prepared) })
 		defer fetched.Stop()
 	}
-	x, err := s.Pool.start(ctx, &s.Codec, attempt, s.route.Repeatable())
+	x, err := s.Pool.start(ctx, &s.Codec, attempt, s.mayReuse())
 	if err != nil {
 		if IsNotSent(err) {
 			return ResultNotSent, 0, err
