Continue a stream only with events that follow the last one

What callers saw (reported): the text of an error, at times its whole head, in the middle of a stream that had broken off, or its regular end although events were missing.

Cause: each sealed response that was not 5xx counted as a stream, whatever its status and type. Its body was cut into events and forwarded, an empty one ended the stream as complete. Events without a number passed after the numbered ones of another engine, and a stream whose last event had none was asked for again from an older one.

A stream is continued only by a response with status 200 whose type is that of events, or absent, and by events whose numbers follow; all else is a failed attempt, which is retried or aborts the response. A response without a length that ends without an event shows no end and fails too. Before the stream has begun, an answer that is no stream is read and delivered whole. A stream is not continued after an event without a number.

An empty response of a known length is taken for the end: whether events are missing can't be known.

--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"strings"
@@ -68,7 +69,7 @@
 		}
 		c.exclude[upstream.ID] = true
 		action := NextAction(c.route, c.history, result, c.left())
-		if ctx.Err() != nil && action == ActionRetry {
+		if action == ActionRetry && (ctx.Err() != nil || s.unplaced) {
 			action = finalAction(c.history)
 		}
 		s.logFailedAttempt(upstream, result, action, err)
@@ -119,6 +120,11 @@
 	forwarded int
 	// events counts the events of the current attempt.
 	events int
+	// continues is true if the events of the current attempt follow those of another one.
+	continues bool
+	// unplaced is true if the last forwarded event has no number, so that no other attempt can
+	// continue after it.
+	unplaced bool
 }
 
 // logFailedAttempt logs a failed attempt with the events that it produced. If the response was
@@ -178,7 +184,7 @@
 func (s *streamCall) tryUpstream(ctx context.Context, upstream *fleet.Upstream) (Result, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.events = 0
+	s.events, s.continues = 0, s.forwarded > 0
 	tokens := s.request.PromptTokens
 	s.Health.Begin(upstream, tokens)
 	stall := &stallTimer{firstTimeout: s.firstEventTimeout(upstream), cancel: cancel, enabled: s.canSwitchEngine()}
@@ -231,7 +237,7 @@
 		}
 		return ResultLost, 0, err
 	}
-	if result := classify(x.response.StatusCode, x.reply); result != ResultAnswered {
+	if result := classify(x.response.StatusCode, x.reply); result != ResultAnswered || !isEventStream(x.response) {
 		return s.handleNonStream(x, result)
 	}
 	first, err := s.forwardEvents(x, stall, startTime, upstream)
@@ -246,23 +252,28 @@
 	return ResultLost, first, err
 }
 
-// handleNonStream handles a response that is not an event stream.
+// isEventStream reports whether a response is a stream of events. Engines may omit the type.
+func isEventStream(response *http.Response) bool {
+	text := response.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(text)
+	return response.StatusCode == http.StatusOK && (text == "" || (err == nil && mediaType == "text/event-stream"))
+}
+
+// handleNonStream handles a response that is not an event stream. It is forwarded whole, or not
+// at all once the stream of another engine has begun.
 func (s *streamCall) handleNonStream(x *exchange, result Result) (Result, time.Duration, error) {
 	defer x.close()
 	status := x.response.StatusCode
-	err := errors.New("engine responded with status " + strconv.Itoa(status))
+	err := errors.New("engine responded with status " + strconv.Itoa(status) + " and no event stream")
 	if result == ResultNotRun && status == http.StatusConflict {
 		err = errInputsGone
 	}
-	if result != ResultServerError || s.started {
-		if result == ResultServerError {
-			result = ResultLost
-		}
+	if result == ResultNotRun || result == ResultLost {
 		return result, 0, err
 	}
 	// An error response is forwarded only if no other engine may be tried. The attempt
 	// counts as run.
-	if s.canSwitchEngine() {
+	if s.started || (result == ResultServerError && s.canSwitchEngine()) {
 		return ResultLost, 0, err
 	}
 	defer x.release()
@@ -333,12 +344,14 @@
 
 // complete ends a stream after its last event was forwarded.
 func (s *streamCall) complete(x *exchange, first time.Duration, withheld []byte) error {
+	// The end of a response without a length may be that of its engine.
+	unframed := x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
+	if first == 0 && (unframed || s.lastEventID == "") {
+		return errNoEvent
+	}
 	if s.started {
 		return nil
 	}
-	if first == 0 && s.request.LastEventID == "" && s.lastEventID == "" {
-		return errNoEvent
-	}
 	// A stream that is resumed after its last event is empty.
 	s.startResponse(x)
 	return s.write(withheld)
@@ -356,9 +369,13 @@
 var errEventGap = errors.New("event ids are not consecutive")
 
 // forwardEvent forwards an event. Events that were already forwarded are dropped, and a gap
-// in the ids is an error.
+// in the ids is an error, as is an event without a number after those of another attempt.
 func (s *streamCall) forwardEvent(x *exchange, e *event) error {
-	if id, ok := e.numericID(); ok {
+	id, ok := e.numericID()
+	if !ok && s.continues {
+		return errEventGap
+	}
+	if ok {
 		last, known := (&event{id: s.lastEventID}).numericID()
 		switch {
 		case known && id <= last:
@@ -376,6 +393,7 @@
 		return err
 	}
 	s.forwarded++
+	s.unplaced = !ok
 	if e.id != "" {
 		s.lastEventID = e.id
 	}
