Bound the items of a request

What callers would see: a request whose header names two billion items makes the host that schedules its stages allocate an entry for each, and the process ends for lack of memory, with all requests in progress.

Cause: the numbers of items were only checked to be integers, and their sum could overflow.

Evidence, on the code before: TestItemsAreBounded: "stage_failed != bad_request: [10001 0]": the request was passed on. The allocation itself was read in newJob (internal/service/stage), not run.

A request with more than 10,000 items is answered with 400 before any stage runs. The error of a failed attempt has its former text again.

--- a/internal/service/forward/limit_test.go
+++ b/internal/service/forward/limit_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"math"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/fault"
 	"redwingloft/pkg/api"
 	wire "redwingloft/platform"
 	"redwingloft/standin/platform"
@@ -174,3 +176,15 @@
 		assert.Assert(t, bytes.HasPrefix(data, raw))
 	})
 }
+
+// TestItemsAreBounded guards against a host that runs out of memory over one number in a header.
+func TestItemsAreBounded(t *testing.T) {
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, Stages: make([]fleet.Stage, 2)}, respondOK)
+	for _, items := range [][]int{{maxItems + 1, 0}, {maxItems, 1}, {math.MaxInt, math.MaxInt}, {0, 2_000_000_000}} {
+		_, err := f.serve(t, func(r *fleet.Request) { r.Items = items })
+		assert.Equal(t, fault.KindOf(err), api.KindBadRequest, "%v", items)
+	}
+	assert.Equal(t, f.prepared+f.totalRuns(), 0)
+	_, _ = f.serve(t, func(r *fleet.Request) { r.Items = []int{maxItems, 0} })
+	assert.Equal(t, f.prepared, 1)
+}
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -39,6 +39,8 @@
 	rankStep = 2
 	// maxRank is the lowest priority that engines accept.
 	maxRank = 9
+	// maxItems bounds the items of a request, each of which takes memory here and at a scheduler.
+	maxItems = 10_000
 )
 
 // serveStream serves a request whose response is an event stream.
@@ -90,7 +92,9 @@
 func (c *call) prepare(ctx context.Context) (*StageResults, error) {
 	items := 0
 	for _, count := range c.request.Items {
-		items += count
+		if items += min(count, maxItems+1); items > maxItems {
+			return nil, fault.New(api.KindBadRequest, "request has more than %d items", maxItems)
+		}
 	}
 	if len(c.route.Stages) == 0 || items == 0 {
 		return &StageResults{Release: func() {}}, nil
@@ -264,7 +268,7 @@
 func (s *streamCall) handleNonStream(x *exchange, result Result) (Result, time.Duration, error) {
 	defer x.close()
 	status := x.response.StatusCode
-	err := errors.New("engine responded with status " + strconv.Itoa(status) + " and no event stream")
+	err := errors.New("engine responded with status " + strconv.Itoa(status))
 	if result == ResultNotRun && status == http.StatusConflict {
 		err = errInputsGone
 	}
