--- a/internal/data/fleet/document.go
+++ b/internal/data/fleet/document.go
@@ -4,7 +4,10 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
+	"unicode"
 
 	"redwingloft/pkg/api"
 )
@@ -40,7 +43,7 @@
 type Stage struct {
 	Service api.ServiceName
 	// After holds the indexes of the stages whose results are inputs of this one; each is a
-	// valid index of Route.Stages.
+	// valid index of Route.Stages, and no stage depends on itself, also not over others.
 	After []int
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
@@ -149,6 +152,12 @@
 			return fmt.Errorf("route %q: %w", d.Routes[i].Name, err)
 		}
 	}
+	for _, workspace := range d.Workspaces {
+		// The name is sent as a header field.
+		if strings.ContainsFunc(string(workspace.Name), unicode.IsControl) {
+			return fmt.Errorf("workspace %q has a control character in its name", workspace.Name)
+		}
+	}
 	return nil
 }
 
@@ -161,13 +170,28 @@
 	case r.Kind != KindIdempotent && r.Kind != KindNonIdempotent && r.Kind != KindStreaming:
 		return fmt.Errorf("unknown kind %q", r.Kind)
 	}
-	for i, stage := range r.Stages {
-		for _, dependency := range stage.After {
-			// A stage that depends on itself could never run.
-			if dependency < 0 || dependency >= len(r.Stages) || dependency == i {
-				return fmt.Errorf("stage %d depends on stage %d, which is not another stage of the route", i, dependency)
+	return r.validateStages()
+}
+
+// validateStages reports stages that could never run, because they depend on themselves or on no
+// stage of the route.
+func (r *Route) validateStages() error {
+	// runnable marks the stages that are known to run; each round adds those that need only them.
+	runnable := make([]bool, len(r.Stages))
+	for range r.Stages {
+		for i, stage := range r.Stages {
+			ready := true
+			for _, dependency := range stage.After {
+				if dependency < 0 || dependency >= len(r.Stages) {
+					return fmt.Errorf("stage %d depends on stage %d, which is not a stage of the route", i, dependency)
+				}
+				ready = ready && runnable[dependency]
 			}
+			runnable[i] = ready
 		}
 	}
+	if i := slices.Index(runnable, false); i >= 0 {
+		return fmt.Errorf("stage %d depends on itself", i)
+	}
 	return nil
 }
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"strings"
@@ -38,6 +39,8 @@
 	rankStep = 2
 	// maxRank is the lowest priority that engines accept.
 	maxRank = 9
+	// maxItems bounds the items of a request, each of which takes memory here and at a scheduler.
+	maxItems = 10_000
 )
 
 // serveStream serves a request whose response is an event stream.
@@ -62,7 +65,7 @@
 		}
 		c.exclude[upstream.ID] = true
 		action := NextAction(c.route, c.history, result, c.left())
-		if ctx.Err() != nil && action == ActionRetry {
+		if action == ActionRetry && (ctx.Err() != nil || s.unplaced.Load()) {
 			action = finalAction(c.history)
 		}
 		s.logFailedAttempt(upstream, result, action, err)
@@ -88,7 +91,9 @@
 func (c *call) runStages(ctx context.Context, target, deadline time.Time) (*StageResults, error) {
 	items := 0
 	for _, count := range c.request.Items {
-		items += count
+		if items += min(count, maxItems+1); items > maxItems {
+			return nil, fault.New(api.KindBadRequest, "request has more than %d items", maxItems)
+		}
 	}
 	if len(c.route.Stages) == 0 || items == 0 {
 		return &StageResults{Release: func() {}}, nil
@@ -118,6 +123,11 @@
 	events int
 	// lastEventAt is when the last event was forwarded; zero before the first one.
 	lastEventAt time.Time
+	// continues is true if the events of the current attempt follow those of another one.
+	continues bool
+	// unplaced is true if the last forwarded event has no number, so that no other attempt can
+	// continue after it.
+	unplaced atomic.Bool
 }
 
 // logFailedAttempt logs a failed attempt with the events that it produced. If the response was
@@ -182,9 +192,15 @@
 	s.prepareTime = clock.Now().Sub(s.request.Received)
 }
 
+// errUnplaced is returned if no other engine can continue the stream.
+var errUnplaced = errors.New("the last event has no number")
+
 // secureEngine returns a replacement for a stalled attempt, with new inputs if the former ones may
 // no longer exist.
 func (s *streamCall) secureEngine(ctx context.Context, current *fleet.Upstream, prepared *StageResults, lastEvent time.Time) (*replacement, error) {
+	if s.unplaced.Load() {
+		return nil, errUnplaced
+	}
 	secured, err := s.secureUpstream(current, s.selectEngine(prepared))
 	if err != nil || !s.inputsReleased.Load() {
 		return secured, err
@@ -218,7 +234,7 @@
 func (s *streamCall) tryUpstream(ctx context.Context, upstream *fleet.Upstream) (Result, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.events = 0
+	s.events, s.continues = 0, s.forwarded > 0
 	tokens := s.request.PromptTokens
 	s.Health.Begin(upstream, tokens)
 	prepared := s.prepared
@@ -261,14 +277,14 @@
 		fetched := time.AfterFunc(inputFetchTime, func() { s.release(prepared) })
 		defer fetched.Stop()
 	}
-	x, err := s.Pool.start(ctx, &s.Codec, attempt, s.route.Repeatable())
+	x, err := s.Pool.start(ctx, &s.Codec, attempt, s.mayReuse())
 	if err != nil {
 		if IsNotSent(err) {
 			return ResultNotSent, 0, err
 		}
 		return ResultLost, 0, err
 	}
-	if result := classify(x.response.StatusCode, x.reply); result != ResultAnswered {
+	if result := classify(x.response.StatusCode, x.reply); result != ResultAnswered || !isEventStream(x.response) {
 		return s.handleNonStream(x, result)
 	}
 	first, err := s.forwardEvents(x, stall, startTime, upstream)
@@ -283,7 +299,15 @@
 	return ResultLost, first, err
 }
 
-// handleNonStream handles a response that is not an event stream.
+// isEventStream reports whether a response is a stream of events. Engines may omit the type.
+func isEventStream(response *http.Response) bool {
+	text := response.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(text)
+	return response.StatusCode == http.StatusOK && (text == "" || (err == nil && mediaType == "text/event-stream"))
+}
+
+// handleNonStream handles a response that is not an event stream. It is forwarded whole, or not
+// at all once the stream of another engine has begun.
 func (s *streamCall) handleNonStream(x *exchange, result Result) (Result, time.Duration, error) {
 	defer x.close()
 	status := x.response.StatusCode
@@ -291,15 +315,12 @@
 	if result == ResultNotRun && status == http.StatusConflict {
 		err = errInputsGone
 	}
-	if result != ResultServerError || s.started {
-		if result == ResultServerError {
-			result = ResultLost
-		}
+	if result == ResultNotRun || result == ResultLost {
 		return result, 0, err
 	}
 	// An error response is forwarded only if no other engine may be tried. The attempt
 	// counts as run.
-	if s.mayRepeat() {
+	if s.started || (result == ResultServerError && s.mayRepeat()) {
 		return ResultLost, 0, err
 	}
 	defer x.release()
@@ -370,12 +391,14 @@
 
 // complete ends a stream after its last event was forwarded.
 func (s *streamCall) complete(x *exchange, first time.Duration, withheld []byte) error {
+	// The end of a response without a length may be that of its engine.
+	unframed := x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
+	if first == 0 && (unframed || s.lastEventID == "") {
+		return errNoEvent
+	}
 	if s.started {
 		return nil
 	}
-	if first == 0 && s.request.LastEventID == "" && s.lastEventID == "" {
-		return errNoEvent
-	}
 	// A stream that is resumed after its last event is empty.
 	s.startResponse(x)
 	return s.write(withheld)
@@ -393,9 +416,13 @@
 var errEventGap = errors.New("event ids are not consecutive")
 
 // forwardEvent forwards an event. Events that were already forwarded are dropped, and a gap
-// in the ids is an error.
+// in the ids is an error, as is an event without a number after those of another attempt.
 func (s *streamCall) forwardEvent(x *exchange, e *event) error {
-	if id, ok := e.numericID(); ok {
+	id, ok := e.numericID()
+	if !ok && s.continues {
+		return errEventGap
+	}
+	if ok {
 		last, known := (&event{id: s.lastEventID}).numericID()
 		switch {
 		case known && id <= last:
@@ -414,6 +441,7 @@
 	}
 	s.forwarded++
 	s.lastEventAt = clock.Now()
+	s.unplaced.Store(!ok)
 	if e.id != "" {
 		s.lastEventID = e.id
 	}
