Send nothing to upstreams that announce their shutdown

Upstreams that announced their shutdown in their responses got new requests and stage calls until the store reported them as draining, or for ever where the entry stayed ready.

The header was not decoded. A genuine response that has it now marks the incarnation as draining in the directory, before the caller gets the response. The directory keeps that state for good, each attempt reads the current view, and the stage scheduler follows each change of it.

A 421 response comes from another upstream, so it no longer states anything about the one that the request was for.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -100,6 +100,7 @@
 	e.pool = &forward.Pool{
 		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
 		BufferLimit: int64(bufferMemoryRatio * s.Host.MemoryLimit * megabyte),
+		OnLeaving:   func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
 	}
 	e.callerHandler = &web.CallerHandler{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
--- a/internal/data/fleet/request.go
+++ b/internal/data/fleet/request.go
@@ -79,6 +79,8 @@
 	// RateLimit is the number of requests a second that the upstream accepts from all hosts
 	// together; nil if it names no limit.
 	RateLimit *float64
+	// Leaving is true if the upstream announces its shutdown.
+	Leaving bool
 }
 
 // Load is the load reported by an upstream.
--- a/internal/service/directory/state_test.go
+++ b/internal/service/directory/state_test.go
@@ -132,3 +132,20 @@
 	assert.Equal(t, len(s.View().Ready("s")), 1)
 	assert.Equal(t, len(s.View().Hosts), 0)
 }
+
+// TestAnnouncedShutdownIsFinal guards against an announced shutdown that a later entry of the store reverts.
+func TestAnnouncedShutdownIsFinal(t *testing.T) {
+	s := newState()
+	ready := upstreamEntry("u", fleet.StateReady, 1, 1)
+	s.Replace([]store.Entry{ready}, 1, start, time.Time{})
+	before := s.View()
+	assert.Assert(t, s.markDraining(before.Ready("s")[0].Incarnation(), start))
+	assert.Equal(t, len(s.View().Ready("s")), 0)
+	assert.Equal(t, len(before.Ready("s")), 1)
+	s.Replace(nil, 2, start, time.Time{})
+	ready.Version = 3
+	s.Replace([]store.Entry{ready}, 3, start, time.Time{})
+	assert.Equal(t, len(s.View().Ready("s")), 0)
+	s.Apply([]store.Event{{Entry: upstreamEntry("u", fleet.StateReady, 2, 4)}}, start, time.Time{})
+	assert.Equal(t, len(s.View().Ready("s")), 1)
+}
--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -87,16 +87,22 @@
 		x.close()
 		return nil, &attemptError{SentSome, err}
 	}
-	p.observeLimit(a.Upstream, x.reply, x.reply.HasDigest || x.reply.NotRun)
+	p.observe(a.Upstream, x.reply, x.reply.HasDigest || x.reply.NotRun)
 	return x, nil
 }
 
-// observeLimit records the rate limit that a response names. Only a genuine response shows that
-// its upstream names none.
-func (p *Pool) observeLimit(upstream *fleet.Upstream, reply fleet.ResponseInfo, genuine bool) {
+// observe records what a response states about its upstream. Only a genuine response shows that
+// it names no rate limit, or that it is leaving.
+func (p *Pool) observe(upstream *fleet.Upstream, reply fleet.ResponseInfo, genuine bool) {
+	if reply.WrongUpstream {
+		return
+	}
 	if p.Throttle != nil && (reply.RateLimit != nil || genuine) {
 		p.Throttle.Observe(upstream, reply.RateLimit, clock.Now())
 	}
+	if genuine && reply.Leaving && p.OnLeaving != nil {
+		p.OnLeaving(upstream)
+	}
 }
 
 // send writes the header and the body. A long body is written in the background.
@@ -176,7 +182,7 @@
 // pool if it is still in sync and the whole request was written.
 func (x *exchange) finish() {
 	stopped := x.stop()
-	if !stopped || x.outOfSync || x.response.Close || !x.written.Load() {
+	if !stopped || x.outOfSync || x.response.Close || x.reply.Leaving || !x.written.Load() {
 		x.conn.Close()
 		return
 	}
@@ -215,7 +221,8 @@
 		countLimit(p.Metrics, err)
 		return nil, &attemptError{SentSome, err}
 	}
-	p.observeLimit(upstream, x.reply, x.reply.NotRun || x.response.StatusCode == http.StatusOK)
+	own := x.reply.ID == "" || !c.used
+	p.observe(upstream, x.reply, own && (x.reply.NotRun || x.response.StatusCode == http.StatusOK))
 	data, err := x.readAll(maxCallResponseBytes)
 	// The response to an internal request is decoded at once.
 	x.release()
--- a/internal/service/forward/pool.go
+++ b/internal/service/forward/pool.go
@@ -46,6 +46,9 @@
 	Metrics *metric.Set
 	// Throttle holds the rate limits that upstreams name; it may be nil.
 	Throttle *throttle.Table
+	// OnLeaving is called for each response in which an upstream announces its shutdown; it may
+	// be nil. The caller of the request has not received the response yet.
+	OnLeaving func(upstream *fleet.Upstream)
 
 	// buffered is the size of the response bodies that are held in memory.
 	buffered atomic.Int64
