Keep the pauses that refusing upstreams ask for

Upstreams that refused requests with 503 and a Retry-After got further requests and stage calls from the same host at once.

Retry-After of upstreams was not decoded. A genuine 503 that has it now pauses that incarnation for this host, beside the rate limits, so that the selection of upstreams, the stage plan and the calls that free results heed it. If all upstreams of a service pause, requests are refused at once as not run, with the time until the first pause ends; stage jobs are forecast with the pause. The delay of refused callers moves to its own file.

The test of leaving upstreams now shares its checks with that of pauses; they are the same.

--- a/cmd/entry_leave_test.go
+++ b/cmd/entry_leave_test.go
@@ -33,24 +33,35 @@
 	return u
 }
 
-// TestLeavingUpstreamGetsNoMoreRequests guards against requests and stage calls to an upstream that announced its shutdown.
-func TestLeavingUpstreamGetsNoMoreRequests(t *testing.T) {
+// checkSilence checks that an upstream whose responses have a status and a field gets no second request or stage call.
+func checkSilence(t *testing.T, status string, first int, field string) {
+	t.Helper()
 	s := startSite(t)
 	for path, old := range map[string]*platform.Upstream{"/book/1": s.plain, "/plan/1": s.stage} {
 		service := strings.TrimPrefix(string(old.Entry.ID), "i-")
-		u := s.replace(t, old, service, "200 OK", "Server-Leaving: 1")
+		u := s.replace(t, old, service, status, field)
 		items := map[string]string{wire.HeaderItems: "1,0", wire.HeaderItemKey: "k"}
-		status, body, _ := s.call(t, path, "a", items)
-		assert.Equal(t, status, http.StatusOK, body)
+		code, body, _ := s.call(t, path, "a", items)
+		assert.Equal(t, code, first, body)
 		s.writeUpstream(t, u, service, "ready")
 		for i := range 20 {
 			time.Sleep(20 * time.Millisecond)
-			status, _, header := s.call(t, path, fmt.Sprint("b", i), items)
-			assert.Equal(t, status, http.StatusServiceUnavailable, path)
+			code, _, header := s.call(t, path, fmt.Sprint("b", i), items)
+			assert.Equal(t, code, http.StatusServiceUnavailable, path)
 			assert.Assert(t, header.Get("Retry-After") != "")
 		}
 		work := slices.DeleteFunc(u.Requests(), func(run platform.Request) bool { return run.Path == wire.PathStageFree })
-		assert.Equal(t, len(work), 1)
+		assert.Equal(t, len(work), 1, path)
 	}
 	s.stop(t)
 }
+
+// TestLeavingUpstreamGetsNoMoreRequests guards against requests and stage calls to an upstream that announced its shutdown.
+func TestLeavingUpstreamGetsNoMoreRequests(t *testing.T) {
+	checkSilence(t, "200 OK", http.StatusOK, "Server-Leaving: 1")
+}
+
+// TestPausedUpstreamGetsNoMoreRequests guards against requests and stage calls to an upstream that asked for a pause.
+func TestPausedUpstreamGetsNoMoreRequests(t *testing.T) {
+	checkSilence(t, "503 Busy", http.StatusServiceUnavailable, wire.HeaderNotRun+": 1\r\nRetry-After: 9")
+}
--- a/internal/data/fleet/request.go
+++ b/internal/data/fleet/request.go
@@ -81,6 +81,9 @@
 	RateLimit *float64
 	// Leaving is true if the upstream announces its shutdown.
 	Leaving bool
+	// RetryAfter is how long the upstream, which refused the request, wants no request from this
+	// host; 0 means not specified.
+	RetryAfter time.Duration
 }
 
 // Load is the load reported by an upstream.
--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -92,7 +92,7 @@
 }
 
 // observe records what a response states about its upstream. Only a genuine response shows that
-// it names no rate limit, or that it is leaving.
+// it names no rate limit, that it is leaving, or that it wants a pause.
 func (p *Pool) observe(upstream *fleet.Upstream, reply fleet.ResponseInfo, genuine bool) {
 	if reply.WrongUpstream {
 		return
@@ -100,6 +100,9 @@
 	if p.Throttle != nil && (reply.RateLimit != nil || genuine) {
 		p.Throttle.Observe(upstream, reply.RateLimit, clock.Now())
 	}
+	if genuine && reply.RetryAfter > 0 {
+		p.Throttle.Pause(upstream, reply.RetryAfter, clock.Now())
+	}
 	if genuine && reply.Leaving && p.OnLeaving != nil {
 		p.OnLeaving(upstream)
 	}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -181,7 +181,7 @@
 func (c *call) left() time.Duration { return c.deadline.Sub(clock.Now()) }
 
 // candidates returns the ready upstreams of the service with their health, without those that
-// may get no request now because of their rate limits. It uses the current view, so upstreams
+// may get no request now because of their rate limits or pauses. It uses the current view, so upstreams
 // that are no longer ready are not tried.
 func (c *call) candidates() []Candidate {
 	ready := c.View().Ready(c.service)
@@ -216,8 +216,15 @@
 		return fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the service has no ready upstream"), busyRetryAfter)
 	}
 	c.Metrics.Counter("throttle.refused." + string(c.service)).Inc(1)
-	delay := max(c.Pool.Throttle.RetryDelay(ready, clock.Now()), busyRetryAfter)
-	return fault.AddRetryAfter(fault.New(api.KindOverloaded, "all %d upstreams get as many requests as they accept", len(ready)), delay)
+	return fault.AddRetryAfter(fault.New(api.KindOverloaded, "all %d upstreams get as many requests as they accept", len(ready)), c.retryDelay(ready))
+}
+
+// retryDelay returns the time after which a refused caller should return.
+func (c *call) retryDelay(ready []*fleet.Upstream) time.Duration {
+	if len(ready) == 0 {
+		return busyRetryAfter
+	}
+	return max(c.Pool.Throttle.RetryDelay(ready, clock.Now()), busyRetryAfter)
 }
 
 // newAttempt returns an attempt at an upstream.
@@ -321,7 +328,7 @@
 // finalError returns the error for the caller after the last attempt.
 func (c *call) finalError(action Action, cause error) error {
 	if action == ActionRefuse {
-		return fault.AddRetryAfter(fault.Wrap(api.KindOverloaded, cause, "no upstream accepted the request"), busyRetryAfter)
+		return fault.AddRetryAfter(fault.Wrap(api.KindOverloaded, cause, "no upstream accepted the request"), c.retryDelay(c.View().Ready(c.service)))
 	}
 	return fault.Wrap(api.KindStageFailed, cause, "no usable response from the upstream")
 }
--- a/internal/service/stage/dispatch.go
+++ b/internal/service/stage/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/fault"
 	"redwingloft/pkg/api"
 )
 
@@ -18,6 +19,7 @@
 		}
 		idle := p.idleWorkers(service, now)
 		if len(idle) == 0 {
+			p.failPaused(service, now)
 			continue
 		}
 		queue = p.sorted(queue, now)
@@ -39,6 +41,21 @@
 	return calls
 }
 
+// failPaused ends the jobs that can't be done by their deadline because all upstreams of a service
+// pause.
+func (p *plan) failPaused(service api.ServiceName, now time.Time) {
+	paused := p.pausedFor(service, now)
+	if paused == 0 {
+		return
+	}
+	err := fault.New(api.KindDeadlineUnreachable, "all upstreams of a stage pause for %s", paused.Round(time.Millisecond))
+	for _, it := range p.queues[service] {
+		if now.Add(paused + p.criticalPath(it.job, it.stage)).After(it.job.Deadline) {
+			p.fail(it.job, fault.AddRetryAfter(err, min(max(paused, minRetryAfter), maxRetryAfter)))
+		}
+	}
+}
+
 // withRetainedInputs returns the items whose inputs live long enough; the inputs of the others are
 // recomputed.
 func (p *plan) withRetainedInputs(queue []*item, now time.Time) []*item {
@@ -53,7 +70,7 @@
 	return slices.DeleteFunc(retained, func(it *item) bool { return it.job.ended || it.phase != phaseQueued })
 }
 
-// idle reports whether an upstream can take a call now, also by its rate limit.
+// idle reports whether an upstream can take a call now, also by its rate limit and its pause.
 func (p *plan) idle(w *worker, now time.Time) bool {
 	return w.idle(now) && p.throttle.WaitAlone(w.upstream, now) == 0
 }
@@ -80,7 +97,7 @@
 	}
 	var rate float64
 	for _, other := range p.workers {
-		if other != w && other.upstream.Service == w.upstream.Service && other.usable(now) && other.slowdown < slowThreshold {
+		if other != w && other.upstream.Service == w.upstream.Service && p.usable(other, now) && other.slowdown < slowThreshold {
 			rate += p.itemRate(other)
 		}
 	}
@@ -121,7 +138,7 @@
 		return nil
 	}
 	p.queues[service] = rest
-	// dispatch has found that the rate limit allows the call.
+	// dispatch has found that the upstream takes the call.
 	p.throttle.TakeAlone(w.upstream, now)
 	for _, it := range call.items {
 		it.phase = phaseRunning
@@ -169,7 +186,7 @@
 		return false
 	}
 	for _, other := range p.workers {
-		if other.upstream.Service == service && it.prefers(other) && other.usable(now) && other.slowdown < slowThreshold {
+		if other.upstream.Service == service && it.prefers(other) && p.usable(other, now) && other.slowdown < slowThreshold {
 			return true
 		}
 	}
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -30,16 +30,17 @@
 		if !served {
 			return forecast{}
 		}
+		paused := p.pausedFor(spec.Service, now)
 		ahead, all := p.workAhead(spec.Service, job, now)
 		resultThroughput := p.resultThroughput(spec.Service, now)
-		var start, lateStart time.Duration
+		start, lateStart := paused, paused
 		for _, needed := range spec.After {
 			start, lateStart = max(start, onTime[needed]), max(lateStart, late[needed])
 		}
 		call := p.callTime(spec.Service)
 		spareShare := p.spareShare(spec.Service, rate, now)
-		onTime[i] = max(start, timeFor(ahead.items, rate), timeFor(ahead.bytes, resultThroughput)) + call
-		late[i] = max(lateStart, timeFor(all.items, rate*spareShare), timeFor(all.bytes, resultThroughput*spareShare)) + call
+		onTime[i] = max(start, paused+timeFor(ahead.items, rate), paused+timeFor(ahead.bytes, resultThroughput)) + call
+		late[i] = max(lateStart, paused+timeFor(all.items, rate*spareShare), paused+timeFor(all.bytes, resultThroughput*spareShare)) + call
 		f.onTime, f.late = max(f.onTime, onTime[i]), max(f.late, late[i])
 	}
 	return f
@@ -107,7 +108,7 @@
 func (p *plan) resultThroughput(service api.ServiceName, now time.Time) float64 {
 	var rate float64
 	for _, w := range p.workers {
-		if w.upstream.Service != service || !w.usable(now) {
+		if w.upstream.Service != service || !p.usable(w, now) {
 			continue
 		}
 		if w.residence <= 0 {
@@ -136,22 +137,51 @@
 }
 
 // rate returns the items per second of a service's upstreams with full calls, and whether there is
-// an upstream at all.
+// an upstream at all. If none is usable now, those count that will be after their pauses.
 func (p *plan) rate(service api.ServiceName, now time.Time) (float64, bool) {
-	var rate float64
+	var rate, later float64
 	served := false
 	for _, w := range p.workers {
 		if w.upstream.Service != service || w.removed {
 			continue
 		}
 		served = true
-		if w.usable(now) {
+		switch {
+		case p.usable(w, now):
 			rate += p.itemRate(w)
+		case w.usable(now):
+			later += p.itemRate(w)
 		}
 	}
+	if rate == 0 {
+		rate = later
+	}
 	return rate, served
 }
 
+// usable reports whether an upstream counts towards the capacity of its service.
+func (p *plan) usable(w *worker, now time.Time) bool {
+	return w.usable(now) && p.throttle.Paused(w.upstream, now) == 0
+}
+
+// pausedFor returns the time until the first upstream of a service ends its pause, 0 if one has none.
+func (p *plan) pausedFor(service api.ServiceName, now time.Time) time.Duration {
+	var first time.Duration
+	for _, w := range p.workers {
+		if w.upstream.Service != service || w.removed {
+			continue
+		}
+		paused := p.throttle.Paused(w.upstream, now)
+		if paused == 0 {
+			return 0
+		}
+		if first == 0 || paused < first {
+			first = paused
+		}
+	}
+	return first
+}
+
 // itemRate returns the items per second of an upstream with full calls, within its rate limit.
 func (p *plan) itemRate(w *worker) float64 {
 	return min(w.rate(), p.throttle.Limit(w.upstream)*float64(w.limits.MaxItems))
--- a/internal/service/stage/plan_test.go
+++ b/internal/service/stage/plan_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/logging"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/throttle"
@@ -647,3 +648,19 @@
 	perSecond, _ := b.rate("s", b.now)
 	assert.Assert(t, perSecond <= rate*8, "the forecast expects %.1f items a second", perSecond)
 }
+
+// TestItemsWaitForPausedUpstream guards against a call within a pause, one that is forgotten, and a job that waits in vain.
+func TestItemsWaitForPausedUpstream(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 8))
+	b.throttle = &throttle.Table{Log: logging.Discard(), Metrics: metric.New()}
+	b.throttle.Pause(b.add("s", "a"), time.Second, b.now)
+	spec := Spec{Service: "s", Items: 1, ResultBytes: 1000}
+	job, failed := b.job("long", 0, 3*time.Second, 6*time.Second, spec), error(nil)
+	f := b.forecast(&job, b.now)
+	assert.Assert(t, f.accepts(&job, b.now) && f.onTime > time.Second)
+	b.submit(job, b.now, func(Outcome, error) {})
+	b.submit(b.job("short", 0, time.Second, time.Second, spec), b.now, func(_ Outcome, err error) { failed = err })
+	assert.Equal(t, len(b.dispatch(b.now)), 0)
+	assert.Assert(t, fault.RetryDelay(failed) >= time.Second)
+	assert.Equal(t, len(b.dispatch(b.now.Add(time.Second))), 1)
+}
--- a/internal/service/stage/room.go
+++ b/internal/service/stage/room.go
@@ -37,11 +37,11 @@
 	return list
 }
 
-// mayFree reports whether the rate limit of an upstream allows a call that frees results, and
-// counts it. Queued items go first, unless they lack the room.
+// mayFree reports whether the rate limit and the pause of an upstream allow a call that frees
+// results, and counts it. Queued items go first, unless they lack the room.
 func (p *plan) mayFree(w *worker, now time.Time) bool {
 	if math.IsInf(p.throttle.Limit(w.upstream), 1) {
-		return true
+		return p.throttle.Paused(w.upstream, now) == 0
 	}
 	if len(p.queues[w.upstream.Service]) > 0 && !w.aboveHighWater() {
 		return false
--- a/internal/service/stage/worker.go
+++ b/internal/service/stage/worker.go
@@ -92,7 +92,7 @@
 	return !w.removed && len(w.calls) < w.limits.MaxConcurrent && !now.Before(w.cooldownUntil)
 }
 
-// usable reports whether the upstream counts towards the capacity of its service.
+// usable reports whether the upstream takes calls apart from those that run.
 func (w *worker) usable(now time.Time) bool { return !w.removed && !now.Before(w.cooldownUntil) }
 
 // rate returns the items per second with full calls.
--- a/internal/service/throttle/throttle.go
+++ b/internal/service/throttle/throttle.go
@@ -1,7 +1,7 @@
 // Package throttle keeps the requests of all hosts to an upstream below the rate limit that the
 // upstream names in its responses. A few hosts share the limit of an upstream, and the others
 // send it nothing: with a share for each host of a large fleet, one request from each would
-// already be too many.
+// already be too many. It also keeps the pauses that upstreams ask this host for.
 package throttle
 
 import (
@@ -64,6 +64,7 @@
 
 	mu     sync.Mutex
 	limits map[fleet.Incarnation]*limit
+	pauses map[fleet.Incarnation]*pause
 	// hosts are those for which nodes and self were computed, in the given version.
 	hosts        []fleet.Host
 	hostsVersion int
@@ -137,19 +138,20 @@
 }
 
 // State reports whether an upstream names a limit, and whether this host may send it no request
-// now because of it.
+// now because of it or of a pause.
 func (t *Table) State(upstream *fleet.Upstream, now time.Time) (limited, exhausted bool) {
 	if t == nil {
 		return false, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	paused := t.paused(upstream, now) > 0
 	known := t.limited(upstream)
 	if known == nil {
-		return false, false
+		return false, paused
 	}
 	rate := t.share(upstream.ID, known)
-	return true, rate == 0 || known.wait(rate, now) > 0
+	return true, paused || rate == 0 || known.wait(rate, now) > 0
 }
 
 // Take reports whether this host may send the upstream a request now, and counts it.
@@ -159,21 +161,26 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.paused(upstream, now) > 0 {
+		return false
+	}
 	known := t.limited(upstream)
 	return known == nil || known.take(t.share(upstream.ID, known), now)
 }
 
-// WaitAlone is like Wait for an upstream that gets requests from this host only.
+// WaitAlone returns the time until this host may send a request to an upstream that gets requests
+// from no other one.
 func (t *Table) WaitAlone(upstream *fleet.Upstream, now time.Time) time.Duration {
 	if t == nil {
 		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	wait := t.paused(upstream, now)
 	if known := t.limited(upstream); known != nil {
-		return known.wait(known.rate, now)
+		wait = max(wait, known.wait(known.rate, now))
 	}
-	return 0
+	return wait
 }
 
 // TakeAlone is like Take for an upstream that gets requests from this host only.
@@ -183,47 +190,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.paused(upstream, now) > 0 {
+		return false
+	}
 	known := t.limited(upstream)
 	return known == nil || known.take(known.rate, now)
 }
 
-// RetryDelay returns the time after which a caller that is refused because of the limits should
-// return. Callers that are refused one after the other get different times.
-func (t *Table) RetryDelay(upstreams []*fleet.Upstream, now time.Time) time.Duration {
-	if t == nil {
-		return 0
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var chosen *limit
-	var chosenAt time.Time
-	var chosenRate, total float64
-	for _, upstream := range upstreams {
-		known := t.limited(upstream)
-		if known == nil {
-			return 0
-		}
-		total += known.rate
-		rate := t.share(upstream.ID, known)
-		if rate == 0 {
-			continue
-		}
-		at := now.Add(known.wait(rate, now))
-		if at.Before(known.promisedUntil) {
-			at = known.promisedUntil
-		}
-		if chosen == nil || at.Before(chosenAt) {
-			chosen, chosenAt, chosenRate = known, at, rate
-		}
-	}
-	if chosen == nil {
-		// Other hosts share all limits, and may accept the caller at any time.
-		return seconds(1 / max(total, minRate))
-	}
-	chosen.promisedUntil = chosenAt.Add(seconds(1 / chosenRate))
-	return chosenAt.Sub(now)
-}
-
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
 // fill adds the tokens of the time since the last call.
--- a/internal/service/throttle/throttle_test.go
+++ b/internal/service/throttle/throttle_test.go
@@ -205,3 +205,18 @@
 	assert.Assert(t, s.most() <= allowed(0))
 	assert.Assert(t, s.most() > 0)
 }
+
+// TestPauseEndsInTime guards against a pause that a later response shortens, or one without an end.
+func TestPauseEndsInTime(t *testing.T) {
+	table := &Table{Log: logging.Discard(), Metrics: metric.New()}
+	now, upstream := time.Unix(1_700_000_000, 0), &fleet.Upstream{ID: "u"}
+	table.Pause(upstream, 4*time.Second, now)
+	table.Pause(upstream, time.Second, now)
+	table.Observe(upstream, nil, now)
+	table.Sweep(func(fleet.Incarnation) bool { return false })
+	assert.Equal(t, table.WaitAlone(upstream, now), 4*time.Second)
+	assert.Assert(t, !table.Take(upstream, now) && !table.TakeAlone(upstream, now))
+	assert.Assert(t, table.Take(upstream, now.Add(4*time.Second)))
+	table.Pause(upstream, 1<<62, now)
+	assert.Equal(t, table.Paused(upstream, now), maxPause)
+}
