Keep the rate limits of upstreams that register again

An upstream whose entry in the store ended for a moment, because it could not reach the store, got requests beyond the limit that it still named.

Each host and the collecting host dropped the limit with the entry, and learned it anew from the first responses after the return, so that each host sent its requests in progress without one.

The test failed before:

entry_limit_test.go:108: assertion failed: +Inf (float64) != 1 (float64)

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -65,6 +65,7 @@
 	prompts       *quarantine.Tracker
 	publisher     *quarantine.Publisher
 	throttle      *throttle.Table
+	limitPresence throttle.Presence
 	codec         forward.Codec
 	peerClient    *http.Client
 	callerHandler *web.CallerHandler
@@ -195,9 +196,9 @@
 
 // sweepThrottle drops the rate limits of upstreams that are gone.
 func (e *entryHost) sweepThrottle(time.Time) {
-	view := e.directory.View()
-	e.throttle.Sweep(view.Has)
-	e.outliers.Collector.Limits.Sweep(view.Has)
+	keep := e.limitPresence.Keep(e.directory.View().Has, clock.Now())
+	e.throttle.Sweep(keep)
+	e.outliers.Collector.Limits.Sweep(keep)
 }
 
 func (e *entryHost) sweepSchedulers(now time.Time) {
--- a/cmd/entry_limit_test.go
+++ b/cmd/entry_limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"redwingloft/internal/data/store"
 	wire "redwingloft/platform"
 	"redwingloft/standin/platform"
 )
@@ -91,3 +93,18 @@
 	<-stopped
 	<-stopped
 }
+
+// TestLimitOfUpstreamThatRegistersAgainIsKept guards against a limit that is forgotten while its upstream is not registered.
+func TestLimitOfUpstreamThatRegistersAgainIsKept(t *testing.T) {
+	s := startSite(t)
+	u := s.replace(t, s.plain, "plain", "200 OK", "Server-Limit: 1")
+	upstream := s.host.directory.View().Ready("plain")[0]
+	s.call(t, "/book/1", "a", nil)
+	time.Sleep(sweepInterval * 3 / 2)
+	_, err := s.store.Inner.Txn(context.Background(), store.Txn{Deletes: []string{wire.PrefixUpstream + string(u.Entry.ID)}})
+	assert.NilError(t, err)
+	s.eventually(t, "the removal", func() bool { return !s.host.directory.View().Has(upstream.Incarnation()) })
+	time.Sleep(sweepInterval * 3 / 2)
+	assert.Equal(t, s.host.throttle.Limit(upstream), 1.0)
+	s.stop(t)
+}
