--- a/internal/service/throttle/throttle_test.go
+++ b/internal/service/throttle/throttle_test.go
@@ -216,6 +216,8 @@
 	table.Sweep(func(fleet.Incarnation) bool { return false })
 	assert.Equal(t, table.WaitAlone(upstream, now), 4*time.Second)
 	assert.Assert(t, !table.Take(upstream, now) && !table.TakeAlone(upstream, now))
+	assert.Equal(t, table.RetryDelay([]*fleet.Upstream{upstream}, now), 4*time.Second)
+	assert.Equal(t, table.RetryDelay([]*fleet.Upstream{upstream}, now), 4*time.Second+pauseReturnInterval)
 	assert.Assert(t, table.Take(upstream, now.Add(4*time.Second)))
 	table.Pause(upstream, 1<<62, now)
 	assert.Equal(t, table.Paused(upstream, now), maxPause)
