--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -66,6 +66,7 @@
 	prompts       *quarantine.Tracker
 	publisher     *quarantine.Publisher
 	throttle      *throttle.Table
+	limitPresence throttle.Presence
 	codec         forward.Codec
 	peerClient    *http.Client
 	callerHandler *web.CallerHandler
@@ -101,6 +102,7 @@
 	e.pool = &forward.Pool{
 		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
 		BufferLimit: int64(bufferMemoryRatio * s.Host.MemoryLimit * megabyte),
+		OnLeaving:   func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
 	}
 	e.callerHandler = &web.CallerHandler{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
@@ -195,9 +197,9 @@
 
 // sweepThrottle drops the rate limits of upstreams that are gone.
 func (e *entryHost) sweepThrottle(time.Time) {
-	view := e.directory.View()
-	e.throttle.Sweep(view.Has)
-	e.outliers.Collector.Limits.Sweep(view.Has)
+	keep := e.limitPresence.Keep(e.directory.View().Has, clock.Now())
+	e.throttle.Sweep(keep)
+	e.outliers.Collector.Limits.Sweep(keep)
 }
 
 func (e *entryHost) sweepSchedulers(now time.Time) {
--- a/internal/data/fleet/request.go
+++ b/internal/data/fleet/request.go
@@ -79,6 +79,11 @@
 	// RateLimit is the number of requests a second that the upstream accepts from all hosts
 	// together; nil if it names no limit.
 	RateLimit *float64
+	// Leaving is true if the upstream announces its shutdown.
+	Leaving bool
+	// RetryAfter is how long the upstream, which refused the request, wants no request from this
+	// host; 0 means not specified.
+	RetryAfter time.Duration
 }
 
 // Load is the load reported by an upstream.
