--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -146,6 +146,17 @@
 	return events
 }
 
+// countMissing returns the number of known entries that a full read does not contain.
+func (s *State) countMissing(entries []store.Entry) int {
+	missing := len(s.records)
+	for _, entry := range entries {
+		if s.records[entry.Key] != nil {
+			missing--
+		}
+	}
+	return missing
+}
+
 // Apply applies the events of a watch and returns those that are new. Deleted entries are
 // removed at expiry, or at once if it is zero.
 func (s *State) Apply(events []store.Event, now, expiry time.Time) []store.Event {
