Read the other items of a page when one can't be decoded

One item of the store with a value that isn't base64, a revision out of range or another type made json.Unmarshal fail for the whole page. A host then read and watched nothing: each read failed, and it kept the state that it had (none, if it had just started).

Items are now decoded one by one. A malformed one is left out, logged as entry_malformed and counted in store.malformed_items; paging goes on after its key.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -82,10 +82,6 @@
 }
 
 func newEntryHost(s *settings.Settings, path string, logger *log.Logger) (*entryHost, error) {
-	kv, err := openStore(s)
-	if err != nil {
-		return nil, err
-	}
 	e := &entryHost{
 		settings: s, settingsPath: path, log: logger, timer: &timer.Service{}, metrics: metric.New(),
 		health: &forward.HealthTable{},
@@ -94,6 +90,10 @@
 		},
 		peerClient: newPeerClient(), schedulers: map[stage.Group]*stage.Scheduler{},
 	}
+	kv, err := openStore(s, e.reportMalformedItem)
+	if err != nil {
+		return nil, err
+	}
 	e.directory = e.newDirectory(kv)
 	e.prompts = &quarantine.Tracker{Stored: e.quarantinedParts}
 	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, Log: logger, Metrics: e.metrics}
@@ -136,6 +136,11 @@
 	}
 }
 
+func (e *entryHost) reportMalformedItem(key string, err error) {
+	e.metrics.Counter("store.malformed_items").Inc(1)
+	e.log.Warn().Str("key", key).Err(err).Msg("entry_malformed")
+}
+
 // quarantinedParts returns the quarantined parts of prompts in the store.
 func (e *entryHost) quarantinedParts() map[string]fleet.QuarantinedPart {
 	return e.directory.View().Quarantined
--- a/cmd/quarantine.go
+++ b/cmd/quarantine.go
@@ -37,17 +37,20 @@
 	if err != nil {
 		return nil, "", err
 	}
-	kv, err := openStore(s)
+	kv, err := openStore(s, func(key string, err error) {
+		fmt.Fprintf(c.Root().ErrWriter, "%s is left out: %v\n", key, err)
+	})
 	return kv, quarantinePrefix(s), err
 }
 
-// openStore opens the store that the settings name.
-func openStore(s *settings.Settings) (store.Store, error) {
+// openStore opens the store that the settings name. onMalformed is called for items that can't be
+// decoded.
+func openStore(s *settings.Settings, onMalformed func(key string, err error)) (store.Store, error) {
 	factory, err := kernel.Stores.Get(s.Store.Kind)
 	if err != nil {
 		return nil, fmt.Errorf("[store] kind: %w", err)
 	}
-	return factory(kernel.StoreOptions{Endpoints: s.Store.Endpoints, Timeout: s.Store.Timeout, WatchWait: s.Store.WatchWait})
+	return factory(kernel.StoreOptions{Endpoints: s.Store.Endpoints, Timeout: s.Store.Timeout, WatchWait: s.Store.WatchWait, OnMalformed: onMalformed})
 }
 
 // quarantinePrefix returns the key prefix of quarantined parts of prompts.
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -69,6 +69,9 @@
 	// WatchWait is the maximum wait of one watch call, for services that use long polling;
 	// 0 means the longest wait that the service accepts.
 	WatchWait time.Duration
+	// OnMalformed is called for items of the service that can't be decoded and are left out of a
+	// result; nil ignores them.
+	OnMalformed func(key string, err error)
 }
 
 // StoreFactory creates a client of a key-value service.
