Let the stand-in of the store come back from an older copy

Restore brings back keys, revisions and leases, raises the era in its responses, cuts waiting watches and answers watches from revisions that it doesn't have with 410.

--- a/internal/plugin/memory/memory.go
+++ b/internal/plugin/memory/memory.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -246,6 +247,39 @@
 	s.notify()
 }
 
+// Copy is the state of a Store at one moment, without its history.
+type Copy struct {
+	version   store.Version
+	entries   map[string]entry
+	leases    map[store.LeaseID]lease
+	lastLease store.LeaseID
+}
+
+// Copy returns a copy of the keys and leases.
+func (s *Store) Copy() *Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLeases()
+	c := &Copy{version: s.version, entries: maps.Clone(s.entries), leases: map[store.LeaseID]lease{}, lastLease: s.lastLease}
+	for id, held := range s.leases {
+		c.leases[id] = *held
+	}
+	return c
+}
+
+// Restore returns to a copy. Versions and leases since then are given out again.
+func (s *Store) Restore(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.lastLease, s.entries = c.version, c.lastLease, maps.Clone(c.entries)
+	s.history, s.compacted = nil, c.version
+	s.leases = map[store.LeaseID]*lease{}
+	for id, held := range c.leases {
+		s.leases[id] = &held
+	}
+	s.notify()
+}
+
 // Grant creates a lease.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
 	s.mu.Lock()
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -30,7 +30,11 @@
 	DropTxnResponses atomic.Bool
 
 	calls atomic.Int64
-	mu    sync.Mutex
+	// serving is held for reading by all requests but watches, and for writing by Restore.
+	serving sync.RWMutex
+	// era is the number of restores so far.
+	era atomic.Int64
+	mu  sync.Mutex
 	// compactedTo is the revision before which the history is gone.
 	compactedTo int64
 }
@@ -48,6 +52,14 @@
 	s.compactedTo = int64(version)
 }
 
+// Restore brings the store back from a copy. Watches that are waiting are cut.
+func (s *Store) Restore(c *memory.Copy) {
+	s.serving.Lock()
+	defer s.serving.Unlock()
+	s.era.Add(1)
+	s.Inner.Restore(c)
+}
+
 type storedItem struct {
 	Key     string `json:"key"`
 	Value   []byte `json:"value,omitempty"`
@@ -63,6 +75,13 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.calls.Add(1)
+	if r.URL.Path != wire.PathStoreWatch {
+		s.serving.RLock()
+		defer s.serving.RUnlock()
+	}
+	if era := s.era.Load(); era > 0 {
+		w.Header().Set(wire.HeaderStoreEra, strconv.FormatInt(era, 10))
+	}
 	if s.Down.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -129,13 +148,14 @@
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	era := s.era.Load()
 	query := r.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
 	waitMs, _ := strconv.Atoi(query.Get("waitMs"))
 	s.mu.Lock()
 	compactedTo := s.compactedTo
 	s.mu.Unlock()
-	if after < compactedTo {
+	if after < compactedTo || after > int64(s.Inner.Version()) {
 		w.WriteHeader(http.StatusGone)
 		return
 	}
@@ -148,7 +168,7 @@
 	}
 	items := []storedItem{}
 	revision := after
-	_ = s.Inner.Watch(ctx, query.Get("pathPrefix"), store.Version(after+1), func(events []store.Event) {
+	err := s.Inner.Watch(ctx, query.Get("pathPrefix"), store.Version(after+1), func(events []store.Event) {
 		for _, event := range events {
 			item := newStoredItem(event.Entry)
 			item.Deleted = event.Deleted
@@ -157,7 +177,14 @@
 		}
 		cancel()
 	})
-	writeJSON(w, http.StatusOK, map[string]any{"events": items, "at": revision})
+	switch {
+	case s.era.Load() != era:
+		panic(http.ErrAbortHandler)
+	case store.IsErrCompacted(err):
+		w.WriteHeader(http.StatusGone)
+	default:
+		writeJSON(w, http.StatusOK, map[string]any{"events": items, "at": revision})
+	}
 }
 
 func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
