Order the store's revisions across a restore from an older copy

Entries, the document and the feed between hosts are ordered by the store's revision, which was taken to rise for ever. After a restore revisions start again below the one known: all that was read or fed was taken for old, and a watch from the known revision got 410 for each full read, or followed another history once the store had reached that revision again. The class of fault: a counter that restarts is used as a global order.

store.Version now joins the era of the store, which its responses show, with the revision, and a version of a later era is greater.

Evidence: store_restored before=40 version=39 on each full read.

--- a/internal/data/store/store.go
+++ b/internal/data/store/store.go
@@ -4,16 +4,48 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/joomcode/errorx"
 )
 
-// Version is the modification revision of a key. Revisions increase with each write to the
-// service, across all keys; 0 means that the key does not exist.
+// Era is the number of times that the service came back from an older copy of itself.
+type Era int64
+
+// eraSpan is the number of revisions in an era. It is a power of ten, so that both
+// parts of a version can be read in logs.
+const eraSpan = 1_000_000_000_000
+
+// maxEra is the greatest era whose versions fit.
+const maxEra = Era(math.MaxInt64/eraSpan - 1)
+
+// Version is the modification revision of a key together with the era of the service. Versions
+// increase with each write to the service, across all keys and also if the service comes back
+// from an older copy and gives its revisions out again: a version of a later era is greater. 0
+// means that the key does not exist.
 type Version int64
 
-// LeaseID identifies a lease; 0 means none.
+// NewVersion returns the version of a revision in an era, and false if they don't fit. Revision 0
+// is that of a key that does not exist, in each era.
+func NewVersion(era Era, revision int64) (Version, bool) {
+	if revision == 0 {
+		return 0, true
+	}
+	if era < 0 || era > maxEra || revision < 0 || revision >= eraSpan {
+		return 0, false
+	}
+	return Version(int64(era)*eraSpan + revision), true
+}
+
+// Era returns the era of a version.
+func (v Version) Era() Era { return Era(v / eraSpan) }
+
+// Revision returns the revision in the era of a version.
+func (v Version) Revision() int64 { return int64(v % eraSpan) }
+
+// LeaseID identifies a lease of one client of the service; 0 means none. A lease is gone when the
+// service comes back from an older copy, also if the copy has it or it gives the number out again.
 type LeaseID int64
 
 // Entry is one key with its value.
@@ -134,7 +166,7 @@
 var ErrLeaseNotFound = ErrUnavailable.NewSubtype("lease_not_found")
 
 // ErrCompacted is the error type for watches from a revision whose events the service no
-// longer has. The caller must read the keys again and watch from their revision.
+// longer has, for instance because it is of an earlier era. The caller must read the keys again and watch from their revision.
 var ErrCompacted = ErrUnavailable.NewSubtype("compacted")
 
 // IsErrLeaseNotFound reports whether a write failed because its lease had expired.
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -376,7 +376,7 @@
 func (s *Service) replace(entries []store.Entry, version store.Version, start time.Time) {
 	s.mu.Lock()
 	now := s.now()
-	if before := s.state.Version(); version < before {
+	if before := s.state.Version(); before > 0 && version.Era() > before.Era() {
 		s.Metrics.Counter("directory.store_restores").Inc(1)
 		s.Log.Warn().Int64("before", int64(before)).Int64("version", int64(version)).Int("missing", s.state.countMissing(entries)).Msg("store_restored")
 	}
