Keep what an older copy of the store lacks, and hold back what had been removed

After a restore, hosts that had lost the store for less than a second dropped at once each upstream that had registered since the copy, and all hosts dropped the registrations of hosts that the copy lacks, although all of these are written again within about two seconds. An upstream that had left since the copy is ready in it, and got new work.

The first read or update of a new era now starts the grace period whatever the outage took, also for hosts, and extends that of an earlier restore. Removals are remembered for a minute; an entry of the copy whose last known event is its removal is not used until it is written again, or until the platform would have removed a silent one. A host that follows takes the rest of the grace from its source. Entries that the copy has unchanged are not sent to followers again.

Each host decides from what it has seen itself: a host that starts after the restore can't know that an upstream of the copy has left.

--- a/internal/service/directory/feed.go
+++ b/internal/service/directory/feed.go
@@ -349,6 +349,7 @@
 		s.mu.Unlock()
 		return judgement
 	}
+	entered := s.enterEra(update.Version, now, time.Duration(update.GraceMs)*time.Millisecond)
 	expiry := s.missingEntryExpiry(now)
 	if update.Full {
 		s.Log.Info().Str("source", string(source)).Int64("version", int64(update.Version)).Int64("before", int64(s.state.Version())).Int("entries", len(update.Entries)).Msg("state_received")
@@ -357,6 +358,7 @@
 	} else {
 		s.recordHistory(s.state.ApplyUpdate(update.Events, update.Version, now, expiry))
 	}
+	entered()
 	s.publish()
 	return judgement
 }
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -376,11 +376,9 @@
 func (s *Service) replace(entries []store.Entry, version store.Version, start time.Time) {
 	s.mu.Lock()
 	now := s.now()
-	if before := s.state.Version(); before > 0 && version.Era() > before.Era() {
-		s.Metrics.Counter("directory.store_restores").Inc(1)
-		s.Log.Warn().Int64("before", int64(before)).Int64("version", int64(version)).Int("missing", s.state.countMissing(entries)).Msg("store_restored")
-	}
+	entered := s.enterEra(version, now, missingEntryGrace)
 	s.replaceState(entries, version, now, s.missingEntryExpiry(now))
+	entered()
 	s.confirm(start)
 	// A new host has this long to find a source.
 	if s.feedConfirmedAt.IsZero() {
--- a/internal/service/directory/restore_test.go
+++ b/internal/service/directory/restore_test.go
@@ -1,9 +1,16 @@
 package directory
 
 import (
+	"fmt"
 	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/helper/metric"
 )
 
 // TestDocumentWrittenAfterRestoreIsInForce guards against a host that takes no change from a store that came back from an older copy.
@@ -31,3 +38,66 @@
 		eventually(t, "the document after the restore", inForce(fleet.Revision(revision+5)))
 	}
 }
+
+// inEra returns a version of an era.
+func inEra(t *testing.T, era store.Era, revision int64) store.Version {
+	t.Helper()
+	version, fits := store.NewVersion(era, revision)
+	assert.Assert(t, fits)
+	return version
+}
+
+func hostEntry(id string, version store.Version) store.Entry {
+	return store.Entry{Key: "host/" + id, Value: fmt.Appendf(nil, `{"id":%q}`, id), Version: version}
+}
+
+// TestEntriesMissingAfterRestoreAreKept guards against a host that drops all upstreams and hosts that an older copy of the store lacks.
+func TestEntriesMissingAfterRestoreAreKept(t *testing.T) {
+	now := start
+	s := &Service{Clock: func() time.Time { return now }, Log: logging.Discard(), Metrics: metric.New()}
+	s.state.Decoder = testDecoder()
+	old := []store.Entry{documentEntry(1, 1), upstreamEntry("a", fleet.StateReady, 1, 2)}
+	s.replace(append(old, upstreamEntry("b", fleet.StateReady, 1, 5), hostEntry("h", 6)), 6, now)
+	for era := store.Era(1); era <= 3; era++ {
+		now = now.Add(missingEntryGrace / 2)
+		copied := []store.Entry{documentEntry(1, inEra(t, era, 1)), upstreamEntry("a", fleet.StateReady, 1, inEra(t, era, 2))}
+		s.replace(copied, inEra(t, era, 3), now)
+		assert.Equal(t, len(s.View().Ready("s")), 2)
+		assert.Equal(t, len(s.View().Hosts), 1)
+	}
+	assert.Equal(t, s.Metrics.Counter("directory.store_restores").Count(), int64(3))
+	s.recordWatch([]store.Event{{Entry: upstreamEntry("b", fleet.StateReady, 1, inEra(t, 3, 4))}}, now, 0)
+	now = now.Add(missingEntryGrace)
+	s.expire()
+	assert.Equal(t, len(s.View().Ready("s")), 2, "b was written again")
+	assert.Equal(t, len(s.View().Hosts), 0)
+}
+
+// TestUpstreamRemovedBeforeRestoreIsNotUsed guards against work for an upstream that had left and is in an older copy of the store.
+func TestUpstreamRemovedBeforeRestoreIsNotUsed(t *testing.T) {
+	for _, writtenAgain := range []bool{false, true} {
+		s := newState()
+		all := func(era store.Era) []store.Entry {
+			return []store.Entry{
+				upstreamEntry("a", fleet.StateReady, 1, inEra(t, era, 1)), upstreamEntry("b", fleet.StateReady, 1, inEra(t, era, 2)), hostEntry("h", inEra(t, era, 3)),
+			}
+		}
+		s.Replace(all(0), 3, start, time.Time{})
+		s.Apply([]store.Event{
+			{Entry: store.Entry{Key: "upstream/a", Version: 4}, Deleted: true}, {Entry: store.Entry{Key: "host/h", Version: 5}, Deleted: true},
+		}, start, time.Time{})
+		for era := store.Era(1); era <= 2; era++ {
+			s.Replace(all(era), inEra(t, era, 3), start, start.Add(missingEntryGrace))
+			view := s.View()
+			assert.Assert(t, len(view.Ready("s")) == 1 && view.Ready("s")[0].ID == "b" && len(view.Hosts) == 0)
+		}
+		if writtenAgain {
+			s.Apply([]store.Event{{Entry: upstreamEntry("a", fleet.StateReady, 1, inEra(t, 2, 4))}}, start, time.Time{})
+		} else {
+			assert.Assert(t, !s.Expire(start.Add(reappearedHold-time.Millisecond)))
+			assert.Equal(t, len(s.View().Ready("s")), 1)
+			assert.Assert(t, s.Expire(start.Add(reappearedHold)))
+		}
+		assert.Equal(t, len(s.View().Ready("s")), 2)
+	}
+}
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -57,6 +57,9 @@
 	// Quarantined holds the quarantined parts of prompts by id, also those whose quarantine has
 	// ended; nil if there are none.
 	Quarantined map[string]fleet.QuarantinedPart
+	// LostQuarantines holds the quarantined parts that the store lost when it came back from an
+	// older copy, and LiftedQuarantines those that it has again although they were removed.
+	LostQuarantines, LiftedQuarantines []fleet.QuarantinedPart
 
 	ready     map[api.ServiceName][]*fleet.Upstream
 	upstreams map[api.UpstreamID]*fleet.Upstream
@@ -87,6 +90,8 @@
 	// expiresAt is the time at which an entry that went missing during an outage is
 	// removed; zero if the entry is not missing.
 	expiresAt time.Time
+	// heldUntil is the time until which an entry that reappeared is not used; zero if it is used.
+	heldUntil time.Time
 }
 
 // State applies entries and events of the store in order. Set Decoder before use.
@@ -105,6 +110,14 @@
 	removedAt map[string]time.Time
 	// drainedIncarnations holds the incarnations that were seen draining, which is final.
 	drainedIncarnations map[fleet.Incarnation]time.Time
+	// removed holds the last removals by key, those of entries that were written again excepted.
+	removed map[string]removal
+	// restoring is true while the first entries are applied after the store came back from an
+	// older copy.
+	restoring bool
+	// hostsKeptUntil is the time until which missing hosts are kept: all registrations are lost
+	// when the store comes back from an older copy.
+	hostsKeptUntil time.Time
 }
 
 // Version returns the store revision up to which the state is complete.
@@ -113,11 +126,15 @@
 // Replace replaces the state with the result of a full read and returns the changes, sorted
 // by revision. Missing entries are removed at expiry, or at once if it is zero.
 func (s *State) Replace(entries []store.Entry, version store.Version, now, expiry time.Time) []store.Event {
+	if version.Era() < s.version.Era() {
+		return nil
+	}
+	defer s.beginRestore(version, expiry)()
 	var events []store.Event
 	seen := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		seen[entry.Key] = true
-		if entry.Version > s.version {
+		if entry.Version > s.version && !s.isUnchanged(entry) {
 			events = append(events, store.Event{Entry: entry})
 		}
 		s.putEntry(entry, now)
@@ -128,7 +145,7 @@
 				s.removedAt = map[string]time.Time{}
 			}
 			s.removedAt[key] = now
-			s.removeEntry(key, expiry)
+			s.removeEntry(key, now, expiry)
 		}
 	}
 	for key, at := range s.removedAt {
@@ -146,17 +163,6 @@
 	return events
 }
 
-// countMissing returns the number of known entries that a full read does not contain.
-func (s *State) countMissing(entries []store.Entry) int {
-	missing := len(s.records)
-	for _, entry := range entries {
-		if s.records[entry.Key] != nil {
-			missing--
-		}
-	}
-	return missing
-}
-
 // Apply applies the events of a watch and returns those that are new. Deleted entries are
 // removed at expiry, or at once if it is zero.
 func (s *State) Apply(events []store.Event, now, expiry time.Time) []store.Event {
@@ -170,6 +176,7 @@
 // ApplyUpdate applies events after which the state is complete up to a revision, and returns
 // those that are new. Events may be newer than that revision.
 func (s *State) ApplyUpdate(events []store.Event, complete store.Version, now, expiry time.Time) []store.Event {
+	defer s.beginRestore(complete, expiry)()
 	var applied []store.Event
 	for _, event := range events {
 		if event.Version <= s.version {
@@ -178,7 +185,7 @@
 		applied = append(applied, event)
 		if event.Deleted {
 			if existing := s.records[event.Key]; existing != nil && existing.entry.Version < event.Version {
-				s.removeEntry(event.Key, expiry)
+				s.removeEntry(event.Key, now, expiry)
 			}
 		} else {
 			s.putEntry(event.Entry, now)
@@ -190,31 +197,45 @@
 	return applied
 }
 
-// Expire removes missing entries whose grace period has ended and reports whether
-// there were any.
+// Expire removes missing entries whose grace period has ended, uses those that were held back for
+// long enough, and reports whether there were any.
 func (s *State) Expire(now time.Time) bool {
 	changed := false
 	for key, rec := range s.records {
 		if !rec.expiresAt.IsZero() && !now.Before(rec.expiresAt) {
-			delete(s.records, key)
+			s.deleteRecord(key, now)
+			changed = true
+		}
+		if rec.isHeld() && !now.Before(rec.heldUntil) {
+			rec.heldUntil = time.Time{}
 			changed = true
 		}
 	}
 	return changed
 }
 
-// removeEntry removes an entry, or schedules its removal for expiry. Hosts are
-// removed at once, because callers fail over by themselves.
-func (s *State) removeEntry(key string, expiry time.Time) {
+// removeEntry removes an entry, or schedules its removal for expiry. Hosts are removed at once,
+// because callers fail over by themselves, except after a restore.
+func (s *State) removeEntry(key string, now, expiry time.Time) {
 	existing := s.records[key]
 	if existing == nil {
 		return
 	}
-	if expiry.IsZero() || existing.upstream == nil || existing.upstream.State == fleet.StateDraining {
-		delete(s.records, key)
+	keep := false
+	switch {
+	case existing.isHeld():
+	case existing.upstream != nil:
+		keep = !expiry.IsZero() && existing.upstream.State != fleet.StateDraining
+	case existing.host != nil:
+		keep, expiry = now.Before(s.hostsKeptUntil), s.hostsKeptUntil
+	case existing.quarantined != nil:
+		keep = !expiry.IsZero() && s.restoring
+	}
+	if !keep {
+		s.deleteRecord(key, now)
 		return
 	}
-	if existing.expiresAt.IsZero() {
+	if existing.expiresAt.IsZero() || s.restoring {
 		existing.expiresAt = expiry
 	}
 }
@@ -237,7 +258,9 @@
 		}
 		return
 	}
-	s.records[entry.Key] = s.decodeEntry(entry, now)
+	decoded := s.decodeEntry(entry, now)
+	s.holdReappeared(decoded, now)
+	s.records[entry.Key] = decoded
 }
 
 func (s *State) decodeEntry(entry store.Entry, now time.Time) *record {
@@ -323,6 +346,10 @@
 		ready: map[api.ServiceName][]*fleet.Upstream{}, upstreams: map[api.UpstreamID]*fleet.Upstream{},
 	}
 	for _, rec := range s.records {
+		if rec.isHeld() {
+			v.addReappeared(rec)
+			continue
+		}
 		switch {
 		case rec.upstream != nil:
 			v.upstreams[rec.upstream.ID] = rec.upstream
@@ -336,6 +363,9 @@
 				v.Quarantined = map[string]fleet.QuarantinedPart{}
 			}
 			v.Quarantined[rec.quarantined.Part] = *rec.quarantined
+			if !rec.expiresAt.IsZero() {
+				v.LostQuarantines = append(v.LostQuarantines, *rec.quarantined)
+			}
 		}
 	}
 	for _, list := range v.ready {
