Let the document's own revision decide across a restore

A follower that had read an older copy of the store, for instance because it started after the restore, ignored the newer document of its source: the entry of the copy has the newer version. Until the operator wrote the document again, its callers were served by the older one.

The document with the higher revision of its own is in force, whatever the version of its entry; at the same revision the newer entry. Updates between hosts carry the revision of the sender's document, and a follower that is at the same version with an older document requests the whole state once.

A host that starts in a fleet where all hosts read the store has nobody to follow and serves the document of the copy until it is written again.

--- a/internal/service/directory/feed.go
+++ b/internal/service/directory/feed.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/data/store"
 	"redwingloft/pkg/api"
 )
@@ -63,6 +64,9 @@
 	AgeMs int64 `json:"age_ms"`
 	// HeldMs is the time in milliseconds for which the sender held the request, rounded down.
 	HeldMs int64 `json:"held_ms"`
+	// Revision is the revision of the sender's document; 0 if it has none. It may be newer than the
+	// one that the store has after it came back from an older copy.
+	Revision fleet.Revision `json:"revision,omitempty"`
 	// GraceMs is the time in milliseconds for which entries that are missing are still kept.
 	GraceMs int64 `json:"grace_ms,omitempty"`
 	// Disconnected is true if the sender itself knows of no path to the store.
@@ -114,7 +118,7 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	update, sent = &Update{
-		Version: s.state.Version(), AgeMs: -1, HeldMs: now.Sub(received).Milliseconds(),
+		Version: s.state.Version(), Revision: s.state.documentRevision(), AgeMs: -1, HeldMs: now.Sub(received).Milliseconds(),
 		GraceMs: max(s.graceUntil.Sub(now).Milliseconds(), 0), Disconnected: !s.disconnectedAt.IsZero(),
 	}, func() {}
 	if !s.confirmedAt.IsZero() {
@@ -306,7 +310,7 @@
 	ctx, cancel := context.WithTimeout(ctx, feedTimeout)
 	defer cancel()
 	sent := s.now()
-	update, err := s.FetchUpdate(ctx, source, s.View().Version, feedHold)
+	update, err := s.FetchUpdate(ctx, source, s.followedVersion(), feedHold)
 	s.Metrics.Counter("directory.feed_requests").Inc(1)
 	if err != nil {
 		return err
@@ -314,6 +318,17 @@
 	return s.applyUpdate(source, update, sent)
 }
 
+// followedVersion returns the revision after which this host requests changes; 0 requests the whole
+// state, because the source has a newer document that is in none of the changes.
+func (s *Service) followedVersion() store.Version {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lacksDocument {
+		return 0
+	}
+	return s.state.Version()
+}
+
 // applyUpdate applies an update that was requested at sent.
 func (s *Service) applyUpdate(source api.Address, update *Update, sent time.Time) error {
 	reads := s.currentRole().Reads
@@ -345,7 +360,9 @@
 	if judgement == nil {
 		s.sourceRecovered(source, age)
 	}
-	if update.Version <= s.state.Version() {
+	known := s.state.Version()
+	s.lacksDocument = !update.Full && update.Version == known && update.Revision > s.state.documentRevision()
+	if update.Version < known || update.Version == known && !update.Full {
 		s.mu.Unlock()
 		return judgement
 	}
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -83,6 +83,8 @@
 	source api.Address
 	// sourcesLost is true after all sources have failed, until one supplies changes again.
 	sourcesLost bool
+	// lacksDocument is true if the source has a newer document that no change contains.
+	lacksDocument bool
 	// dumpsInProgress is the number of whole states that are being sent.
 	dumpsInProgress int
 	// readFailed is true if the last call to the store failed.
--- a/internal/service/directory/restore_test.go
+++ b/internal/service/directory/restore_test.go
@@ -101,3 +101,40 @@
 		assert.Equal(t, len(s.View().Ready("s")), 2)
 	}
 }
+
+// TestFollowerAcrossRestoreEndsInTheStateOfItsSource guards against changes that don't pass between hosts after a restore.
+func TestFollowerAcrossRestoreEndsInTheStateOfItsSource(t *testing.T) {
+	now := start
+	services := map[string]*Service{}
+	for _, name := range []string{"source", "follower", "starting"} {
+		services[name] = &Service{Clock: func() time.Time { return now }, Log: logging.Discard(), Metrics: metric.New()}
+		services[name].state.Decoder = testDecoder()
+		services[name].role.Store(&Role{Reads: name == "source"})
+	}
+	source, follower := services["source"], services["follower"]
+	poll := func(s *Service) {
+		update, sent := source.newUpdate(s.followedVersion(), now)
+		defer sent()
+		assert.NilError(t, s.applyUpdate("source", update, now))
+	}
+	a := upstreamEntry("a", fleet.StateReady, 1, 2)
+	source.replace([]store.Entry{documentEntry(1, 1), a, upstreamEntry("b", fleet.StateReady, 1, 3)}, 3, now)
+	poll(follower)
+	source.recordWatch([]store.Event{{Entry: documentEntry(3, 4)}, {Entry: store.Entry{Key: a.Key, Version: 5}, Deleted: true}}, now, 0)
+	poll(follower)
+	a.Version = inEra(t, 1, 2)
+	copied := []store.Entry{documentEntry(1, inEra(t, 1, 1)), a}
+	source.replace(copied, inEra(t, 1, 2), now)
+	services["starting"].replace(copied, inEra(t, 1, 2), now)
+	for range 2 {
+		poll(follower)
+		poll(services["starting"])
+	}
+	assert.Equal(t, follower.View().Snapshot.Revision, fleet.Revision(3))
+	assert.Equal(t, services["starting"].View().Snapshot.Revision, fleet.Revision(3))
+	assert.Assert(t, len(follower.View().Ready("s")) == 1 && follower.View().Ready("s")[0].ID == "b", "a had left, b is missing for a while")
+	source.recordWatch([]store.Event{{Entry: documentEntry(4, inEra(t, 1, 3))}}, now, 0)
+	poll(follower)
+	assert.Equal(t, follower.View().Snapshot.Revision, fleet.Revision(4))
+	assert.Equal(t, follower.View().Version, source.View().Version)
+}
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -304,9 +304,10 @@
 	}
 }
 
-// putDocument installs a newer routing document; older and invalid ones are ignored.
+// putDocument installs a newer routing document; older and invalid ones are ignored. The document's
+// own revision decides: an older copy of the store has an older document at a newer version.
 func (s *State) putDocument(entry store.Entry) {
-	if entry.Version <= s.document.Version {
+	if entry.Version == s.document.Version {
 		return
 	}
 	document, err := s.Decoder.Document(entry.Value)
@@ -314,7 +315,7 @@
 		s.reportMalformed(entry.Key, err)
 		return
 	}
-	if s.snapshot != nil && document.Revision < s.snapshot.Revision {
+	if s.snapshot != nil && (document.Revision < s.snapshot.Revision || document.Revision == s.snapshot.Revision && entry.Version < s.document.Version) {
 		return
 	}
 	snapshot, err := fleet.Compile(document)
@@ -325,6 +326,14 @@
 	s.document, s.snapshot = entry, snapshot
 }
 
+// documentRevision returns the revision of the document in force, or 0.
+func (s *State) documentRevision() fleet.Revision {
+	if s.snapshot == nil {
+		return 0
+	}
+	return s.snapshot.Revision
+}
+
 // Entries returns the entries from which another host can restore this state.
 func (s *State) Entries() []store.Entry {
 	entries := make([]store.Entry, 0, len(s.records)+1)
