--- a/internal/service/directory/register.go
+++ b/internal/service/directory/register.go
@@ -28,6 +28,8 @@
 	writtenVersion store.Version
 	// deregistered is set by Deregister; after that, the entry is not written again.
 	deregistered bool
+	// deletedVersion is the version at which Deregister deleted the entry; 0 if it has not.
+	deletedVersion store.Version
 	// renewNow is set by Register and starts a renewal.
 	renewNow atomic.Pointer[func()]
 }
@@ -60,7 +62,14 @@
 func (s *Service) renew(ctx context.Context, reg *registration) error {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
-	if reg.deregistered || s.View().Snapshot == nil {
+	if reg.deregistered {
+		if view := s.View(); reg.deletedVersion != 0 && view.Version.Era() <= reg.deletedVersion.Era() {
+			return nil
+		}
+		// The store came back from a copy that may have the entry, or was away before.
+		return s.deleteRegistration(ctx, reg)
+	}
+	if s.View().Snapshot == nil {
 		return nil
 	}
 	if reg.lease != 0 {
@@ -125,11 +134,18 @@
 
 func (s *Service) registrationKey() string { return s.Decoder.HostPrefix + string(s.Self.ID) }
 
-// Deregister deletes the host's entry and prevents further writes.
+// Deregister deletes the host's entry and prevents further writes. The entry is deleted again if
+// that fails, or if the store comes back from an older copy.
 func (s *Service) Deregister(ctx context.Context) error {
 	s.registration.mu.Lock()
 	defer s.registration.mu.Unlock()
 	s.registration.deregistered = true
-	_, err := s.Store.Txn(ctx, store.Txn{Deletes: []string{s.registrationKey()}})
+	return s.deleteRegistration(ctx, &s.registration)
+}
+
+// deleteRegistration deletes the host's entry. The caller holds reg.mu.
+func (s *Service) deleteRegistration(ctx context.Context, reg *registration) error {
+	result, err := s.Store.Txn(ctx, store.Txn{Deletes: []string{s.registrationKey()}})
+	reg.deletedVersion = result.Version
 	return err
 }
--- a/internal/service/directory/restore_test.go
+++ b/internal/service/directory/restore_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -138,3 +139,29 @@
 	assert.Equal(t, follower.View().Snapshot.Revision, fleet.Revision(4))
 	assert.Equal(t, follower.View().Version, source.View().Version)
 }
+
+// TestRegistrationAfterRestore guards against a host that stays off the address list after a restore, and against one that drains and returns to it.
+func TestRegistrationAfterRestore(t *testing.T) {
+	kv, client := startStore(t)
+	write(t, kv, documentEntry(1, 0))
+	service := startService(t, client, nil)
+	ctx := context.Background()
+	listed := func() bool {
+		entry, err := kv.Inner.Get(ctx, "host/self")
+		return err == nil && entry != nil
+	}
+	before := kv.Inner.Copy()
+	defer service.Register(ctx)()
+	eventually(t, "the registration", listed)
+	kv.Restore(before)
+	began := time.Now()
+	eventually(t, "the registration after the restore", listed)
+	assert.Assert(t, time.Since(began) < renewPeriod, "the registration waited for its next period")
+	before = kv.Inner.Copy()
+	assert.NilError(t, service.Deregister(ctx))
+	kv.Restore(before)
+	began = time.Now()
+	assert.Assert(t, listed())
+	eventually(t, "the second deletion", func() bool { return !listed() })
+	assert.Assert(t, time.Since(began) < RegistrationTTL-renewPeriod, "the entry ended with its lease")
+}
