Write quarantines again that a restore of the store lost

The collecting host forgets a decision once it is stored. After a restore from a copy without it requests that crash engines were sent again, until the part had crashed enough of them anew. A quarantine that was lifted since the copy was in force again, for up to ten minutes.

Hosts keep quarantines that the copy lacks for the grace period, in which the collecting host writes them again. One that the copy has although its removal was seen is not in force, and the collecting host deletes it. This needs a host that saw the removal: one that starts after the restore refuses the requests until the deletion.

TestQuarantineAfterRestore failed before: "expression is false: time.Now().Before(end): the decision".

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -110,7 +110,10 @@
 	e.outliers.Collector.Prompts.Stored = e.quarantinedParts
 	e.publisher = &quarantine.Publisher{
 		Collector: &e.outliers.Collector.Prompts, Store: store.WithCause(kv, store.CauseQuarantine, e.metrics), Prefix: quarantinePrefix(s),
-		Stored: e.quarantinedParts, Removes: e.outliers.Collects, Log: logger, Metrics: e.metrics,
+		Stored: e.quarantinedParts, Removes: e.outliers.Collects,
+		Lost:   func() []fleet.QuarantinedPart { return e.directory.View().LostQuarantines },
+		Lifted: func() []fleet.QuarantinedPart { return e.directory.View().LiftedQuarantines },
+		Log:    logger, Metrics: e.metrics,
 	}
 	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
 	e.idleTracker = &web.IdleCloser{Timeout: e.callerIdleTimeout}
--- a/cmd/quarantine_test.go
+++ b/cmd/quarantine_test.go
@@ -51,3 +51,32 @@
 	})
 	s.stop(t)
 }
+
+// TestQuarantineAfterRestore guards against a decision that is lost, and against a lifted one that returns, when the store comes back from an older copy.
+func TestQuarantineAfterRestore(t *testing.T) {
+	s := startSite(t)
+	stored := func(part string) func() bool {
+		return func() bool {
+			entry, err := s.store.Inner.Get(t.Context(), quarantine.Key(quarantinePrefix(s.settings), part))
+			return err == nil && entry != nil
+		}
+	}
+	until := time.Now().Add(time.Minute).UTC().Format(time.RFC3339)
+	write := func(part string) {
+		s.write(t, quarantine.Key(quarantinePrefix(s.settings), part), `{"part":"`+part+`","until":"`+until+`","crashes":3}`)
+		s.eventually(t, "the quarantine", func() bool { _, known := s.host.quarantinedParts()[part]; return known })
+	}
+	write("lifted")
+	before := s.store.Inner.Copy()
+	write("decided")
+	_, err := s.runQuarantine(t, "lift", "--settings", s.path, "lifted")
+	assert.NilError(t, err)
+	s.eventually(t, "the end of the quarantine", func() bool { _, known := s.host.quarantinedParts()["lifted"]; return !known })
+	s.store.Restore(before)
+	assert.Assert(t, stored("lifted")() && !stored("decided")())
+	s.eventually(t, "the decision", stored("decided"))
+	s.eventually(t, "the removal", func() bool { return !stored("lifted")() })
+	_, refused := s.host.quarantinedParts()["decided"]
+	assert.Assert(t, refused && len(s.host.quarantinedParts()) == 1)
+	s.stop(t)
+}
--- a/internal/service/quarantine/publisher.go
+++ b/internal/service/quarantine/publisher.go
@@ -36,6 +36,9 @@
 	Prefix string
 	// Stored returns the quarantined parts in the store by id.
 	Stored func() map[string]fleet.QuarantinedPart
+	// Lost returns the parts that the store lost when it came back from an older copy, and Lifted
+	// those that it has again although they were removed. Both may be nil.
+	Lost, Lifted func() []fleet.QuarantinedPart
 	// Removes reports whether this host removes the quarantines that have ended.
 	Removes func() bool
 	Log     *log.Logger
@@ -46,7 +49,11 @@
 func (p *Publisher) Run(time.Time) {
 	now := clock.Now()
 	var txn store.Txn
-	for _, part := range p.Collector.Unstored(now) {
+	parts := p.Collector.Unstored(now)
+	if p.Removes() && p.Lost != nil {
+		parts = append(parts, p.Lost()...)
+	}
+	for _, part := range parts {
 		if len(txn.Puts) == maxWrites {
 			break
 		}
@@ -63,6 +70,13 @@
 				txn.Deletes = append(txn.Deletes, Key(p.Prefix, id))
 			}
 		}
+		if p.Lifted != nil {
+			for _, part := range p.Lifted() {
+				if len(txn.Deletes) < maxWrites {
+					txn.Deletes = append(txn.Deletes, Key(p.Prefix, part.Part))
+				}
+			}
+		}
 	}
 	if len(txn.Puts)+len(txn.Deletes) == 0 {
 		return
