--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -84,10 +84,6 @@
 }
 
 func newEntryHost(s *settings.Settings, path string, logger *log.Logger) (*entryHost, error) {
-	kv, err := openStore(s)
-	if err != nil {
-		return nil, err
-	}
 	e := &entryHost{
 		settings: s, settingsPath: path, log: logger, timer: &timer.Service{}, metrics: metric.New(),
 		health: &forward.HealthTable{},
@@ -96,6 +92,10 @@
 		},
 		peerClient: newPeerClient(), schedulers: map[stage.Group]*stage.Scheduler{},
 	}
+	kv, err := openStore(s, e.reportMalformedItem)
+	if err != nil {
+		return nil, err
+	}
 	e.directory = e.newDirectory(kv)
 	e.prompts = &quarantine.Tracker{Stored: e.quarantinedParts}
 	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, Log: logger, Metrics: e.metrics}
@@ -113,7 +113,10 @@
 	e.outliers.Collector.Prompts.Stored = e.quarantinedParts
 	e.publisher = &quarantine.Publisher{
 		Collector: &e.outliers.Collector.Prompts, Store: store.WithCause(kv, store.CauseQuarantine, e.metrics), Prefix: quarantinePrefix(s),
-		Stored: e.quarantinedParts, Removes: e.outliers.Collects, Log: logger, Metrics: e.metrics,
+		Stored: e.quarantinedParts, Removes: e.outliers.Collects,
+		Lost:   func() []fleet.QuarantinedPart { return e.directory.View().LostQuarantines },
+		Lifted: func() []fleet.QuarantinedPart { return e.directory.View().LiftedQuarantines },
+		Log:    logger, Metrics: e.metrics,
 	}
 	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
 	e.idleTracker = &web.IdleCloser{Timeout: e.callerIdleTimeout, Metrics: e.metrics}
@@ -139,6 +142,11 @@
 	}
 }
 
+func (e *entryHost) reportMalformedItem(key string, err error) {
+	e.metrics.Counter("store.malformed_items").Inc(1)
+	e.log.Warn().Str("key", key).Err(err).Msg("entry_malformed")
+}
+
 // quarantinedParts returns the quarantined parts of prompts in the store.
 func (e *entryHost) quarantinedParts() map[string]fleet.QuarantinedPart {
 	return e.directory.View().Quarantined
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -83,6 +83,8 @@
 	source api.Address
 	// sourcesLost is true after all sources have failed, until one supplies changes again.
 	sourcesLost bool
+	// lacksDocument is true if the source has a newer document that no change contains.
+	lacksDocument bool
 	// dumpsInProgress is the number of whole states that are being sent.
 	dumpsInProgress int
 	// readFailed is true if the last call to the store failed.
@@ -376,7 +378,9 @@
 func (s *Service) replace(entries []store.Entry, version store.Version, start time.Time) {
 	s.mu.Lock()
 	now := s.now()
+	entered := s.enterEra(version, now, missingEntryGrace)
 	s.replaceState(entries, version, now, s.missingEntryExpiry(now))
+	entered()
 	s.confirm(start)
 	// A new host has this long to find a source.
 	if s.feedConfirmedAt.IsZero() {
--- /dev/null
+++ b/internal/service/directory/restore_test.go
@@ -0,0 +1,167 @@
+package directory
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/data/store"
+	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/helper/metric"
+)
+
+// TestDocumentWrittenAfterRestoreIsInForce guards against a host that takes no change from a store that came back from an older copy.
+func TestDocumentWrittenAfterRestoreIsInForce(t *testing.T) {
+	kv, client := startStore(t)
+	write(t, kv, documentEntry(1, 0))
+	service := startService(t, client, func(s *Service) {
+		s.OnChange = func(v *View) {
+			if before := s.View().Snapshot; before != nil && v.Snapshot.Revision < before.Revision {
+				t.Errorf("the document went back from %d to %d", before.Revision, v.Snapshot.Revision)
+			}
+		}
+	})
+	inForce := func(revision fleet.Revision) func() bool {
+		return func() bool { s := service.View().Snapshot; return s != nil && s.Revision == revision }
+	}
+	for revision := 1; revision < 20; revision += 5 {
+		eventually(t, "the document before the copy", inForce(fleet.Revision(revision)))
+		before := kv.Inner.Copy()
+		write(t, kv, documentEntry(revision+1, 0))
+		write(t, kv, documentEntry(revision+2, 0))
+		eventually(t, "the document that is lost", inForce(fleet.Revision(revision+2)))
+		kv.Restore(before)
+		write(t, kv, documentEntry(revision+5, 0))
+		eventually(t, "the document after the restore", inForce(fleet.Revision(revision+5)))
+	}
+}
+
+// inEra returns a version of an era.
+func inEra(t *testing.T, era store.Era, revision int64) store.Version {
+	t.Helper()
+	version, fits := store.NewVersion(era, revision)
+	assert.Assert(t, fits)
+	return version
+}
+
+func hostEntry(id string, version store.Version) store.Entry {
+	return store.Entry{Key: "host/" + id, Value: fmt.Appendf(nil, `{"id":%q}`, id), Version: version}
+}
+
+// TestEntriesMissingAfterRestoreAreKept guards against a host that drops all upstreams and hosts that an older copy of the store lacks.
+func TestEntriesMissingAfterRestoreAreKept(t *testing.T) {
+	now := start
+	s := &Service{Clock: func() time.Time { return now }, Log: logging.Discard(), Metrics: metric.New()}
+	s.state.Decoder = testDecoder()
+	old := []store.Entry{documentEntry(1, 1), upstreamEntry("a", fleet.StateReady, 1, 2)}
+	s.replace(append(old, upstreamEntry("b", fleet.StateReady, 1, 5), hostEntry("h", 6)), 6, now)
+	for era := store.Era(1); era <= 3; era++ {
+		now = now.Add(missingEntryGrace / 2)
+		copied := []store.Entry{documentEntry(1, inEra(t, era, 1)), upstreamEntry("a", fleet.StateReady, 1, inEra(t, era, 2))}
+		s.replace(copied, inEra(t, era, 3), now)
+		assert.Equal(t, len(s.View().Ready("s")), 2)
+		assert.Equal(t, len(s.View().Hosts), 1)
+	}
+	assert.Equal(t, s.Metrics.Counter("directory.store_restores").Count(), int64(3))
+	s.recordWatch([]store.Event{{Entry: upstreamEntry("b", fleet.StateReady, 1, inEra(t, 3, 4))}}, now, 0)
+	now = now.Add(missingEntryGrace)
+	s.expire()
+	assert.Equal(t, len(s.View().Ready("s")), 2, "b was written again")
+	assert.Equal(t, len(s.View().Hosts), 0)
+}
+
+// TestUpstreamRemovedBeforeRestoreIsNotUsed guards against work for an upstream that had left and is in an older copy of the store.
+func TestUpstreamRemovedBeforeRestoreIsNotUsed(t *testing.T) {
+	for _, writtenAgain := range []bool{false, true} {
+		s := newState()
+		all := func(era store.Era) []store.Entry {
+			return []store.Entry{
+				upstreamEntry("a", fleet.StateReady, 1, inEra(t, era, 1)), upstreamEntry("b", fleet.StateReady, 1, inEra(t, era, 2)), hostEntry("h", inEra(t, era, 3)),
+			}
+		}
+		s.Replace(all(0), 3, start, time.Time{})
+		s.Apply([]store.Event{
+			{Entry: store.Entry{Key: "upstream/a", Version: 4}, Deleted: true}, {Entry: store.Entry{Key: "host/h", Version: 5}, Deleted: true},
+		}, start, time.Time{})
+		for era := store.Era(1); era <= 2; era++ {
+			s.Replace(all(era), inEra(t, era, 3), start, start.Add(missingEntryGrace))
+			view := s.View()
+			assert.Assert(t, len(view.Ready("s")) == 1 && view.Ready("s")[0].ID == "b" && len(view.Hosts) == 0)
+		}
+		if writtenAgain {
+			s.Apply([]store.Event{{Entry: upstreamEntry("a", fleet.StateReady, 1, inEra(t, 2, 4))}}, start, time.Time{})
+		} else {
+			assert.Assert(t, !s.Expire(start.Add(reappearedHold-time.Millisecond)))
+			assert.Equal(t, len(s.View().Ready("s")), 1)
+			assert.Assert(t, s.Expire(start.Add(reappearedHold)))
+		}
+		assert.Equal(t, len(s.View().Ready("s")), 2)
+	}
+}
+
+// TestFollowerAcrossRestoreEndsInTheStateOfItsSource guards against changes that don't pass between hosts after a restore.
+func TestFollowerAcrossRestoreEndsInTheStateOfItsSource(t *testing.T) {
+	now := start
+	services := map[string]*Service{}
+	for _, name := range []string{"source", "follower", "starting"} {
+		services[name] = &Service{Clock: func() time.Time { return now }, Log: logging.Discard(), Metrics: metric.New()}
+		services[name].state.Decoder = testDecoder()
+		services[name].role.Store(&Role{Reads: name == "source"})
+	}
+	source, follower := services["source"], services["follower"]
+	poll := func(s *Service) {
+		update, sent := source.newUpdate(s.followedVersion(), now)
+		defer sent()
+		assert.NilError(t, s.applyUpdate("source", update, now))
+	}
+	a := upstreamEntry("a", fleet.StateReady, 1, 2)
+	source.replace([]store.Entry{documentEntry(1, 1), a, upstreamEntry("b", fleet.StateReady, 1, 3)}, 3, now)
+	poll(follower)
+	source.recordWatch([]store.Event{{Entry: documentEntry(3, 4)}, {Entry: store.Entry{Key: a.Key, Version: 5}, Deleted: true}}, now, 0)
+	poll(follower)
+	a.Version = inEra(t, 1, 2)
+	copied := []store.Entry{documentEntry(1, inEra(t, 1, 1)), a}
+	source.replace(copied, inEra(t, 1, 2), now)
+	services["starting"].replace(copied, inEra(t, 1, 2), now)
+	for range 2 {
+		poll(follower)
+		poll(services["starting"])
+	}
+	assert.Equal(t, follower.View().Snapshot.Revision, fleet.Revision(3))
+	assert.Equal(t, services["starting"].View().Snapshot.Revision, fleet.Revision(3))
+	assert.Assert(t, len(follower.View().Ready("s")) == 1 && follower.View().Ready("s")[0].ID == "b", "a had left, b is missing for a while")
+	source.recordWatch([]store.Event{{Entry: documentEntry(4, inEra(t, 1, 3))}}, now, 0)
+	poll(follower)
+	assert.Equal(t, follower.View().Snapshot.Revision, fleet.Revision(4))
+	assert.Equal(t, follower.View().Version, source.View().Version)
+}
+
+// TestRegistrationAfterRestore guards against a host that stays off the address list after a restore, and against one that drains and returns to it.
+func TestRegistrationAfterRestore(t *testing.T) {
+	kv, client := startStore(t)
+	write(t, kv, documentEntry(1, 0))
+	service := startService(t, client, nil)
+	ctx := context.Background()
+	listed := func() bool {
+		entry, err := kv.Inner.Get(ctx, "host/self")
+		return err == nil && entry != nil
+	}
+	before := kv.Inner.Copy()
+	defer service.Register(ctx)()
+	eventually(t, "the registration", listed)
+	kv.Restore(before)
+	began := time.Now()
+	eventually(t, "the registration after the restore", listed)
+	assert.Assert(t, time.Since(began) < renewPeriod, "the registration waited for its next period")
+	before = kv.Inner.Copy()
+	assert.NilError(t, service.Deregister(ctx))
+	kv.Restore(before)
+	began = time.Now()
+	assert.Assert(t, listed())
+	eventually(t, "the second deletion", func() bool { return !listed() })
+	assert.Assert(t, time.Since(began) < RegistrationTTL-renewPeriod, "the entry ended with its lease")
+}
