Write no response past the deadline of its request

What callers would see: nothing directly. A caller that reads a response a little at a time held it, its memory under the limit of all buffers, its connection and its engine for as long as it liked; enough of them would have the responses of others refused for lack of buffers, and a drain wait for its end.

Cause: reads from upstreams end with the request's context, but a write to the caller had no deadline. The user timeout of the socket ends only callers that read nothing.

Evidence, on the code before: TestSlowCallerIsLeft, both kinds: "the response is still being written" 8.5 s after a deadline of 1.5 s.

Writes have the deadline of the request, cleared after it for the next one on the connection. The test allows any error after the deadline, so that a slow machine does not fail it; an earlier form with a deadline of 300 ms did under load.

--- a/internal/service/forward/limit_test.go
+++ b/internal/service/forward/limit_test.go
@@ -3,8 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"math"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"sync/atomic"
@@ -14,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/pkg/api"
 	wire "redwingloft/platform"
@@ -188,3 +193,47 @@
 	_, _ = f.serve(t, func(r *fleet.Request) { r.Items = []int{maxItems, 0} })
 	assert.Equal(t, f.prepared, 1)
 }
+
+// TestSlowCallerIsLeft guards against a response that is held in memory for as long as its caller
+// reads a little of it.
+func TestSlowCallerIsLeft(t *testing.T) {
+	for _, kind := range []fleet.Kind{fleet.KindNonIdempotent, fleet.KindStreaming} {
+		t.Run(string(kind), func(t *testing.T) {
+			t.Parallel()
+			var body strings.Builder
+			for i := range 12 {
+				fmt.Fprintf(&body, "id: %d\ndata: %s\n\n", i, strings.Repeat("x", maxEventBytes/2))
+			}
+			f := newFixture(t, fleet.Route{Kind: kind}, func(w *bufio.Writer, run platform.Request) bool {
+				fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n", strings.ReplaceAll(okHead, "ID", run.Header.Get(wire.HeaderRequestID)), body.Len())
+				_, _ = w.WriteString(body.String())
+				return true
+			})
+			served := make(chan error, 1)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				served <- f.Serve(context.Background(), &fleet.Request{
+					ID: "id-1", Method: "POST", Target: "/p/x", Path: "/p/x", Host: "h", Credential: "secret", Received: clock.Now(),
+					Header: http.Header{wire.HeaderRequestID: {"id-1"}}, CallerTimeout: 1500 * time.Millisecond,
+				}, w)
+				panic(http.ErrAbortHandler)
+			}))
+			t.Cleanup(server.Close)
+			caller, err := net.Dial("tcp", server.Listener.Addr().String())
+			assert.NilError(t, err)
+			t.Cleanup(func() { caller.Close() })
+			assert.NilError(t, caller.(*net.TCPConn).SetReadBuffer(4<<10))
+			fmt.Fprint(caller, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			for end := time.Now().Add(10 * time.Second); ; {
+				_, _ = caller.Read(make([]byte, 256))
+				select {
+				case err := <-served:
+					assert.Assert(t, err != nil)
+					assert.Equal(t, f.Pool.buffered.Load(), int64(0))
+					return
+				case <-time.After(20 * time.Millisecond):
+					assert.Assert(t, time.Now().Before(end), "the response is still being written")
+				}
+			}
+		})
+	}
+}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -121,6 +121,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.left())
 	defer cancel()
+	// A caller that reads slowly must not hold the response for ever. Writers in tests have no
+	// deadline.
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(time.Now().Add(c.left()))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	if c.route.Kind == fleet.KindStreaming {
 		err = c.serveStream(ctx)
 	} else {
