--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -107,6 +107,10 @@
 	callerWaitGapFactor       = 8
 )
 
+// deliveryGrace is how long after its deadline a response that was complete in time may still be
+// written to its caller.
+const deliveryGrace = 3 * time.Second
+
 // maxRequestTime bounds every request, also without a deadline and a route timeout.
 const maxRequestTime = 10 * time.Minute
 
@@ -130,7 +134,7 @@
 	// A caller that reads slowly must not hold the response for ever. Writers in tests have no
 	// deadline.
 	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(time.Now().Add(c.left()))
+	_ = control.SetWriteDeadline(time.Now().Add(c.left() + deliveryGrace))
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	if c.route.Kind == fleet.KindStreaming {
 		err = c.serveStream(ctx)
