Don't take a job that was handed back without results for done

Callers got 503 for requests with stages, right after hosts had started or another host had become the scheduling one: their engines were asked without the inputs, answered 400 four times, and the request was refused.

Cause: a scheduling host that hands a job back first reports its results to the submitting host. A report of no results is encoded like the outcome of a job that has none, so that the submitting host took the job for finished. Class of fault: a message that can mean two things. A report is now sent only if it has results.

--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -61,6 +61,7 @@
 // Reply is one part of the response to a submitted job: results as they are produced, then the
 // outcome.
 type Reply struct {
+	// Progress is not empty in each reply but the last.
 	Progress []StoredResults `json:"progress,omitempty"`
 	Stored   []StoredResults `json:"made,omitempty"`
 	Home     api.DataCentre  `json:"home,omitempty"`
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -126,7 +126,8 @@
 	for {
 		select {
 		case end := <-done:
-			if errors.Is(end.err, ErrHandedBack) {
+			// A report without results would look like the outcome of a job without any.
+			if errors.Is(end.err, ErrHandedBack) && len(end.outcome.Stored) > 0 {
 				report(end.outcome.Stored)
 			}
 			s.Metrics.Histogram("stage.job").Update(clock.Now().Sub(now).Milliseconds())
