--- a/internal/data/store/store.go
+++ b/internal/data/store/store.go
@@ -166,7 +166,8 @@
 var ErrLeaseNotFound = ErrUnavailable.NewSubtype("lease_not_found")
 
 // ErrCompacted is the error type for watches from a revision whose events the service no
-// longer has, for instance because it is of an earlier era. The caller must read the keys again and watch from their revision.
+// longer has, for instance because it is of an earlier era. The caller must read the keys again
+// and watch from their revision.
 var ErrCompacted = ErrUnavailable.NewSubtype("compacted")
 
 // IsErrLeaseNotFound reports whether a write failed because its lease had expired.
