End the search for a replacement with its attempt

A host could end itself ("concurrent map read and map write", which net/http can't recover): all its callers would see their connections close without an answer. Besides, the stages of a request could run twice at the same time.

Cause: stallTimer.stop cancelled secure but did not wait for it, so that the next attempt wrote call.exclude while the timer's goroutine read it, and submitted the job of the request while the former one was still being cancelled. stop now waits; secure ends at once when it is cancelled.

TestSecuringSharesNoState failed before (the race detector: write in serveBuffered, read in alternatives), TestSecuringEndsWithItsAttempt too ("assertion failed: 1 (int64) != 0 (int64)" jobs at the same time).

--- a/internal/service/forward/stall.go
+++ b/internal/service/forward/stall.go
@@ -52,6 +52,8 @@
 	lastProgress time.Time
 	// stopSecuring ends secure; nil while it does not run.
 	stopSecuring context.CancelFunc
+	// securing counts the running calls of expired that use the state of the request.
+	securing sync.WaitGroup
 	// secured is set together with the cancellation of the attempt.
 	secured *replacement
 	stopped bool
@@ -83,18 +85,20 @@
 	t.timer.Reset(timeout)
 }
 
-// stop ends the timer and returns the replacement, if there is one.
+// stop ends the timer and returns the replacement, if there is one. It waits until secure has
+// returned, since the next attempt changes the state of the request that secure reads.
 func (t *stallTimer) stop() *replacement {
 	if t == nil {
 		return nil
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.stopped = true
 	t.timer.Stop()
 	if t.stopSecuring != nil {
 		t.stopSecuring()
 	}
+	t.mu.Unlock()
+	t.securing.Wait()
 	return t.secured
 }
 
@@ -105,6 +109,8 @@
 		t.mu.Unlock()
 		return
 	}
+	t.securing.Add(1)
+	defer t.securing.Done()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	t.stopSecuring = stop
--- a/internal/service/forward/stall_test.go
+++ b/internal/service/forward/stall_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,6 +87,60 @@
 	assert.Assert(t, f.Health.Get(&f.upstreams[0].Entry).FailureRate+f.Health.Get(&f.upstreams[1].Entry).FailureRate > 0)
 }
 
+// TestSecuringSharesNoState guards against a crash of the host by a concurrent read and write of the
+// upstreams that were tried, when an attempt ends while its replacement is secured.
+func TestSecuringSharesNoState(t *testing.T) {
+	t.Parallel()
+	slow := func(w *bufio.Writer, run platform.Request) bool {
+		time.Sleep(200 * time.Millisecond)
+		return respondOK(w, run)
+	}
+	f := newFixture(t, fleet.Route{Kind: fleet.KindIdempotent, MaxAttempts: 2, Objective: 50 * time.Millisecond}, slow, slow)
+	f.Budget.Hosts = func() int {
+		time.Sleep(300 * time.Millisecond)
+		return 1
+	}
+	recorder, err := f.serve(t, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, recorder.Body.String(), "whole")
+	assert.Equal(t, f.totalRuns(), 1)
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return poll.Compare(cmp.Equal(f.Budget.retries(), 0)) })
+}
+
+// TestSecuringEndsWithItsAttempt guards against stages that run twice at the same time for a
+// request, because the former ones are still being secured when the next attempt begins.
+func TestSecuringEndsWithItsAttempt(t *testing.T) {
+	t.Parallel()
+	breaking := func(w *bufio.Writer, run platform.Request) bool {
+		if run.Header.Get(wire.HeaderLastEvent) != "" {
+			platform.WriteEvents(w, run.Header.Get(wire.HeaderRequestID), 4, 6, true, 0)
+			return true
+		}
+		platform.WriteEvents(w, run.Header.Get(wire.HeaderRequestID), 1, 3, false, 0)
+		time.Sleep(minGapTimeout + 300*time.Millisecond)
+		return false
+	}
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2, Stages: []fleet.Stage{{Service: "stage"}}}, breaking, breaking)
+	var calls, running, overlaps atomic.Int64
+	f.RunStages = func(ctx context.Context, _ *StageWork) (*StageResults, error) {
+		if running.Add(1) > 1 {
+			overlaps.Add(1)
+		}
+		defer running.Add(-1)
+		if calls.Add(1) == 2 {
+			<-ctx.Done()
+			time.Sleep(50 * time.Millisecond)
+			return nil, ctx.Err()
+		}
+		return &StageResults{Inputs: []fleet.ResultRef{"1.2.3.4:5/r"}, Release: func() {}}, nil
+	}
+	recorder, err := f.serve(t, func(r *fleet.Request) { r.Items, r.CallerTimeout = []int{1}, 10*time.Second })
+	assert.NilError(t, err)
+	assert.Equal(t, recorder.Body.String(), events(1, 6))
+	assert.Equal(t, calls.Load(), int64(3))
+	assert.Equal(t, overlaps.Load(), int64(0))
+}
+
 // retries returns the retries of all services in the window.
 func (b *Budget) retries() int {
 	b.mu.Lock()
