Give a begun stream's stages their time at each of its engines

Callers would see a begun stream end, or hang until their deadline, at an engine that is silent from the start though a third one could go on.

Cause: the time of the last progress, from which the stages for a replacement get their deadline, was that of the attempt. In a later attempt before its first event it was zero, so that the stages got the deadline of the response's first event, which had passed, and were refused. The timer now begins with the time of the last event of the response.

TestSecondSilentEngineIsReplaced failed before ("error is not nil: response aborted / redwingloft.deadline_exceeded") and passes.

--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -83,7 +83,7 @@
 	c.Health.Begin(upstream, 0)
 	var stall *stallTimer
 	if c.route.Objective > 0 {
-		stall = c.newStallTimer(upstream, cancel, func(context.Context, time.Time) (*replacement, error) {
+		stall = c.newStallTimer(upstream, time.Time{}, cancel, func(context.Context, time.Time) (*replacement, error) {
 			return c.secureUpstream(upstream, c.leastLoaded)
 		})
 	}
--- a/internal/service/forward/stall.go
+++ b/internal/service/forward/stall.go
@@ -35,7 +35,7 @@
 // The methods of a nil stallTimer do nothing.
 type stallTimer struct {
 	// secure returns a replacement, or the reason why there is none. lastProgress is zero if the
-	// attempt has made none.
+	// response has made none.
 	secure func(ctx context.Context, lastProgress time.Time) (*replacement, error)
 	// discard gives up a replacement that is not needed.
 	discard func(*replacement)
@@ -48,7 +48,7 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// lastProgress is the time of the last call of reset.
+	// lastProgress is the time of the last progress of the response, also by earlier attempts.
 	lastProgress time.Time
 	// stopSecuring ends secure; nil while it does not run.
 	stopSecuring context.CancelFunc
@@ -143,14 +143,15 @@
 	}
 }
 
-// newStallTimer returns a timer for an attempt, or nil if no other attempt may follow it.
-func (c *call) newStallTimer(upstream *fleet.Upstream, cancel context.CancelCauseFunc, secure func(context.Context, time.Time) (*replacement, error)) *stallTimer {
+// newStallTimer returns a timer for an attempt, or nil if no other attempt may follow it. lastProgress
+// is that of earlier attempts; zero if there was none.
+func (c *call) newStallTimer(upstream *fleet.Upstream, lastProgress time.Time, cancel context.CancelCauseFunc, secure func(context.Context, time.Time) (*replacement, error)) *stallTimer {
 	if !c.mayRepeat() {
 		return nil
 	}
 	startTime := clock.Now()
 	return &stallTimer{
-		secure: secure, cancel: cancel, discard: c.discard,
+		secure: secure, cancel: cancel, discard: c.discard, lastProgress: lastProgress,
 		stalled: func() { c.Health.Stalled(upstream, clock.Now()) },
 		decided: func(err error) { c.logStalled(upstream, clock.Now().Sub(startTime), err) },
 	}
--- a/internal/service/forward/stall_test.go
+++ b/internal/service/forward/stall_test.go
@@ -14,6 +14,9 @@
 	"gotest.tools/v3/poll"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/clock"
+	"redwingloft/internal/helper/fault"
+	"redwingloft/pkg/api"
 	wire "redwingloft/platform"
 	"redwingloft/standin/platform"
 )
@@ -141,6 +144,41 @@
 	assert.Equal(t, overlaps.Load(), int64(0))
 }
 
+// TestSecondSilentEngineIsReplaced guards against a begun stream that hangs at its second engine,
+// because the stages for the third one get the deadline of the first event.
+func TestSecondSilentEngineIsReplaced(t *testing.T) {
+	t.Parallel()
+	const interval = time.Second
+	var calls atomic.Int64
+	engine := func(w *bufio.Writer, run platform.Request) bool {
+		id := run.Header.Get(wire.HeaderRequestID)
+		switch calls.Add(1) {
+		case 1:
+			platform.WriteEvents(w, id, 1, 4, false, interval)
+			return false
+		case 2:
+			time.Sleep(7 * time.Second)
+			return false
+		}
+		platform.WriteEvents(w, id, 5, 6, true, 0)
+		return true
+	}
+	route := fleet.Route{
+		Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 3, MaxGap: 500 * time.Millisecond, Stages: []fleet.Stage{{Service: "stage"}},
+	}
+	f := newFixture(t, route, engine, engine, engine)
+	run := f.RunStages
+	f.RunStages = func(ctx context.Context, work *StageWork) (*StageResults, error) {
+		if left := work.Deadline.Sub(clock.Now()); left <= 0 {
+			return nil, fault.New(api.KindDeadlineUnreachable, "%s left", left)
+		}
+		return run(ctx, work)
+	}
+	recorder, err := f.serve(t, func(r *fleet.Request) { r.Items, r.CallerTimeout = []int{1}, 10*time.Second })
+	assert.NilError(t, err)
+	assert.Equal(t, recorder.Body.String(), events(1, 6))
+}
+
 // retries returns the retries of all services in the window.
 func (b *Budget) retries() int {
 	b.mu.Lock()
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -222,7 +222,7 @@
 	tokens := s.request.PromptTokens
 	s.Health.Begin(upstream, tokens)
 	prepared := s.prepared
-	stall := s.newStallTimer(upstream, cancel, func(ctx context.Context, lastEvent time.Time) (*replacement, error) {
+	stall := s.newStallTimer(upstream, s.lastEventAt, cancel, func(ctx context.Context, lastEvent time.Time) (*replacement, error) {
 		return s.secureEngine(ctx, upstream, prepared, lastEvent)
 	})
 	stall.start(s.firstEventTimeout(upstream))
