Refund a retry to the part of the window that it was charged in

Upstreams would see more retries in a window than the retry budget allows, by one for each replacement that was given up.

Cause: Refund lowered the count of the present bucket, whereas the attempt had been charged up to some seconds earlier. Once the earlier bucket had left the window, the sum of the others was too low. The refund now goes to the bucket of the charge, if the window still holds it.

TestRefundKeepsBudget failed before with the former signature ("assertion failed: 3 (allowed int) != 2 (int)") and passes.

--- a/internal/service/forward/budget.go
+++ b/internal/service/forward/budget.go
@@ -67,12 +67,16 @@
 	return true
 }
 
-// Refund returns attempts that Allow has counted and that were not made.
-func (b *Budget) Refund(service api.ServiceName, count int, now time.Time) {
+// Refund returns attempts that Allow has counted at chargedAt and that were not made. They are
+// returned to the bucket that holds them: a negative count would allow other attempts later.
+func (b *Budget) Refund(service api.ServiceName, count int, chargedAt, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w, slot := b.window(service, now)
-	w.retries[slot] -= count
+	w, _ := b.window(service, now)
+	bucket := b.bucketAt(chargedAt)
+	if slot := slotOf(bucket); w.bucket[slot] == bucket {
+		w.retries[slot] -= count
+	}
 }
 
 // window returns the counts of a service, with expired buckets cleared, and the current
@@ -86,16 +90,23 @@
 		w = &slidingWindow{}
 		b.services[service] = w
 	}
-	length := max(b.Window/windowBuckets, time.Millisecond)
-	current := now.UnixNano() / int64(length)
+	current := b.bucketAt(now)
 	for i := range w.bucket {
 		if current-w.bucket[i] > windowBuckets {
 			w.firsts[i], w.retries[i], w.bucket[i] = 0, 0, 0
 		}
 	}
-	slot := int(current % (windowBuckets + 1))
+	slot := slotOf(current)
 	if w.bucket[slot] != current {
 		w.firsts[slot], w.retries[slot], w.bucket[slot] = 0, 0, current
 	}
 	return w, slot
 }
+
+// bucketAt returns the number of the bucket that holds a time.
+func (b *Budget) bucketAt(at time.Time) int64 {
+	return at.UnixNano() / int64(max(b.Window/windowBuckets, time.Millisecond))
+}
+
+// slotOf returns the slot of a bucket.
+func slotOf(bucket int64) int { return int(bucket % (windowBuckets + 1)) }
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -240,8 +240,7 @@
 
 // takeAttempt reports whether another attempt may be made. Attempts after the first are
 // charged to the retry budget.
-func (c *call) takeAttempt() bool {
-	now := clock.Now()
+func (c *call) takeAttempt(now time.Time) bool {
 	if !c.budgeted {
 		c.budgeted = true
 		c.Budget.RecordFirst(c.service, now)
--- a/internal/service/forward/stall.go
+++ b/internal/service/forward/stall.go
@@ -28,6 +28,8 @@
 	upstream *fleet.Upstream
 	// prepared holds new results of the stages; nil if those of the stalled attempt remain valid.
 	prepared *StageResults
+	// chargedAt is when the attempt was charged to the retry budget.
+	chargedAt time.Time
 }
 
 // stallTimer cancels an attempt that makes no progress in time, but only once a replacement is
@@ -187,17 +189,18 @@
 	if len(c.alternatives(current)) == 0 {
 		return nil, errNoAlternative
 	}
-	if !c.takeAttempt() {
+	chargedAt := clock.Now()
+	if !c.takeAttempt(chargedAt) {
 		return nil, errBudgetExhausted
 	}
 	for {
 		upstream := choose(c.alternatives(current))
 		if upstream == nil {
-			c.Budget.Refund(c.service, 1, clock.Now())
+			c.Budget.Refund(c.service, 1, chargedAt, clock.Now())
 			return nil, errNoAlternative
 		}
 		if c.Pool.Throttle.Take(upstream, clock.Now()) {
-			return &replacement{upstream: upstream}, nil
+			return &replacement{upstream: upstream, chargedAt: chargedAt}, nil
 		}
 	}
 }
@@ -217,7 +220,7 @@
 
 // discard gives up a replacement that is not needed.
 func (c *call) discard(r *replacement) {
-	c.Budget.Refund(c.service, 1, clock.Now())
+	c.Budget.Refund(c.service, 1, r.chargedAt, clock.Now())
 	if r.prepared != nil {
 		r.prepared.Release()
 	}
@@ -244,7 +247,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !c.takeAttempt() {
+	if !c.takeAttempt(clock.Now()) {
 		return nil, c.finalError(finalAction(c.history), errBudgetExhausted)
 	}
 	return upstream, nil
--- a/internal/service/forward/stall_test.go
+++ b/internal/service/forward/stall_test.go
@@ -179,6 +179,22 @@
 	assert.Equal(t, recorder.Body.String(), events(1, 6))
 }
 
+// TestRefundKeepsBudget guards against more retries than the budget allows in a later window,
+// because one was refunded in another part of the window than it was charged in.
+func TestRefundKeepsBudget(t *testing.T) {
+	b := &Budget{Slack: 2 / usableShare, Window: 10 * time.Second}
+	start := time.Unix(1000, 0)
+	assert.Assert(t, b.Allow("s", 1, start))
+	b.Refund("s", 1, start, start.Add(5*time.Second))
+	allowed := 0
+	for at := start.Add(11 * time.Second); at.Before(start.Add(15 * time.Second)); at = at.Add(time.Second) {
+		if b.Allow("s", 1, at) {
+			allowed++
+		}
+	}
+	assert.Equal(t, allowed, 2)
+}
+
 // retries returns the retries of all services in the window.
 func (b *Budget) retries() int {
 	b.mu.Lock()
