Choose the replacement's engine after its stages

A stream that was sound could be moved to an engine that had left, become unreachable or named a rate limit in the meantime, and be cut there; engines that drain would get requests after their time.

Cause: the engine was chosen before the stages were run again, which takes up to some seconds, and not checked again. It is now chosen when the results are there, from the view of that moment and with their data centre; without one the attempt continues.

TestReplacementIsReadyAfterItsStages failed before ("assertion failed: 2 (int) != 1 (int)" requests) and passes.

--- a/internal/service/forward/stall.go
+++ b/internal/service/forward/stall.go
@@ -181,26 +181,41 @@
 }
 
 // secureUpstream returns a replacement at the upstream that choose selects among those that were not
-// tried. The attempt is charged to the retry budget.
+// tried.
 func (c *call) secureUpstream(current *fleet.Upstream, choose func([]Candidate) *fleet.Upstream) (*replacement, error) {
+	r, err := c.beginReplacement(current)
+	if err != nil {
+		return nil, err
+	}
+	return c.completeReplacement(r, current, choose)
+}
+
+// beginReplacement returns a replacement without an upstream, charged to the retry budget, if there is
+// an upstream for it.
+func (c *call) beginReplacement(current *fleet.Upstream) (*replacement, error) {
 	if err := c.checkPrompt(); err != nil {
 		return nil, err
 	}
 	if len(c.alternatives(current)) == 0 {
 		return nil, errNoAlternative
 	}
-	chargedAt := clock.Now()
-	if !c.takeAttempt(chargedAt) {
+	r := &replacement{chargedAt: clock.Now()}
+	if !c.takeAttempt(r.chargedAt) {
 		return nil, errBudgetExhausted
 	}
+	return r, nil
+}
+
+// completeReplacement sets the upstream of a replacement, or gives the replacement up if there is none.
+func (c *call) completeReplacement(r *replacement, current *fleet.Upstream, choose func([]Candidate) *fleet.Upstream) (*replacement, error) {
 	for {
-		upstream := choose(c.alternatives(current))
-		if upstream == nil {
-			c.Budget.Refund(c.service, 1, chargedAt, clock.Now())
+		r.upstream = choose(c.alternatives(current))
+		if r.upstream == nil {
+			c.discard(r)
 			return nil, errNoAlternative
 		}
-		if c.Pool.Throttle.Take(upstream, clock.Now()) {
-			return &replacement{upstream: upstream, chargedAt: chargedAt}, nil
+		if c.Pool.Throttle.Take(r.upstream, clock.Now()) {
+			return r, nil
 		}
 	}
 }
--- a/internal/service/forward/stall_test.go
+++ b/internal/service/forward/stall_test.go
@@ -179,6 +179,28 @@
 	assert.Equal(t, recorder.Body.String(), events(1, 6))
 }
 
+// TestReplacementIsReadyAfterItsStages guards against a request to an upstream that became unusable
+// while the stages for the request were run.
+func TestReplacementIsReadyAfterItsStages(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2, Stages: []fleet.Stage{{Service: "stage"}}}, pausing, pausing)
+	run := f.RunStages
+	f.RunStages = func(ctx context.Context, work *StageWork) (*StageResults, error) {
+		for _, u := range f.upstreams {
+			if f.totalRuns() > 0 && len(u.Requests()) == 0 {
+				f.Health.Begin(&u.Entry, 0)
+				f.Health.End(&u.Entry, OutcomeUnreachable, 0, clock.Now())
+			}
+		}
+		return run(ctx, work)
+	}
+	recorder, err := f.serve(t, func(r *fleet.Request) { r.Items, r.CallerTimeout = []int{1}, 10*time.Second })
+	assert.NilError(t, err)
+	assert.Equal(t, recorder.Body.String(), events(1, 6))
+	assert.Equal(t, f.totalRuns(), 1)
+	assert.Equal(t, f.Budget.retries(), 0)
+}
+
 // TestRefundKeepsBudget guards against more retries than the budget allows in a later window,
 // because one was refunded in another part of the window than it was charged in.
 func TestRefundKeepsBudget(t *testing.T) {
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -185,15 +185,19 @@
 // secureEngine returns a replacement for a stalled attempt, with new inputs if the former ones may
 // no longer exist.
 func (s *streamCall) secureEngine(ctx context.Context, current *fleet.Upstream, prepared *StageResults, lastEvent time.Time) (*replacement, error) {
-	secured, err := s.secureUpstream(current, s.selectEngine(prepared))
-	if err != nil || !s.inputsReleased.Load() {
-		return secured, err
-	}
-	if secured.prepared, err = s.rerunStages(ctx, lastEvent); err != nil {
-		s.discard(secured)
+	r, err := s.beginReplacement(current)
+	if err != nil {
 		return nil, err
 	}
-	return secured, nil
+	if s.inputsReleased.Load() {
+		if prepared, err = s.rerunStages(ctx, lastEvent); err != nil {
+			s.discard(r)
+			return nil, err
+		}
+		r.prepared = prepared
+	}
+	// The engine is chosen last, since it may have left while the stages ran.
+	return s.completeReplacement(r, current, s.selectEngine(prepared))
 }
 
 // release frees the inputs after the engine has fetched them.
