Keep a stalled attempt when too little time is left for another

Cause: the timer cancelled the attempt for a replacement that NextAction then refused for want of time (minAttemptTime). The time left is now checked before the replacement is certain.

TestNoReplacementWithoutTime failed before ("assertion failed: err is nil") and passes.

--- a/internal/service/forward/stall.go
+++ b/internal/service/forward/stall.go
@@ -21,6 +21,7 @@
 var (
 	errNoAlternative   = errors.New("no other upstream accepts the request")
 	errBudgetExhausted = errors.New("retry budget exhausted")
+	errNoTime          = errors.New("too little time is left for another attempt")
 )
 
 // replacement is an attempt that may follow a stalled one.
@@ -206,8 +207,14 @@
 	return r, nil
 }
 
-// completeReplacement sets the upstream of a replacement, or gives the replacement up if there is none.
+// completeReplacement sets the upstream of a replacement, or gives the replacement up if there is none
+// or too little time.
 func (c *call) completeReplacement(r *replacement, current *fleet.Upstream, choose func([]Candidate) *fleet.Upstream) (*replacement, error) {
+	// NextAction would not use the replacement.
+	if c.left() < minAttemptTime {
+		c.discard(r)
+		return nil, errNoTime
+	}
 	for {
 		r.upstream = choose(c.alternatives(current))
 		if r.upstream == nil {
--- a/internal/service/forward/stall_test.go
+++ b/internal/service/forward/stall_test.go
@@ -201,6 +201,19 @@
 	assert.Equal(t, f.Budget.retries(), 0)
 }
 
+// TestNoReplacementWithoutTime guards against an attempt that is given up although too little time is
+// left for another one.
+func TestNoReplacementWithoutTime(t *testing.T) {
+	f := newFixture(t, fleet.Route{Kind: fleet.KindIdempotent, MaxAttempts: 2}, respondOK, respondOK)
+	request := &fleet.Request{ID: "id-1", Method: "POST", Target: "/p/x", Path: "/p/x", Host: "h", Credential: "secret", Received: clock.Now()}
+	c, err := f.admit(request, nil)
+	assert.NilError(t, err)
+	c.budgeted, c.deadline = true, clock.Now().Add(minAttemptTime/2)
+	_, err = c.secureUpstream(&f.upstreams[0].Entry, c.leastLoaded)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, f.Budget.retries(), 0)
+}
+
 // TestRefundKeepsBudget guards against more retries than the budget allows in a later window,
 // because one was refunded in another part of the window than it was charged in.
 func TestRefundKeepsBudget(t *testing.T) {
