Revive an expired connection on which a request is in progress

A caller that sends its next request before it has the answer to the one before (pipelining) could see its connection close without an answer as its host ends a drain.

Cause: a connection that expired between two requests stayed expired if the header of the next one had already been read together with the one before, since no read took the expiry back. The server's read in the background then failed at the deadline and cancelled the request as if its caller had left. A request in progress now takes the expiry back too.

TestRequestReadAheadIsAnswered failed before ("error is not nil: unexpected EOF") and passes.

--- a/internal/web/entry/idle.go
+++ b/internal/web/entry/idle.go
@@ -153,11 +153,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince = time.Time{}
-	if c.expired {
-		c.expired = false
-		// An error means that the connection is closed, which the next read reports.
-		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	c.revive()
+}
+
+// revive restores the read deadline of an expired connection. The caller holds mu.
+func (c *callerConn) revive() {
+	if !c.expired {
+		return
 	}
+	c.expired = false
+	// An error means that the connection is closed, which the next read reports.
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
 }
 
 // SetReadDeadline implements net.Conn.
@@ -181,6 +187,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.kept, c.idleSince = false, time.Time{}
+	// The whole header may have been read together with the request before.
+	c.revive()
 }
 
 // waits reports whether the connection is between two requests.
--- a/internal/web/entry/idle_test.go
+++ b/internal/web/entry/idle_test.go
@@ -80,6 +80,41 @@
 	}
 }
 
+// TestRequestReadAheadIsAnswered guards against a request that ends as if its caller had left, because
+// its connection expired after the host had read it and before it was in progress.
+func TestRequestReadAheadIsAnswered(t *testing.T) {
+	closer := &IdleCloser{Timeout: func() time.Duration { return time.Second }}
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	server := &http.Server{
+		ConnState: func(c net.Conn, state http.ConnState) {
+			closer.Track(c, state)
+			if state == http.StateIdle {
+				closer.CloseIdle(expired)
+			}
+		},
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			case <-time.After(100 * time.Millisecond):
+				fmt.Fprint(w, "answer")
+			}
+		}),
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(closer.Listener(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	c, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	kept := &keptConnection{c, bufio.NewReader(c)}
+	kept.write(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.Equal(t, kept.get(t), "answer")
+	assert.Equal(t, kept.get(t), "answer")
+}
+
 // TestIdleConnectionsAreClosed guards against idle connections that stay open.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	closer := &IdleCloser{Timeout: func() time.Duration { return time.Second }}
