Bound the number of items of a request

One request that names a huge number of items in its stages could end the host that schedules them for want of memory, and with it all requests there.

A request with more than 1000 items is now refused as invalid; the sites' requests have up to 25 in a stage.

TestHugeItemCountIsRefused failed before ("internal (api.Kind) != bad_request") and passes.

--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -34,6 +34,8 @@
 	// queueingLatency is the mean time to the first event from which an engine is assumed to
 	// queue requests.
 	queueingLatency = 800 * time.Millisecond
+	// maxItems bounds the items of a request over all its stages, which one host holds in memory.
+	maxItems = 1000
 	// rankStep is the number of engine ranks per priority level of routes.
 	rankStep = 2
 	// maxRank is the lowest priority that engines accept.
@@ -88,6 +90,9 @@
 func (c *call) runStages(ctx context.Context, target, deadline time.Time) (*StageResults, error) {
 	items := 0
 	for _, count := range c.request.Items {
+		if count > maxItems-items {
+			return nil, fault.New(api.KindBadRequest, "request has more than %d items", maxItems)
+		}
 		items += count
 	}
 	if len(c.route.Stages) == 0 || items == 0 {
--- a/internal/service/forward/stream_test.go
+++ b/internal/service/forward/stream_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -202,3 +203,18 @@
 	assert.NilError(t, err)
 	assert.Equal(t, recorder.Body.String(), events(1, 6))
 }
+
+// TestHugeItemCountIsRefused guards against a host that runs out of memory or time in its scheduler
+// for the number of items that a caller names.
+func TestHugeItemCountIsRefused(t *testing.T) {
+	route := fleet.Route{Kind: fleet.KindStreaming, Stages: []fleet.Stage{{Service: "stage"}, {Service: "stage"}}}
+	for _, items := range [][]int{{1 << 30, 1}, {math.MaxInt, math.MaxInt}} {
+		f := newFixture(t, route, func(w *bufio.Writer, run platform.Request) bool {
+			platform.WriteEvents(w, run.Header.Get(wire.HeaderRequestID), 1, 2, true, 0)
+			return true
+		})
+		_, err := f.serve(t, func(r *fleet.Request) { r.Items = items })
+		assert.Equal(t, fault.KindOf(err), api.KindBadRequest)
+		assert.Equal(t, f.prepared, 0)
+	}
+}
