--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -261,8 +261,7 @@
 
 // takeAttempt reports whether another attempt may be made. Attempts after the first are
 // charged to the retry budget.
-func (c *call) takeAttempt() bool {
-	now := clock.Now()
+func (c *call) takeAttempt(now time.Time) bool {
 	if !c.budgeted {
 		c.budgeted = true
 		c.Budget.RecordFirst(c.service, now)
--- a/internal/service/forward/stall.go
+++ b/internal/service/forward/stall.go
@@ -21,6 +21,7 @@
 var (
 	errNoAlternative   = errors.New("no other upstream accepts the request")
 	errBudgetExhausted = errors.New("retry budget exhausted")
+	errNoTime          = errors.New("too little time is left for another attempt")
 )
 
 // replacement is an attempt that may follow a stalled one.
@@ -28,6 +29,8 @@
 	upstream *fleet.Upstream
 	// prepared holds new results of the stages; nil if those of the stalled attempt remain valid.
 	prepared *StageResults
+	// chargedAt is when the attempt was charged to the retry budget.
+	chargedAt time.Time
 }
 
 // stallTimer cancels an attempt that makes no progress in time, but only once a replacement is
@@ -35,7 +38,7 @@
 // The methods of a nil stallTimer do nothing.
 type stallTimer struct {
 	// secure returns a replacement, or the reason why there is none. lastProgress is zero if the
-	// attempt has made none.
+	// response has made none.
 	secure func(ctx context.Context, lastProgress time.Time) (*replacement, error)
 	// discard gives up a replacement that is not needed.
 	discard func(*replacement)
@@ -48,10 +51,12 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// lastProgress is the time of the last call of reset.
+	// lastProgress is the time of the last progress of the response, also by earlier attempts.
 	lastProgress time.Time
 	// stopSecuring ends secure; nil while it does not run.
 	stopSecuring context.CancelFunc
+	// securing counts the running calls of expired that use the state of the request.
+	securing sync.WaitGroup
 	// secured is set together with the cancellation of the attempt.
 	secured *replacement
 	stopped bool
@@ -83,18 +88,20 @@
 	t.timer.Reset(timeout)
 }
 
-// stop ends the timer and returns the replacement, if there is one.
+// stop ends the timer and returns the replacement, if there is one. It waits until secure has
+// returned, since the next attempt changes the state of the request that secure reads.
 func (t *stallTimer) stop() *replacement {
 	if t == nil {
 		return nil
 	}
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	t.stopped = true
 	t.timer.Stop()
 	if t.stopSecuring != nil {
 		t.stopSecuring()
 	}
+	t.mu.Unlock()
+	t.securing.Wait()
 	return t.secured
 }
 
@@ -105,6 +112,8 @@
 		t.mu.Unlock()
 		return
 	}
+	t.securing.Add(1)
+	defer t.securing.Done()
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	t.stopSecuring = stop
@@ -137,14 +146,15 @@
 	}
 }
 
-// newStallTimer returns a timer for an attempt, or nil if no other attempt may follow it.
-func (c *call) newStallTimer(upstream *fleet.Upstream, cancel context.CancelCauseFunc, secure func(context.Context, time.Time) (*replacement, error)) *stallTimer {
+// newStallTimer returns a timer for an attempt, or nil if no other attempt may follow it. lastProgress
+// is that of earlier attempts; zero if there was none.
+func (c *call) newStallTimer(upstream *fleet.Upstream, lastProgress time.Time, cancel context.CancelCauseFunc, secure func(context.Context, time.Time) (*replacement, error)) *stallTimer {
 	if !c.mayRepeat() {
 		return nil
 	}
 	startTime := clock.Now()
 	return &stallTimer{
-		secure: secure, cancel: cancel, discard: c.discard,
+		secure: secure, cancel: cancel, discard: c.discard, lastProgress: lastProgress,
 		stalled: func() { c.Health.Stalled(upstream, clock.Now()) },
 		decided: func(err error) { c.logStalled(upstream, clock.Now().Sub(startTime), err) },
 	}
@@ -172,25 +182,47 @@
 }
 
 // secureUpstream returns a replacement at the upstream that choose selects among those that were not
-// tried. The attempt is charged to the retry budget.
+// tried.
 func (c *call) secureUpstream(current *fleet.Upstream, choose func([]Candidate) *fleet.Upstream) (*replacement, error) {
+	r, err := c.beginReplacement(current)
+	if err != nil {
+		return nil, err
+	}
+	return c.completeReplacement(r, current, choose)
+}
+
+// beginReplacement returns a replacement without an upstream, charged to the retry budget, if there is
+// an upstream for it.
+func (c *call) beginReplacement(current *fleet.Upstream) (*replacement, error) {
 	if err := c.checkPrompt(); err != nil {
 		return nil, err
 	}
 	if len(c.alternatives(current)) == 0 {
 		return nil, errNoAlternative
 	}
-	if !c.takeAttempt() {
+	r := &replacement{chargedAt: clock.Now()}
+	if !c.takeAttempt(r.chargedAt) {
 		return nil, errBudgetExhausted
 	}
+	return r, nil
+}
+
+// completeReplacement sets the upstream of a replacement, or gives the replacement up if there is none
+// or too little time.
+func (c *call) completeReplacement(r *replacement, current *fleet.Upstream, choose func([]Candidate) *fleet.Upstream) (*replacement, error) {
+	// NextAction would not use the replacement.
+	if c.left() < minAttemptTime {
+		c.discard(r)
+		return nil, errNoTime
+	}
 	for {
-		upstream := choose(c.alternatives(current))
-		if upstream == nil {
-			c.Budget.Refund(c.service, 1, clock.Now())
+		r.upstream = choose(c.alternatives(current))
+		if r.upstream == nil {
+			c.discard(r)
 			return nil, errNoAlternative
 		}
-		if c.Pool.Throttle.Take(upstream, clock.Now()) {
-			return &replacement{upstream: upstream}, nil
+		if c.Pool.Throttle.Take(r.upstream, clock.Now()) {
+			return r, nil
 		}
 	}
 }
@@ -210,7 +242,7 @@
 
 // discard gives up a replacement that is not needed.
 func (c *call) discard(r *replacement) {
-	c.Budget.Refund(c.service, 1, clock.Now())
+	c.Budget.Refund(c.service, 1, r.chargedAt, clock.Now())
 	if r.prepared != nil {
 		r.prepared.Release()
 	}
@@ -237,7 +269,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !c.takeAttempt() {
+	if !c.takeAttempt(clock.Now()) {
 		return nil, c.finalError(finalAction(c.history), errBudgetExhausted)
 	}
 	return upstream, nil
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -91,9 +91,10 @@
 func (c *call) runStages(ctx context.Context, target, deadline time.Time) (*StageResults, error) {
 	items := 0
 	for _, count := range c.request.Items {
-		if items += min(count, maxItems+1); items > maxItems {
+		if count > maxItems-items {
 			return nil, fault.New(api.KindBadRequest, "request has more than %d items", maxItems)
 		}
+		items += count
 	}
 	if len(c.route.Stages) == 0 || items == 0 {
 		return &StageResults{Release: func() {}}, nil
@@ -201,15 +202,19 @@
 	if s.unplaced.Load() {
 		return nil, errUnplaced
 	}
-	secured, err := s.secureUpstream(current, s.selectEngine(prepared))
-	if err != nil || !s.inputsReleased.Load() {
-		return secured, err
-	}
-	if secured.prepared, err = s.rerunStages(ctx, lastEvent); err != nil {
-		s.discard(secured)
+	r, err := s.beginReplacement(current)
+	if err != nil {
 		return nil, err
 	}
-	return secured, nil
+	if s.inputsReleased.Load() {
+		if prepared, err = s.rerunStages(ctx, lastEvent); err != nil {
+			s.discard(r)
+			return nil, err
+		}
+		r.prepared = prepared
+	}
+	// The engine is chosen last, since it may have left while the stages ran.
+	return s.completeReplacement(r, current, s.selectEngine(prepared))
 }
 
 // release frees the inputs after the engine has fetched them.
@@ -238,7 +243,7 @@
 	tokens := s.request.PromptTokens
 	s.Health.Begin(upstream, tokens)
 	prepared := s.prepared
-	stall := s.newStallTimer(upstream, cancel, func(ctx context.Context, lastEvent time.Time) (*replacement, error) {
+	stall := s.newStallTimer(upstream, s.lastEventAt, cancel, func(ctx context.Context, lastEvent time.Time) (*replacement, error) {
 		return s.secureEngine(ctx, upstream, prepared, lastEvent)
 	})
 	stall.start(s.firstEventTimeout(upstream))
