Don't take a slow caller for a stalled engine

A stream whose caller took longer than the timeout of a gap to read an event was moved to another engine, which cost a run and could cut the stream there, and the sound engine counted as failing.

Cause: the stall timer ran on while an event was written to the caller, in which time the host reads nothing from the engine. It now pauses for the write.

TestSlowCallerKeepsItsEngine failed before ("assertion failed: 2 (int) != 1 (int)" runs) and passes.

--- a/internal/service/forward/stall.go
+++ b/internal/service/forward/stall.go
@@ -55,6 +55,8 @@
 	lastProgress time.Time
 	// stopSecuring ends secure; nil while it does not run.
 	stopSecuring context.CancelFunc
+	// paused is set from pause until reset.
+	paused bool
 	// securing counts the running calls of expired that use the state of the request.
 	securing sync.WaitGroup
 	// secured is set together with the cancellation of the attempt.
@@ -74,6 +76,20 @@
 	t.timer = time.AfterFunc(timeout, t.expired)
 }
 
+// pause stops the timer until reset, while progress is passed on to a caller that may be slow.
+func (t *stallTimer) pause() {
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.paused = true
+	t.timer.Stop()
+	if t.stopSecuring != nil {
+		t.stopSecuring()
+	}
+}
+
 // reset records progress and restarts the timer with the timeout for the next.
 func (t *stallTimer) reset(timeout time.Duration) {
 	if t == nil {
@@ -81,7 +97,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastProgress = clock.Now()
+	t.lastProgress, t.paused = clock.Now(), false
 	if t.stopSecuring != nil {
 		t.stopSecuring()
 	}
@@ -108,7 +124,7 @@
 // expired replaces the attempt, or tries again later.
 func (t *stallTimer) expired() {
 	t.mu.Lock()
-	if t.stopped || t.secured != nil || t.stopSecuring != nil {
+	if t.stopped || t.paused || t.secured != nil || t.stopSecuring != nil {
 		t.mu.Unlock()
 		return
 	}
--- a/internal/service/forward/stall_test.go
+++ b/internal/service/forward/stall_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -90,6 +91,41 @@
 	assert.Assert(t, f.Health.Get(&f.upstreams[0].Entry).FailureRate+f.Health.Get(&f.upstreams[1].Entry).FailureRate > 0)
 }
 
+// slowCaller takes the second event only after the timeout of a gap.
+type slowCaller struct {
+	*httptest.ResponseRecorder
+	writes int
+}
+
+func (s *slowCaller) Write(p []byte) (int, error) {
+	if s.writes++; s.writes == 2 {
+		time.Sleep(minGapTimeout + 300*time.Millisecond)
+	}
+	return s.ResponseRecorder.Write(p)
+}
+
+// TestSlowCallerKeepsItsEngine guards against an engine that is replaced because the caller is slow to
+// take an event.
+func TestSlowCallerKeepsItsEngine(t *testing.T) {
+	t.Parallel()
+	engine := func(w *bufio.Writer, run platform.Request) bool {
+		from := 1
+		if run.Header.Get(wire.HeaderLastEvent) != "" {
+			from = 3
+		}
+		platform.WriteEvents(w, run.Header.Get(wire.HeaderRequestID), from, 6, true, 50*time.Millisecond)
+		return true
+	}
+	f := newFixture(t, fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2}, engine, engine)
+	request := &fleet.Request{
+		ID: "id-1", Method: "POST", Target: "/p/x", Path: "/p/x", Host: "h", Credential: "secret", Received: clock.Now(), CallerTimeout: 10 * time.Second,
+	}
+	caller := &slowCaller{ResponseRecorder: httptest.NewRecorder()}
+	assert.NilError(t, f.Serve(t.Context(), request, caller))
+	assert.Equal(t, caller.Body.String(), events(1, 6))
+	assert.Equal(t, f.totalRuns(), 1)
+}
+
 // TestSecuringSharesNoState guards against a crash of the host by a concurrent read and write of the
 // upstreams that were tried, when an attempt ends while its replacement is secured.
 func TestSecuringSharesNoState(t *testing.T) {
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -355,10 +355,11 @@
 			s.Health.Prefilled(upstream, s.request.PromptTokens)
 			s.release(s.prepared)
 		}
-		stall.reset(max(minGapTimeout, gapFactor*s.route.MaxGap))
+		stall.pause()
 		if err := s.forwardEvent(x, &e); err != nil {
 			return first, err
 		}
+		stall.reset(max(minGapTimeout, gapFactor*s.route.MaxGap))
 	}
 }
 
