Say in names what the stall timer and the idle closer do

Names of the review: callbacks of the stall timer begin with on, and a connection is between requests. The timer is armed again if it fires while the last search for a replacement has not returned, which it could miss until the next event. Comments that said one thing twice are gone.

--- a/internal/service/forward/stall.go
+++ b/internal/service/forward/stall.go
@@ -42,10 +42,10 @@
 	secure func(ctx context.Context, lastProgress time.Time) (*replacement, error)
 	// discard gives up a replacement that is not needed.
 	discard func(*replacement)
-	// stalled is called at the first timeout, and decided when an attempt is replaced or when it
-	// can't be for the first time. err is the reason if it can't.
-	stalled func()
-	decided func(err error)
+	// onStalled is called at the first timeout, and onDecision when the attempt is replaced or when
+	// it can't be for the first time. err is the reason if it can't.
+	onStalled  func()
+	onDecision func(err error)
 	// cancel ends the attempt.
 	cancel context.CancelCauseFunc
 
@@ -62,8 +62,8 @@
 	// secured is set together with the cancellation of the attempt.
 	secured *replacement
 	stopped bool
-	// reported and kept are set after the first call of stalled and of decided with an error.
-	reported, kept bool
+	// reported and continued are set after the first call of onStalled and of onDecision with an error.
+	reported, continued bool
 }
 
 // start starts the timer with the timeout for the first progress.
@@ -124,6 +124,10 @@
 // expired replaces the attempt, or tries again later.
 func (t *stallTimer) expired() {
 	t.mu.Lock()
+	if t.stopSecuring != nil {
+		// The last call has not returned yet.
+		t.timer.Reset(stallRecheckInterval)
+	}
 	if t.stopped || t.paused || t.secured != nil || t.stopSecuring != nil {
 		t.mu.Unlock()
 		return
@@ -137,7 +141,7 @@
 	t.reported = true
 	t.mu.Unlock()
 	if first {
-		t.stalled()
+		t.onStalled()
 	}
 	secured, err := t.secure(ctx, lastProgress)
 	t.mu.Lock()
@@ -151,13 +155,13 @@
 		}
 	case err != nil:
 		t.timer.Reset(stallRecheckInterval)
-		if !t.kept {
-			t.kept = true
-			t.decided(err)
+		if !t.continued {
+			t.continued = true
+			t.onDecision(err)
 		}
 	default:
 		t.secured = secured
-		t.decided(nil)
+		t.onDecision(nil)
 		t.cancel(errStalled)
 	}
 }
@@ -171,8 +175,8 @@
 	startTime := clock.Now()
 	return &stallTimer{
 		secure: secure, cancel: cancel, discard: c.discard, lastProgress: lastProgress,
-		stalled: func() { c.Health.Stalled(upstream, clock.Now()) },
-		decided: func(err error) { c.logStalled(upstream, clock.Now().Sub(startTime), err) },
+		onStalled:  func() { c.Health.Stalled(upstream, clock.Now()) },
+		onDecision: func(err error) { c.logStalled(upstream, clock.Now().Sub(startTime), err) },
 	}
 }
 
--- a/internal/web/entry/idle.go
+++ b/internal/web/entry/idle.go
@@ -11,9 +11,8 @@
 )
 
 // IdleCloser closes callers' connections that exceed the idle timeout of the routing document,
-// which may change while connections are open. A connection on which a request has begun to arrive
-// is not closed: the caller could not tell whether the request was read. Set the exported fields
-// before use.
+// which may change while connections are open. It closes none on which a request has begun to
+// arrive. Set the exported fields before use.
 type IdleCloser struct {
 	// Timeout returns the idle timeout; 0 means no timeout.
 	Timeout func() time.Duration
@@ -76,7 +75,9 @@
 	}
 	closed := 0
 	for _, c := range i.connections() {
-		if c.expire(func(idleSince time.Time, before time.Duration) bool { return now.Sub(idleSince) > max(limit, before) }) {
+		if c.expire(func(idleSince time.Time, timeoutThen time.Duration) bool {
+			return now.Sub(idleSince) > max(limit, timeoutThen)
+		}) {
 			closed++
 		}
 	}
@@ -88,8 +89,8 @@
 // closeIdlePollInterval is the interval at which CloseIdle checks the connections.
 const closeIdlePollInterval = 2 * time.Millisecond
 
-// CloseIdle closes all idle connections and waits for requests that are being read until they are in
-// progress. Until ctx ends, a server that keeps no further connections then has no idle ones.
+// CloseIdle closes all idle connections and waits, but not longer than ctx, until the requests that
+// are being read are in progress. It is used once responses no longer keep their connections open.
 func (i *IdleCloser) CloseIdle(ctx context.Context) {
 	ticker := time.NewTicker(closeIdlePollInterval)
 	defer ticker.Stop()
@@ -97,7 +98,7 @@
 		waiting := false
 		for _, c := range i.connections() {
 			c.expire(func(time.Time, time.Duration) bool { return true })
-			waiting = waiting || c.waits()
+			waiting = waiting || c.isBetweenRequests()
 		}
 		if !waiting {
 			return
@@ -126,8 +127,8 @@
 	net.Conn
 
 	mu sync.Mutex
-	// kept is set between two requests, until the header of the next one is complete.
-	kept bool
+	// betweenRequests is true from the end of a request until the header of the next one is complete.
+	betweenRequests bool
 	// idleSince is the end of the last request; zero once bytes of the next one were read.
 	idleSince time.Time
 	// timeout is the idle timeout at idleSince.
@@ -180,22 +181,21 @@
 func (c *callerConn) becomeIdle(timeout time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.kept, c.idleSince, c.timeout = true, time.Now(), timeout
+	c.betweenRequests, c.idleSince, c.timeout = true, time.Now(), timeout
 }
 
 func (c *callerConn) becomeActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.kept, c.idleSince = false, time.Time{}
+	c.betweenRequests, c.idleSince = false, time.Time{}
 	// The whole header may have been read together with the request before.
 	c.revive()
 }
 
-// waits reports whether the connection is between two requests.
-func (c *callerConn) waits() bool {
+func (c *callerConn) isBetweenRequests() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.kept
+	return c.betweenRequests
 }
 
 // expire ends the reading of an idle connection that due selects, upon which the server closes it.
