Use an upstream that registered again before a late follower knew of the restore

A host that learned of a restore of the store later than the grace period, from a source that had read it before, removed the upstreams that the copy lacked and then held them back for up to 6 s, although the same update contained their new registrations. Callers would see refusals, if these were all upstreams of a service, until each wrote its entry again, about a second later.

Cause: an entry that appears in the first update of an era was held if its removal was known, also if the removal was part of that update and older than the entry.

Evidence: TestUpstreamWrittenAgainAfterRestoreIsUsedByLateFollower failed before, restore_test.go:177: assertion failed: 0 (int) != 1 (int)

A removal now has its version. Only one of an earlier era than the entry shows that the entry comes from the copy; the changes within an era are in order.

--- a/internal/service/directory/restore.go
+++ b/internal/service/directory/restore.go
@@ -22,6 +22,8 @@
 type removal struct {
 	// started identifies the incarnation of an upstream or host; 0 for other entries.
 	started int64
+	// version is the revision up to which the entry is known to be removed.
+	version store.Version
 	at      time.Time
 }
 
@@ -69,8 +71,8 @@
 	return s.restoring && existing != nil && existing.expiresAt.IsZero() && !existing.isHeld() && bytes.Equal(existing.entry.Value, entry.Value)
 }
 
-// deleteRecord deletes a record and remembers its removal.
-func (s *State) deleteRecord(key string, now time.Time) {
+// deleteRecord deletes a record and remembers its removal at a version.
+func (s *State) deleteRecord(key string, version store.Version, now time.Time) {
 	if s.removed == nil {
 		s.removed = map[string]removal{}
 	}
@@ -82,7 +84,7 @@
 		}
 	}
 	if len(s.removed) < maxRemoved {
-		s.removed[key] = removal{s.records[key].started(), now}
+		s.removed[key] = removal{s.records[key].started(), version, now}
 	}
 	delete(s.records, key)
 }
@@ -93,7 +95,7 @@
 	removed, known := s.removed[rec.entry.Key]
 	switch {
 	case !known:
-	case s.restoring && removed.started == rec.started() && now.Sub(removed.at) <= removedKeyTTL:
+	case s.restoring && removed.version.Era() < rec.entry.Version.Era() && removed.started == rec.started() && now.Sub(removed.at) <= removedKeyTTL:
 		rec.heldUntil = now.Add(reappearedHold)
 		if rec.quarantined != nil {
 			rec.heldUntil = rec.quarantined.Until
--- a/internal/service/directory/restore_test.go
+++ b/internal/service/directory/restore_test.go
@@ -165,3 +165,14 @@
 	eventually(t, "the second deletion", func() bool { return !listed() })
 	assert.Assert(t, time.Since(began) < RegistrationTTL-renewPeriod, "the entry ended with its lease")
 }
+
+// TestUpstreamWrittenAgainAfterRestoreIsUsedByLateFollower guards against a follower that takes an upstream that registered again for one that had left.
+func TestUpstreamWrittenAgainAfterRestoreIsUsedByLateFollower(t *testing.T) {
+	s := newState()
+	a := upstreamEntry("a", fleet.StateReady, 1, 2)
+	s.Replace([]store.Entry{documentEntry(1, 1), a}, 2, start, time.Time{})
+	removed := store.Event{Entry: store.Entry{Key: a.Key, Version: inEra(t, 1, 1)}, Deleted: true}
+	a.Version = inEra(t, 1, 2)
+	s.Apply([]store.Event{removed, {Entry: a}}, start, time.Time{})
+	assert.Equal(t, len(s.View().Ready("s")), 1)
+}
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -145,7 +145,7 @@
 				s.removedAt = map[string]time.Time{}
 			}
 			s.removedAt[key] = now
-			s.removeEntry(key, now, expiry)
+			s.removeEntry(key, version, now, expiry)
 		}
 	}
 	for key, at := range s.removedAt {
@@ -185,7 +185,7 @@
 		applied = append(applied, event)
 		if event.Deleted {
 			if existing := s.records[event.Key]; existing != nil && existing.entry.Version < event.Version {
-				s.removeEntry(event.Key, now, expiry)
+				s.removeEntry(event.Key, event.Version, now, expiry)
 			}
 		} else {
 			s.putEntry(event.Entry, now)
@@ -203,7 +203,7 @@
 	changed := false
 	for key, rec := range s.records {
 		if !rec.expiresAt.IsZero() && !now.Before(rec.expiresAt) {
-			s.deleteRecord(key, now)
+			s.deleteRecord(key, s.version, now)
 			changed = true
 		}
 		if rec.isHeld() && !now.Before(rec.heldUntil) {
@@ -214,9 +214,9 @@
 	return changed
 }
 
-// removeEntry removes an entry, or schedules its removal for expiry. Hosts are removed at once,
+// removeEntry removes an entry at a version, or schedules its removal for expiry. Hosts are removed at once,
 // because callers fail over by themselves, except after a restore.
-func (s *State) removeEntry(key string, now, expiry time.Time) {
+func (s *State) removeEntry(key string, version store.Version, now, expiry time.Time) {
 	existing := s.records[key]
 	if existing == nil {
 		return
@@ -232,7 +232,7 @@
 		keep = !expiry.IsZero() && s.restoring
 	}
 	if !keep {
-		s.deleteRecord(key, now)
+		s.deleteRecord(key, version, now)
 		return
 	}
 	if existing.expiresAt.IsZero() || s.restoring {
