Set the role of a host before its view is published

Cause: the view of a host was published before its role, so that for a moment a host knew the whole fleet and still had the role for the hosts before.

The role is stored first, so whoever sees a view also sees the role that follows from it.

--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -392,8 +392,8 @@
 // publish makes the state the current view. It must be called with mu held and releases it.
 func (s *Service) publish() {
 	old, view := s.view.Load(), s.state.View()
-	s.view.Store(view)
 	s.updateRole(old, view)
+	s.view.Store(view)
 	s.signalChange()
 	s.mu.Unlock()
 	s.logChanges(old, view)
