Use no earlier run of an upstream that an older copy of the store still has

An upstream may start again under its id. If the store then came back from a copy of the time before, hosts took the entry of the earlier run for the current one, ready for work, until the upstream wrote its entry again or the platform removed it. What they knew of the later run did not count for it: that it was draining or had announced its shutdown, that it had asked for a pause, or that it was gone. Upstreams would get requests that they no longer take, and callers failures or the delay of a retry.

Cause: an entry of the copy was held back only if the same run had been removed, and it replaced any entry known before, because its version is of a later era. Versions order writes, not runs.

Evidence: TestEarlierIncarnationIsNotUsedAfterRestore failed before, restore_test.go:209: assertion failed: expression is false: len(ready) == 0 || ready[0].Started == 2: restarted

An entry of the copy with an earlier start than the known upstream now counts as if the copy had none: the later run is kept for the grace period, or its removal holds the earlier one back. Once a removal is known, entries up to its version are held, so that a second full read of the copy changes nothing.

--- a/internal/service/directory/restore.go
+++ b/internal/service/directory/restore.go
@@ -90,12 +90,13 @@
 }
 
 // holdReappeared holds a record back if its entry is in the copy from which the store came back,
-// but had been removed since that copy. A quarantine is held until its end.
+// but had been removed since that copy, or belongs to an earlier run of the upstream or host than
+// the one that was removed. A quarantine is held until its end.
 func (s *State) holdReappeared(rec *record, now time.Time) {
 	removed, known := s.removed[rec.entry.Key]
 	switch {
 	case !known:
-	case s.restoring && removed.version.Era() < rec.entry.Version.Era() && removed.started == rec.started() && now.Sub(removed.at) <= removedKeyTTL:
+	case removed.started >= rec.started() && now.Sub(removed.at) <= removedKeyTTL && s.isCopied(rec.entry, removed):
 		rec.heldUntil = now.Add(reappearedHold)
 		if rec.quarantined != nil {
 			rec.heldUntil = rec.quarantined.Until
@@ -105,6 +106,27 @@
 	}
 }
 
+// isCopied reports whether an entry that was removed before comes from the copy, and was not
+// written again since.
+func (s *State) isCopied(entry store.Entry, removed removal) bool {
+	return entry.Version <= removed.version || s.restoring && removed.version.Era() < entry.Version.Era()
+}
+
+// keepsLaterIncarnation reports whether an entry of the copy is of an earlier incarnation of an
+// upstream than the known one, which is then missing like those that the copy lacks.
+func (s *State) keepsLaterIncarnation(decoded *record, now, expiry time.Time) bool {
+	key := decoded.entry.Key
+	known := s.records[key]
+	if known == nil || known.upstream == nil || decoded.upstream == nil || decoded.started() >= known.started() {
+		return false
+	}
+	if s.restoring {
+		s.removeEntry(key, decoded.entry.Version, now, expiry)
+	}
+	known = s.records[key]
+	return known != nil && !known.expiresAt.IsZero()
+}
+
 // countRestored returns the number of entries that are missing and that are held back.
 func (s *State) countRestored() (missing, held int) {
 	for _, rec := range s.records {
--- a/internal/service/directory/restore_test.go
+++ b/internal/service/directory/restore_test.go
@@ -176,3 +176,42 @@
 	s.Apply([]store.Event{removed, {Entry: a}}, start, time.Time{})
 	assert.Equal(t, len(s.View().Ready("s")), 1)
 }
+
+// TestEarlierIncarnationIsNotUsedAfterRestore guards against work for the previous run of an upstream, which an older copy of the store still has.
+func TestEarlierIncarnationIsNotUsedAfterRestore(t *testing.T) {
+	type change func(s *State)
+	restart := func(state fleet.State) change {
+		return func(s *State) {
+			s.Apply([]store.Event{{Entry: upstreamEntry("a", state, 2, 2)}}, start, time.Time{})
+		}
+	}
+	for name, test := range map[string]struct {
+		changes []change
+		ready   int
+	}{
+		"restarted": {[]change{restart(fleet.StateReady)}, 1},
+		"draining":  {[]change{restart(fleet.StateDraining)}, 0},
+		"announced": {[]change{restart(fleet.StateReady), func(s *State) { s.markDraining(fleet.Incarnation{ID: "a", Started: 2}, start) }}, 0},
+		"gone": {[]change{restart(fleet.StateReady), func(s *State) {
+			s.Apply([]store.Event{{Entry: store.Entry{Key: "upstream/a", Version: 3}, Deleted: true}}, start, time.Time{})
+		}}, 0},
+	} {
+		s := newState()
+		s.Replace([]store.Entry{upstreamEntry("a", fleet.StateReady, 1, 1)}, 1, start, time.Time{})
+		for _, apply := range test.changes {
+			apply(s)
+		}
+		copied := []store.Entry{upstreamEntry("a", fleet.StateReady, 1, inEra(t, 1, 1))}
+		for range 2 {
+			s.Replace(copied, inEra(t, 1, 1), start, start.Add(missingEntryGrace))
+			ready := s.View().Ready("s")
+			assert.Equal(t, len(ready), test.ready, name)
+			assert.Assert(t, len(ready) == 0 || ready[0].Started == 2, name)
+		}
+		s.Expire(start.Add(missingEntryGrace))
+		s.Replace(copied, inEra(t, 1, 1), start, time.Time{})
+		assert.Equal(t, len(s.View().Ready("s")), 0, name)
+		s.Apply([]store.Event{{Entry: upstreamEntry("a", fleet.StateReady, 3, inEra(t, 1, 2))}}, start, time.Time{})
+		assert.Equal(t, len(s.View().Ready("s")), 1, name)
+	}
+}
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -137,7 +137,7 @@
 		if entry.Version > s.version && !s.isUnchanged(entry) {
 			events = append(events, store.Event{Entry: entry})
 		}
-		s.putEntry(entry, now)
+		s.putEntry(entry, now, expiry)
 	}
 	for key, existing := range s.records {
 		if !seen[key] && existing.entry.Version <= version {
@@ -188,7 +188,7 @@
 				s.removeEntry(event.Key, event.Version, now, expiry)
 			}
 		} else {
-			s.putEntry(event.Entry, now)
+			s.putEntry(event.Entry, now, expiry)
 		}
 	}
 	// Keys written in one transaction share a revision, so the version is advanced only
@@ -240,7 +240,7 @@
 	}
 }
 
-func (s *State) putEntry(entry store.Entry, now time.Time) {
+func (s *State) putEntry(entry store.Entry, now, expiry time.Time) {
 	if s.records == nil {
 		s.records, s.drainedIncarnations = map[string]*record{}, map[fleet.Incarnation]time.Time{}
 	}
@@ -259,6 +259,9 @@
 		return
 	}
 	decoded := s.decodeEntry(entry, now)
+	if s.keepsLaterIncarnation(decoded, now, expiry) {
+		return
+	}
 	s.holdReappeared(decoded, now)
 	s.records[entry.Key] = decoded
 }
