Send the whole state to a host whose version the source never had

Across a restore of the store, a host that followed one source and then another kept upstreams and hosts that no longer existed, until it read the store itself, or dropped upstreams that were registered. Callers could get addresses of hosts that are gone, requests be sent to upstreams that are gone, and quarantines be forgotten. It takes a fleet in which not all hosts read the store, and two of its readers that read the store last before the restore, or first after it, at different versions.

Cause: after a restore the changes that a source passes on are the differences between its own state before and the copy. A host that knew more than the source, or read another version of the copy first, is not in that state, and the differences leave it with what the source never knew or found unchanged.

Evidence, before: TestFollowerAheadOfItsSourceAcrossRestoreDropsWhatIsGone, restore_test.go:253: assertion failed: expression is false: len(follower.View().Ready("s")) == 0 && len(follower.View().Hosts) == 0 TestFollowerKeepsWhatItsNextSourceReadAfterRestore, restore_test.go:272: assertion failed: 0 (int) != 1 (int)

A source remembers its versions around each restore, and sends the whole state to a host whose version lies between them. All others are at a version that it had itself, so that its changes apply to them. As before, at most two whole states are sent at a time.

--- a/internal/service/directory/feed.go
+++ b/internal/service/directory/feed.go
@@ -126,7 +126,7 @@
 	}
 	switch {
 	case update.Version <= after:
-	case after >= s.historyFrom:
+	case after >= s.historyFrom && !s.isBetweenEras(after):
 		for _, event := range s.history {
 			if event.Version > after {
 				update.Events = append(update.Events, event)
--- a/internal/service/directory/restore_test.go
+++ b/internal/service/directory/restore_test.go
@@ -215,3 +215,59 @@
 		assert.Equal(t, len(s.View().Ready("s")), 1, name)
 	}
 }
+
+// followPair returns two sources at version 1 and a function with which a third host follows one of them.
+func followPair(now *time.Time) (sources [2]*Service, follower *Service, poll func(t *testing.T, source *Service)) {
+	services := make([]*Service, 3)
+	for i := range services {
+		services[i] = &Service{Clock: func() time.Time { return *now }, Log: logging.Discard(), Metrics: metric.New()}
+		services[i].state.Decoder = testDecoder()
+		services[i].role.Store(&Role{Reads: i < 2})
+	}
+	follower = services[2]
+	for _, source := range services[:2] {
+		source.replace([]store.Entry{documentEntry(1, 1)}, 1, *now)
+	}
+	return [2]*Service(services[:2]), follower, func(t *testing.T, source *Service) {
+		t.Helper()
+		update, sent := source.newUpdate(follower.followedVersion(), *now)
+		defer sent()
+		assert.NilError(t, follower.applyUpdate("source", update, *now))
+	}
+}
+
+// TestFollowerAheadOfItsSourceAcrossRestoreDropsWhatIsGone guards against upstreams and hosts that stay in use because the new source never knew of them.
+func TestFollowerAheadOfItsSourceAcrossRestoreDropsWhatIsGone(t *testing.T) {
+	now := start
+	sources, follower, poll := followPair(&now)
+	sources[0].recordWatch([]store.Event{{Entry: upstreamEntry("a", fleet.StateReady, 1, 2)}, {Entry: hostEntry("h", 3)}}, now, 0)
+	poll(t, sources[0])
+	assert.Assert(t, len(follower.View().Ready("s")) == 1 && len(follower.View().Hosts) == 1)
+	for era := store.Era(1); era <= 2; era++ {
+		sources[1].replace([]store.Entry{documentEntry(1, inEra(t, era, 1))}, inEra(t, era, 1), now)
+	}
+	poll(t, sources[1])
+	assert.Equal(t, len(follower.View().Ready("s")), 1, "a is missing for a while")
+	now = now.Add(missingEntryGrace)
+	follower.expire()
+	assert.Assert(t, len(follower.View().Ready("s")) == 0 && len(follower.View().Hosts) == 0)
+}
+
+// TestFollowerKeepsWhatItsNextSourceReadAfterRestore guards against an upstream that one source misses, and that the next has as before, being dropped.
+func TestFollowerKeepsWhatItsNextSourceReadAfterRestore(t *testing.T) {
+	now := start
+	sources, follower, poll := followPair(&now)
+	a := upstreamEntry("a", fleet.StateReady, 1, 2)
+	for _, source := range sources {
+		source.recordWatch([]store.Event{{Entry: a}}, now, 0)
+		poll(t, source)
+	}
+	sources[0].replace([]store.Entry{documentEntry(1, inEra(t, 1, 1))}, inEra(t, 1, 1), now)
+	poll(t, sources[0])
+	a.Version = inEra(t, 1, 2)
+	sources[1].replace([]store.Entry{documentEntry(1, inEra(t, 1, 1)), a}, inEra(t, 1, 2), now)
+	poll(t, sources[1])
+	now = now.Add(missingEntryGrace)
+	follower.expire()
+	assert.Equal(t, len(follower.View().Ready("s")), 1)
+}
