Send the whole state to a host that knew more than a full read of its source omits

A host that followed one source and then another could keep an upstream or host that was gone, until it read the store itself: callers could get the address of a host that is gone, and requests be sent to an upstream that is gone, each of which fails once before its retry. It takes no restore of the store, only a source that had lost the store, or whose history the store had dropped, and that reads it anew while hosts that followed another source turn to it.

A full read is passed on as the differences from the state before. An entry that was written and removed in between is in neither.

The versions around each full read are now remembered like those around a restore.

--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -77,8 +77,8 @@
 	// history holds the changes since historyFrom, in order.
 	history     []store.Event
 	historyFrom store.Version
-	// eraChanges holds the restores of the store since the start of this host.
-	eraChanges []eraChange
+	// gaps holds the latest ranges of versions for which the history is not complete.
+	gaps []versionGap
 	// changeSignal is closed at the next change or confirmation; nil if nobody waits.
 	changeSignal chan struct{}
 	// source is the host that this host follows; empty if it follows none.
--- a/internal/service/directory/restore.go
+++ b/internal/service/directory/restore.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"slices"
 	"time"
 
 	"redwingloft/internal/data/store"
@@ -141,17 +140,6 @@
 	return missing, held
 }
 
-// eraChange holds the versions of the state around a restore of the store.
-type eraChange struct {
-	before, after store.Version
-}
-
-// isBetweenEras reports whether a version is one that this host never had because of a restore. Its
-// history from there is not complete: it holds only the differences from its own state before.
-func (s *Service) isBetweenEras(version store.Version) bool {
-	return slices.ContainsFunc(s.eraChanges, func(c eraChange) bool { return c.before < version && version < c.after })
-}
-
 // enterEra gives missing entries a grace period if a version shows that the store came back from
 // an older copy: what was written since is written again. The returned function must be called
 // after the changes at that version have been applied. The caller holds mu.
@@ -161,7 +149,6 @@
 	}
 	before := s.state.Version()
 	s.graceUntil = now.Add(grace)
-	s.eraChanges = append(s.eraChanges, eraChange{before, version})
 	return func() {
 		missing, held := s.state.countRestored()
 		s.Metrics.Counter("directory.store_restores").Inc(1)
--- a/internal/service/directory/restore_test.go
+++ b/internal/service/directory/restore_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/data/store"
@@ -271,3 +274,124 @@
 	follower.expire()
 	assert.Equal(t, len(follower.View().Ready("s")), 1)
 }
+
+// TestFollowerAheadOfItsSourceDropsWhatAFullReadOmits guards against an upstream that stays in use because its source read the store only after it was gone.
+func TestFollowerAheadOfItsSourceDropsWhatAFullReadOmits(t *testing.T) {
+	now := start
+	sources, follower, poll := followPair(&now)
+	sources[0].recordWatch([]store.Event{{Entry: upstreamEntry("a", fleet.StateReady, 1, 2)}}, now, 0)
+	poll(t, sources[0])
+	assert.Equal(t, len(follower.View().Ready("s")), 1)
+	sources[1].replace([]store.Entry{documentEntry(1, 1)}, 3, now)
+	poll(t, sources[1])
+	assert.Equal(t, len(follower.View().Ready("s")), 0)
+}
+
+// TestFollowerAcrossRestoresEndsInTheStateOfTheStore guards against changes between hosts that do not undo what a restore of the store lost.
+func TestFollowerAcrossRestoresEndsInTheStateOfTheStore(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		now := start
+		sources, follower, _ := followPair(&now)
+		poll := func(source *Service) {
+			update, sent := source.newUpdate(follower.followedVersion(), now)
+			defer sent()
+			// Also the changes of a source that is judged to be too old are applied.
+			_ = follower.applyUpdate("source", update, now)
+		}
+		era, revision := store.Era(0), int64(1)
+		stored, running := map[string]store.Entry{}, map[string]bool{}
+		copied, copiedRevision := map[string]store.Entry{}, revision
+		// A source without a list of changes has to read the store.
+		pending := [2][]store.Event{{}, {}}
+		next := func() store.Version {
+			revision++
+			version, _ := store.NewVersion(era, revision)
+			return version
+		}
+		change := func(event store.Event) {
+			if event.Deleted {
+				delete(stored, event.Key)
+			} else {
+				stored[event.Key] = event.Entry
+			}
+			for i := range pending {
+				if pending[i] != nil {
+					pending[i] = append(pending[i], event)
+				}
+			}
+		}
+		put := func(id string) {
+			entry := upstreamEntry(id, fleet.StateReady, 1, 0)
+			entry.Version = next()
+			change(store.Event{Entry: entry})
+		}
+		read := func(i int) {
+			version, _ := store.NewVersion(era, revision)
+			sources[i].replace(slices.Collect(maps.Values(stored)), version, now)
+			pending[i] = []store.Event{}
+		}
+		ids := rapid.StringMatching("[a-d]")
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			i := rapid.IntRange(0, 1).Draw(r, "source")
+			switch rapid.SampledFrom([]string{"start", "start", "end", "events", "read", "poll", "poll", "copy", "restore", "wait"}).Draw(r, "step") {
+			case "start":
+				id := ids.Draw(r, "id")
+				running[id] = true
+				put(id)
+			case "end":
+				id := ids.Draw(r, "id")
+				delete(running, id)
+				if key := "upstream/" + id; stored[key].Key != "" {
+					change(store.Event{Entry: store.Entry{Key: key, Version: next()}, Deleted: true})
+				}
+			case "events":
+				if len(pending[i]) > 0 {
+					sources[i].recordWatch(pending[i], now, 0)
+					pending[i] = pending[i][:0]
+				}
+			case "read":
+				read(i)
+			case "poll":
+				poll(sources[i])
+			case "copy":
+				copied, copiedRevision = maps.Clone(stored), revision
+			case "restore":
+				era++
+				stored, revision = map[string]store.Entry{}, copiedRevision
+				for key, entry := range copied {
+					entry.Version, _ = store.NewVersion(era, entry.Version.Revision())
+					stored[key] = entry
+				}
+				pending = [2][]store.Event{}
+			case "wait":
+				now = now.Add(missingEntryGrace / 2)
+				follower.expire()
+			}
+		}
+		for id := range running {
+			put(id)
+		}
+		for _, key := range slices.Collect(maps.Keys(stored)) {
+			if !running[key[len("upstream/"):]] {
+				change(store.Event{Entry: store.Entry{Key: key, Version: next()}, Deleted: true})
+			}
+		}
+		last := rapid.IntRange(0, 1).Draw(r, "last source")
+		if pending[last] == nil {
+			read(last)
+		} else if len(pending[last]) > 0 {
+			sources[last].recordWatch(pending[last], now, 0)
+		}
+		poll(sources[last])
+		now = now.Add(reappearedHold)
+		follower.expire()
+		if follower.View().Version > sources[last].View().Version {
+			return
+		}
+		known := map[string]bool{}
+		for _, upstream := range follower.View().Ready("s") {
+			known[string(upstream.ID)] = true
+		}
+		assert.DeepEqual(r, known, running)
+	})
+}
