--- a/internal/service/directory/restore_test.go
+++ b/internal/service/directory/restore_test.go
@@ -15,6 +15,7 @@
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/helper/logging"
 	"redwingloft/internal/helper/metric"
+	"redwingloft/pkg/api"
 )
 
 // TestDocumentWrittenAfterRestoreIsInForce guards against a host that takes no change from a store that came back from an older copy.
@@ -287,7 +288,7 @@
 	assert.Equal(t, len(follower.View().Ready("s")), 0)
 }
 
-// TestFollowerAcrossRestoresEndsInTheStateOfTheStore guards against changes between hosts that do not undo what a restore of the store lost.
+// TestFollowerAcrossRestoresEndsInTheStateOfTheStore guards against changes between hosts that do not undo what a restore of the store lost, and against a return to an earlier or leaving upstream.
 func TestFollowerAcrossRestoresEndsInTheStateOfTheStore(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		now := start
@@ -299,7 +300,8 @@
 			_ = follower.applyUpdate("source", update, now)
 		}
 		era, revision := store.Era(0), int64(1)
-		stored, running := map[string]store.Entry{}, map[string]bool{}
+		stored, running := map[string]store.Entry{}, map[string]int64{}
+		lastStart, seen, announced := map[string]int64{}, map[string]int64{}, map[fleet.Incarnation]bool{}
 		copied, copiedRevision := map[string]store.Entry{}, revision
 		// A source without a list of changes has to read the store.
 		pending := [2][]store.Event{{}, {}}
@@ -321,7 +323,7 @@
 			}
 		}
 		put := func(id string) {
-			entry := upstreamEntry(id, fleet.StateReady, 1, 0)
+			entry := upstreamEntry(id, fleet.StateReady, running[id], 0)
 			entry.Version = next()
 			change(store.Event{Entry: entry})
 		}
@@ -333,10 +335,13 @@
 		ids := rapid.StringMatching("[a-d]")
 		for range rapid.IntRange(1, 60).Draw(r, "steps") {
 			i := rapid.IntRange(0, 1).Draw(r, "source")
-			switch rapid.SampledFrom([]string{"start", "start", "end", "events", "read", "poll", "poll", "copy", "restore", "wait"}).Draw(r, "step") {
+			switch rapid.SampledFrom([]string{"start", "start", "end", "events", "read", "poll", "poll", "copy", "restore", "wait", "announce"}).Draw(r, "step") {
 			case "start":
 				id := ids.Draw(r, "id")
-				running[id] = true
+				if rapid.Bool().Draw(r, "new run") || running[id] == 0 {
+					lastStart[id]++
+					running[id] = lastStart[id]
+				}
 				put(id)
 			case "end":
 				id := ids.Draw(r, "id")
@@ -366,13 +371,23 @@
 			case "wait":
 				now = now.Add(missingEntryGrace / 2)
 				follower.expire()
+			case "announce":
+				if ready := follower.View().Ready("s"); len(ready) > 0 {
+					follower.MarkDraining(ready[0])
+					announced[ready[0].Incarnation()] = true
+				}
+			}
+			for _, upstream := range follower.View().Ready("s") {
+				assert.Assert(r, upstream.Started >= seen[string(upstream.ID)], "an earlier run is used")
+				assert.Assert(r, !announced[upstream.Incarnation()], "an upstream that announced its shutdown is used")
+				seen[string(upstream.ID)] = upstream.Started
 			}
 		}
 		for id := range running {
 			put(id)
 		}
 		for _, key := range slices.Collect(maps.Keys(stored)) {
-			if !running[key[len("upstream/"):]] {
+			if 0 == running[key[len("upstream/"):]] {
 				change(store.Event{Entry: store.Entry{Key: key, Version: next()}, Deleted: true})
 			}
 		}
@@ -388,9 +403,12 @@
 		if follower.View().Version > sources[last].View().Version {
 			return
 		}
-		known := map[string]bool{}
+		maps.DeleteFunc(running, func(id string, started int64) bool {
+			return announced[fleet.Incarnation{ID: api.UpstreamID(id), Started: started}]
+		})
+		known := map[string]int64{}
 		for _, upstream := range follower.View().Ready("s") {
-			known[string(upstream.ID)] = true
+			known[string(upstream.ID)] = upstream.Started
 		}
 		assert.DeepEqual(r, known, running)
 	})
