--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -77,6 +77,8 @@
 	// history holds the changes since historyFrom, in order.
 	history     []store.Event
 	historyFrom store.Version
+	// gaps holds the latest ranges of versions for which the history is not complete.
+	gaps []versionGap
 	// changeSignal is closed at the next change or confirmation; nil if nobody waits.
 	changeSignal chan struct{}
 	// source is the host that this host follows; empty if it follows none.
@@ -392,8 +394,8 @@
 // publish makes the state the current view. It must be called with mu held and releases it.
 func (s *Service) publish() {
 	old, view := s.view.Load(), s.state.View()
-	s.view.Store(view)
 	s.updateRole(old, view)
+	s.view.Store(view)
 	s.signalChange()
 	s.mu.Unlock()
 	s.logChanges(old, view)
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -137,7 +137,7 @@
 		if entry.Version > s.version && !s.isUnchanged(entry) {
 			events = append(events, store.Event{Entry: entry})
 		}
-		s.putEntry(entry, now)
+		s.putEntry(entry, now, expiry)
 	}
 	for key, existing := range s.records {
 		if !seen[key] && existing.entry.Version <= version {
@@ -145,7 +145,7 @@
 				s.removedAt = map[string]time.Time{}
 			}
 			s.removedAt[key] = now
-			s.removeEntry(key, now, expiry)
+			s.removeEntry(key, version, now, expiry)
 		}
 	}
 	for key, at := range s.removedAt {
@@ -185,10 +185,10 @@
 		applied = append(applied, event)
 		if event.Deleted {
 			if existing := s.records[event.Key]; existing != nil && existing.entry.Version < event.Version {
-				s.removeEntry(event.Key, now, expiry)
+				s.removeEntry(event.Key, event.Version, now, expiry)
 			}
 		} else {
-			s.putEntry(event.Entry, now)
+			s.putEntry(event.Entry, now, expiry)
 		}
 	}
 	// Keys written in one transaction share a revision, so the version is advanced only
@@ -203,7 +203,7 @@
 	changed := false
 	for key, rec := range s.records {
 		if !rec.expiresAt.IsZero() && !now.Before(rec.expiresAt) {
-			s.deleteRecord(key, now)
+			s.deleteRecord(key, s.version, now)
 			changed = true
 		}
 		if rec.isHeld() && !now.Before(rec.heldUntil) {
@@ -214,9 +214,9 @@
 	return changed
 }
 
-// removeEntry removes an entry, or schedules its removal for expiry. Hosts are removed at once,
+// removeEntry removes an entry at a version, or schedules its removal for expiry. Hosts are removed at once,
 // because callers fail over by themselves, except after a restore.
-func (s *State) removeEntry(key string, now, expiry time.Time) {
+func (s *State) removeEntry(key string, version store.Version, now, expiry time.Time) {
 	existing := s.records[key]
 	if existing == nil {
 		return
@@ -232,7 +232,7 @@
 		keep = !expiry.IsZero() && s.restoring
 	}
 	if !keep {
-		s.deleteRecord(key, now)
+		s.deleteRecord(key, version, now)
 		return
 	}
 	if existing.expiresAt.IsZero() || s.restoring {
@@ -240,7 +240,7 @@
 	}
 }
 
-func (s *State) putEntry(entry store.Entry, now time.Time) {
+func (s *State) putEntry(entry store.Entry, now, expiry time.Time) {
 	if s.records == nil {
 		s.records, s.drainedIncarnations = map[string]*record{}, map[fleet.Incarnation]time.Time{}
 	}
@@ -259,6 +259,9 @@
 		return
 	}
 	decoded := s.decodeEntry(entry, now)
+	if s.keepsLaterIncarnation(decoded, now, expiry) {
+		return
+	}
 	s.holdReappeared(decoded, now)
 	s.records[entry.Key] = decoded
 }
