Give requests of tests that are not about timeouts 30 s

TestInvalidResponsesAreNotForwarded/garbage got 504 instead of 502 after 3.56 s beside a load average of 25 to 35: the caller timeout that the fixture gives every request was 3 s, and at its end the answer is a 504 whatever came from the upstream. Shown on a scratch copy by an upstream that answers after 3.5 s: 504 with a timeout of 3 s, 502 with 30 s. It was not seen again by load alone: 30 runs of the test and 40 of the case passed beside 60 and 100 busy loops, the case in 0.39 s at most.

No assertion is about this timeout: tests that check one set their own, and the package takes as long as before (31.9 s under the race detector, before and after), so none waits for it. All checks are unchanged.

--- a/internal/service/forward/forward_test.go
+++ b/internal/service/forward/forward_test.go
@@ -89,12 +89,16 @@
 	}
 }
 
+// callerTimeout is the caller timeout of requests in tests that are not about timeouts; no busy
+// machine takes so long.
+const callerTimeout = 30 * time.Second
+
 // serve passes one request, modified by change, to the service.
 func (f *fixture) serve(t *testing.T, change func(*fleet.Request)) (*httptest.ResponseRecorder, error) {
 	t.Helper()
 	request := &fleet.Request{
 		ID: "id-1", Method: http.MethodPost, Target: "/p/x?q=1", Path: "/p/x", Host: "h", Header: http.Header{"X-Own": {"1"}},
-		Body: []byte("body"), Credential: "secret", Received: clock.Now(), CallerTimeout: 3 * time.Second,
+		Body: []byte("body"), Credential: "secret", Received: clock.Now(), CallerTimeout: callerTimeout,
 	}
 	if change != nil {
 		change(request)
