--- a/internal/service/directory/feed.go
+++ b/internal/service/directory/feed.go
@@ -40,8 +40,6 @@
 	// directReadJitter is the part of MaxAge over which hosts that lose their sources at the
 	// same time spread their reads.
 	directReadJitter = 0.05
-	// maxGaps bounds the gaps in the history that a host remembers.
-	maxGaps = 16
 	// maxConcurrentDumps bounds the whole states that are sent at the same time. Their
 	// encoding takes far more processor time and memory than changes do.
 	maxConcurrentDumps = 2
@@ -412,29 +410,6 @@
 	s.recordGap(before)
 }
 
-// versionGap is a range of versions that a host never had: those between the state before and after
-// a full read or a restore of the store. The history holds only the differences between the two,
-// which don't undo what a host with a version between them knows.
-type versionGap struct {
-	before, after store.Version
-}
-
-// recordGap records that the state went from a version to the present one at once. The caller holds mu.
-func (s *Service) recordGap(before store.Version) {
-	if after := s.state.Version(); after > before+1 {
-		s.gaps = append(s.gaps, versionGap{before, after})
-	}
-	if len(s.gaps) > maxGaps {
-		s.historyFrom = max(s.historyFrom, s.gaps[0].after)
-		s.gaps = slices.Delete(s.gaps, 0, 1)
-	}
-}
-
-// isInGap reports whether a version is one that this host never had. The caller holds mu.
-func (s *Service) isInGap(version store.Version) bool {
-	return slices.ContainsFunc(s.gaps, func(g versionGap) bool { return g.before < version && version < g.after })
-}
-
 // sourceRecovered logs the first update of a source. The caller holds mu.
 func (s *Service) sourceRecovered(source api.Address, age time.Duration) {
 	if s.source == source {
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -13,8 +13,6 @@
 
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/clock"
-	"redwingloft/internal/helper/fault"
-	"redwingloft/pkg/api"
 )
 
 const (
@@ -39,8 +37,6 @@
 	rankStep = 2
 	// maxRank is the lowest priority that engines accept.
 	maxRank = 9
-	// maxItems bounds the items of a request, each of which takes memory here and at a scheduler.
-	maxItems = 10_000
 )
 
 // serveStream serves a request whose response is an event stream.
@@ -86,28 +82,6 @@
 	}
 }
 
-// runStages runs the stages of the request. Results should be ready at target and are useless after
-// deadline.
-func (c *call) runStages(ctx context.Context, target, deadline time.Time) (*StageResults, error) {
-	items := 0
-	for _, count := range c.request.Items {
-		if count > maxItems-items {
-			return nil, fault.New(api.KindBadRequest, "request has more than %d items", maxItems)
-		}
-		items += count
-	}
-	if len(c.route.Stages) == 0 || items == 0 {
-		return &StageResults{Release: func() {}}, nil
-	}
-	if len(c.request.Items) != len(c.route.Stages) {
-		return nil, fault.New(api.KindBadRequest, "request has items for %d stages, but the route has %d", len(c.request.Items), len(c.route.Stages))
-	}
-	return c.RunStages(ctx, &StageWork{
-		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Target: target, Deadline: deadline,
-		EngineDataCentre: PrefixDataCentre(c.candidates(), c.request, clock.Now()),
-	})
-}
-
 // streamCall is the state of a streaming request while it is served.
 type streamCall struct {
 	*call
@@ -150,49 +124,6 @@
 	return strings.Join(ids, ",")
 }
 
-// errInputsGone is returned if an input no longer existed when the engine fetched it.
-var errInputsGone = errors.New("an input of the request no longer exists")
-
-// rerunStages runs the stages of the request again. A stream that has begun is cut if it can't go
-// on, so its stages are not late before its caller gives up. lastEvent is the time of the last
-// event; zero if there was none.
-func (s *streamCall) rerunStages(ctx context.Context, lastEvent time.Time) (*StageResults, error) {
-	if lastEvent.IsZero() {
-		return s.runStages(ctx, s.request.Received.Add(s.route.Objective), s.eventDeadline(s.request.Received))
-	}
-	deadline := s.eventDeadline(lastEvent)
-	return s.runStages(ctx, deadline, deadline)
-}
-
-// prepareRetry provides the inputs of another attempt.
-func (s *streamCall) prepareRetry(ctx context.Context, inputsGone bool) error {
-	if s.replacement != nil {
-		s.usePrepared(s.replacement.prepared)
-		return nil
-	}
-	if !inputsGone && !s.inputsReleased.Load() {
-		return nil
-	}
-	s.prepared.Release()
-	prepared, err := s.rerunStages(ctx, s.lastEventAt)
-	if err != nil {
-		return err
-	}
-	s.usePrepared(prepared)
-	return nil
-}
-
-// usePrepared replaces the results of the stages; nil keeps those that there are.
-func (s *streamCall) usePrepared(prepared *StageResults) {
-	if prepared == nil {
-		return
-	}
-	s.prepared.Release()
-	s.prepared = prepared
-	s.inputsReleased.Store(false)
-	s.prepareTime = clock.Now().Sub(s.request.Received)
-}
-
 // errUnplaced is returned if no other engine can continue the stream.
 var errUnplaced = errors.New("the last event has no number")
 
@@ -217,14 +148,6 @@
 	return s.completeReplacement(r, current, s.selectEngine(prepared))
 }
 
-// release frees the inputs after the engine has fetched them.
-func (s *streamCall) release(prepared *StageResults) {
-	if len(prepared.Inputs) > 0 {
-		s.inputsReleased.Store(true)
-	}
-	prepared.Release()
-}
-
 // fail ends an incomplete stream. It returns err if no response was started, and else an
 // error that closes the connection, so that the response does not look complete.
 func (s *streamCall) fail(err error) error {
