Keep the age of a registration across a restore of the store

Callers waited for stages that were run again at the other host.

Cause: hosts rank each other by the age of their registrations, so that a host which returns replaces none. All leases are lost in a restore, and each host registered anew as if it had just started, one after the other.

Evidence: TestRegistrationAfterRestoreKeepsItsAge failed before, restore_test.go:439: assertion failed: (int64) != (first int64)

The client now tells leases that a restore lost from those that expired, and the registration keeps its age after the former if the lease was renewed within its TTL: other hosts have then not seen it expire. After a longer outage the age starts again, as before.

--- a/internal/data/store/store.go
+++ b/internal/data/store/store.go
@@ -165,6 +165,10 @@
 // ErrLeaseNotFound is the error type for writes with an expired lease. Nothing was applied.
 var ErrLeaseNotFound = ErrUnavailable.NewSubtype("lease_not_found")
 
+// ErrLeaseLost is the error type for leases that are gone because the service came back from an
+// older copy, although their holder may have renewed them in time.
+var ErrLeaseLost = ErrLeaseNotFound.NewSubtype("lease_lost")
+
 // ErrCompacted is the error type for watches from a revision whose events the service no
 // longer has, for instance because it is of an earlier era. The caller must read the keys again
 // and watch from their revision.
@@ -173,6 +177,9 @@
 // IsErrLeaseNotFound reports whether a write failed because its lease had expired.
 func IsErrLeaseNotFound(err error) bool { return errorx.IsOfType(err, ErrLeaseNotFound) }
 
+// IsErrLeaseLost reports whether a lease is gone because the service came back from an older copy.
+func IsErrLeaseLost(err error) bool { return errorx.IsOfType(err, ErrLeaseLost) }
+
 // IsErrCompacted reports whether a watch failed because its start revision was compacted.
 func IsErrCompacted(err error) bool { return errorx.IsOfType(err, ErrCompacted) }
 
--- a/internal/service/directory/register.go
+++ b/internal/service/directory/register.go
@@ -22,8 +22,11 @@
 type registration struct {
 	mu    sync.Mutex
 	lease store.LeaseID
-	// startedAt is the time at which the lease was granted.
+	// startedAt is the time since which the host has been registered, apart from restores of the
+	// store; zero if the lease may have expired.
 	startedAt time.Time
+	// renewedAt is the start of the last call that granted or renewed the lease.
+	renewedAt time.Time
 	// writtenVersion is the version of the last write of the entry; 0 if not written.
 	writtenVersion store.Version
 	// deregistered is set by Deregister; after that, the entry is not written again.
@@ -41,6 +44,15 @@
 	}
 }
 
+// dropLease forgets the lease that is gone according to err. Other hosts can't have seen it expire
+// within its TTL.
+func (r *registration) dropLease(err error, now time.Time) {
+	r.lease = 0
+	if !store.IsErrLeaseLost(err) || now.Sub(r.renewedAt) >= RegistrationTTL {
+		r.startedAt = time.Time{}
+	}
+}
+
 // Register keeps the host registered from its first routing document on until ctx is
 // canceled, the returned function is called, or Deregister is called. Callers would get no
 // service from a host without a document.
@@ -72,14 +84,17 @@
 	if s.View().Snapshot == nil {
 		return nil
 	}
+	now := s.now()
 	if reg.lease != 0 {
 		err := s.Store.KeepAlive(ctx, reg.lease)
 		switch {
 		case store.IsErrLeaseNotFound(err):
-			reg.lease = 0
+			reg.dropLease(err, s.now())
 			s.Log.Info().Msg("registration_lapsed")
 		case err != nil:
 			return err
+		default:
+			reg.renewedAt = now
 		}
 	}
 	if reg.lease == 0 {
@@ -87,15 +102,17 @@
 		if err != nil {
 			return err
 		}
-		reg.lease, reg.writtenVersion = lease, 0
-		reg.startedAt = time.Now()
+		reg.lease, reg.writtenVersion, reg.renewedAt = lease, 0, now
+		if reg.startedAt.IsZero() {
+			reg.startedAt = time.Now()
+		}
 	}
 	if reg.writtenVersion != 0 && s.hasOwnEntry(reg.writtenVersion) {
 		return nil
 	}
 	version, err := s.writeRegistration(ctx, reg)
 	if store.IsErrLeaseNotFound(err) {
-		reg.lease = 0
+		reg.dropLease(err, s.now())
 	}
 	reg.writtenVersion = version
 	return err
--- a/internal/service/directory/restore_test.go
+++ b/internal/service/directory/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -413,3 +414,28 @@
 		assert.DeepEqual(r, known, running)
 	})
 }
+
+// TestRegistrationAfterRestoreKeepsItsAge guards against scheduling that moves to another host at each restore, because all hosts look as if they had just started.
+func TestRegistrationAfterRestoreKeepsItsAge(t *testing.T) {
+	kv, client := startStore(t)
+	write(t, kv, documentEntry(1, 0))
+	service := startService(t, client, nil)
+	started := func() int64 {
+		entry, err := kv.Inner.Get(context.Background(), "host/self")
+		if err != nil || entry == nil {
+			return 0
+		}
+		var host fleet.Host
+		assert.NilError(t, json.Unmarshal(entry.Value, &host))
+		return host.Started
+	}
+	before := kv.Inner.Copy()
+	defer service.Register(context.Background())()
+	eventually(t, "the registration", func() bool { return started() != 0 })
+	first := started()
+	for range 2 {
+		kv.Restore(before)
+		eventually(t, "the registration after the restore", func() bool { return started() != 0 })
+		assert.Equal(t, started(), first)
+	}
+}
