Tell callers to return after the pauses of stages

Callers that were refused because all upstreams of a stage pause were told to return after 3 s at most, also if the pause is longer: they came back in vain.

Cause: the delay of refused jobs is bounded by maxRetryAfter, which is meant for estimates of the queue. A pause is known exactly, so it is not bounded now.

TestRetryDelayOutlastsLongPauses failed before ("3s != 6s") and passes.

--- a/internal/service/stage/dispatch.go
+++ b/internal/service/stage/dispatch.go
@@ -51,7 +51,7 @@
 	err := fault.New(api.KindDeadlineUnreachable, "all upstreams of a stage pause for %s", paused.Round(time.Millisecond))
 	for _, it := range p.queues[service] {
 		if now.Add(paused + p.criticalPath(it.job, it.stage)).After(it.job.Deadline) {
-			p.fail(it.job, fault.AddRetryAfter(err, min(max(paused, minRetryAfter), maxRetryAfter)))
+			p.fail(it.job, fault.AddRetryAfter(err, max(paused, minRetryAfter)))
 		}
 	}
 }
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -182,6 +182,17 @@
 	return first
 }
 
+// pausedForJob returns the time until each stage of a new job has an upstream without a pause.
+func (p *plan) pausedForJob(job *Job, now time.Time) time.Duration {
+	var last time.Duration
+	for i, spec := range job.Stages {
+		if job.pending(i) > 0 {
+			last = max(last, p.pausedFor(spec.Service, now))
+		}
+	}
+	return last
+}
+
 // itemRate returns the items per second of an upstream with full calls, within its rate limit.
 func (p *plan) itemRate(w *worker) float64 {
 	return min(w.rate(), p.throttle.Limit(w.upstream)*float64(w.limits.MaxItems))
--- a/internal/service/stage/plan_test.go
+++ b/internal/service/stage/plan_test.go
@@ -664,3 +664,17 @@
 	assert.Assert(t, fault.RetryDelay(failed) >= time.Second)
 	assert.Equal(t, len(b.dispatch(b.now.Add(time.Second))), 1)
 }
+
+// TestRetryDelayOutlastsLongPauses guards against callers that are told to return while all upstreams
+// of a stage still pause.
+func TestRetryDelayOutlastsLongPauses(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 8))
+	b.throttle = &throttle.Table{Log: logging.Discard(), Metrics: metric.New()}
+	b.throttle.Pause(b.add("s", "a"), 2*maxRetryAfter, b.now)
+	job, failed := b.job("r", 0, time.Second, time.Second, Spec{Service: "s", Items: 1}), error(nil)
+	scheduler := &Scheduler{plan: b.plan, Log: logging.Discard(), Metrics: metric.New()}
+	assert.Equal(t, fault.RetryDelay(scheduler.admit(&job, b.now)), 2*maxRetryAfter)
+	b.submit(job, b.now, func(_ Outcome, err error) { failed = err })
+	b.dispatch(b.now)
+	assert.Equal(t, fault.RetryDelay(failed), 2*maxRetryAfter)
+}
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -167,7 +167,7 @@
 		Int64("aim_ms", job.Target.Sub(now).Milliseconds()).Int64("left_ms", job.Deadline.Sub(now).Milliseconds()).Msg("job_refused")
 	err := fault.New(api.KindDeadlineUnreachable, "the stages need %s, but only %s remain until the deadline", f.late.Round(time.Millisecond), job.Deadline.Sub(now).Round(time.Millisecond))
 	wait := f.late - time.Duration(lateDeadlineShare*float64(job.Deadline.Sub(now)))
-	return fault.AddRetryAfter(err, min(max(wait, minRetryAfter), maxRetryAfter))
+	return fault.AddRetryAfter(err, max(min(max(wait, minRetryAfter), maxRetryAfter), s.plan.pausedForJob(job, now)))
 }
 
 // refresh records that the scheduler runs and updates the plan to the newest view. After a long
