Require a credential also once the last key of all workspaces is removed

Empty keys are ignored, as a request without a credential has an empty one.

Ruled out: a document that has not reached the hosts (revision in the logs); redwingloft serve, which admits nobody without hashes (read).

--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -286,6 +286,30 @@
 	s.stop(t)
 }
 
+// TestRemovalOfLastKey guards against a host that runs all requests once the operator has removed
+// the last key of the only workspace, or the workspace itself.
+func TestRemovalOfLastKey(t *testing.T) {
+	s := startSite(t)
+	document := `{"version":%d,"routes":[{"name":"book","host":"h","pathPrefix":"/book/","kind":"idempotent","service":"plain"},` +
+		`{"name":"open","host":"h","pathPrefix":"/open-%[1]d/","kind":"idempotent","service":"plain","public":true}],` +
+		`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":%s}`
+	for i, tenants := range []string{`[{"name":"w","apiKeys":[]}]`, `[]`} {
+		version := i + 2
+		s.write(t, wire.KeyDocument, fmt.Sprintf(document, version, tenants))
+		s.eventually(t, "the new version", func() bool {
+			status, _, _ := s.call(t, fmt.Sprintf("/open-%d/1", version), fmt.Sprint("open-", version), nil)
+			return status == http.StatusOK
+		})
+		before := len(s.plain.Requests())
+		for _, credential := range []string{"", "Bearer k", "Bearer never-in-a-document"} {
+			status, _, _ := s.call(t, "/book/1", fmt.Sprint("removed-", version), map[string]string{"Authorization": credential})
+			assert.Equal(t, status, http.StatusUnauthorized, "%s, %q", tenants, credential)
+		}
+		assert.Equal(t, len(s.plain.Requests()), before)
+	}
+	s.stop(t)
+}
+
 // stop sends the process SIGTERM, as the platform does, and waits until the host has stopped.
 func (s *site) stop(t *testing.T) {
 	t.Helper()
--- a/internal/data/fleet/document.go
+++ b/internal/data/fleet/document.go
@@ -138,9 +138,11 @@
 
 // Document is a complete routing document.
 type Document struct {
-	Revision   Revision
-	Routes     []Route
-	Services   []Service
+	Revision Revision
+	Routes   []Route
+	Services []Service
+	// Workspaces is nil if the document lists no workspaces, so that requests need no credential.
+	// An empty list admits only requests of public routes.
 	Workspaces []Workspace
 	Limits     Limits
 }
--- a/internal/data/fleet/snapshot.go
+++ b/internal/data/fleet/snapshot.go
@@ -19,6 +19,8 @@
 	// workspaces is keyed by credential digest, so that the duration of a lookup doesn't
 	// reveal how much of a guessed credential is correct.
 	workspaces map[[sha256.Size]byte]*Workspace
+	// restricted is set if the document lists workspaces, whether they have keys or not.
+	restricted bool
 	// stageServices is the set of services that run stages.
 	stageServices map[api.ServiceName]bool
 }
@@ -31,7 +33,7 @@
 	s := &Snapshot{
 		Revision: doc.Revision, Limits: doc.Limits,
 		Services: map[api.ServiceName]*Service{}, routes: map[string][]*Route{},
-		workspaces: map[[sha256.Size]byte]*Workspace{}, stageServices: map[api.ServiceName]bool{},
+		workspaces: map[[sha256.Size]byte]*Workspace{}, restricted: doc.Workspaces != nil, stageServices: map[api.ServiceName]bool{},
 	}
 	for i := range doc.Services {
 		s.Services[doc.Services[i].Name] = &doc.Services[i]
@@ -48,7 +50,10 @@
 	}
 	for i := range doc.Workspaces {
 		for _, key := range doc.Workspaces[i].Keys {
-			s.workspaces[sha256.Sum256([]byte(key))] = &doc.Workspaces[i]
+			// Requests without a credential have an empty key.
+			if key != "" {
+				s.workspaces[sha256.Sum256([]byte(key))] = &doc.Workspaces[i]
+			}
 		}
 	}
 	return s, nil
@@ -64,9 +69,9 @@
 	return nil
 }
 
-// RequiresCredential reports whether requests require a credential, which is the case if the
-// document has workspaces with keys.
-func (s *Snapshot) RequiresCredential() bool { return len(s.workspaces) > 0 }
+// RequiresCredential reports whether requests require a credential. They do if the document lists
+// workspaces, also if these have no more keys or none is left: nobody is admitted then.
+func (s *Snapshot) RequiresCredential() bool { return s.restricted }
 
 // Workspace returns the workspace that a credential belongs to, or nil.
 func (s *Snapshot) Workspace(key string) *Workspace {
--- a/internal/data/fleet/snapshot_test.go
+++ b/internal/data/fleet/snapshot_test.go
@@ -30,3 +30,27 @@
 		assert.NilError(t, err)
 	}
 }
+
+// TestCredentialsWithoutKeys guards against a document that admits every request once the last key
+// of its workspaces is removed.
+func TestCredentialsWithoutKeys(t *testing.T) {
+	for name, example := range map[string]struct {
+		workspaces []Workspace
+		required   bool
+	}{
+		"no list of workspaces":    {nil, false},
+		"an empty list":            {[]Workspace{}, true},
+		"a workspace without keys": {[]Workspace{{Name: "w"}}, true},
+		"a workspace with no more keys": {
+			[]Workspace{{Name: "w", Keys: []string{}}, {Name: "v", Keys: []string{}}}, true,
+		},
+		"an empty key": {[]Workspace{{Name: "w", Keys: []string{""}}}, true},
+		"a key":        {[]Workspace{{Name: "w", Keys: []string{"k"}}}, true},
+	} {
+		snapshot, err := Compile(&Document{Workspaces: example.workspaces})
+		assert.NilError(t, err)
+		assert.Equal(t, snapshot.RequiresCredential(), example.required, name)
+		assert.Assert(t, snapshot.Workspace("") == nil, name)
+		assert.Assert(t, snapshot.Workspace("other") == nil, name)
+	}
+}
