Refuse requests that may not end within the drain of a host

Cause: a draining host accepted new requests for 3 s, whatever its grace period and the time that a request may take. With the 8 s of the sites in force nothing with a single response was cut; with 2.5 and 4 s requests were taken until the end of the drain.

Change: new requests are accepted for half of the drain at most, and requests with a single response are refused at once, as not run, if their deadline lies after the end of the drain.

Test: TestLateRequestsOfPlannedStop fails without the change for a grace of 2.5 and 4 s and passes with it, also for 8 s; the other tests of stops and drains pass.

Ruled out: redwingloft serve, which stops to accept before it waits (read). Streams keep the former rule: their deadlines are far longer than they last.

--- a/cmd/entry_drain.go
+++ b/cmd/entry_drain.go
@@ -8,15 +8,16 @@
 	"time"
 
 	"redwingloft/internal/data/settings"
+	"redwingloft/internal/helper/clock"
 )
 
 const (
 	// minDrainDuration is how long a draining host serves at least: callers that fetched the
 	// address list just before the drain connect within this time.
 	minDrainDuration = 1500 * time.Millisecond
-	// drainAcceptDuration is how long a draining host accepts new requests. Later ones might
-	// not finish within the platform's grace period.
-	drainAcceptDuration = 3 * time.Second
+	// maxDrainAcceptDuration is how long a draining host accepts new requests at most. Later ones
+	// might not finish within the platform's grace period.
+	maxDrainAcceptDuration = 3 * time.Second
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 600 * time.Millisecond
 	// lastResponsesTimeout bounds the wait for the connections that were accepted before the
@@ -88,10 +89,13 @@
 // then refuses new requests, and waits for those in progress within the grace period.
 func (e *entryHost) drain(ctx context.Context) {
 	started := time.Now()
+	maxDuration := e.settings.Host.ShutdownTimeout - exitMargin
+	acceptDuration := min(maxDrainAcceptDuration, maxDuration/2)
+	end := clock.Now().Add(maxDuration)
+	e.drainEnd.Store(&end)
 	e.draining.Store(true)
 	e.log.Info().Int64("in_progress", e.callerHandler.InProgress.Load()).Int64("grace_ms", e.settings.Host.ShutdownTimeout.Milliseconds()).Msg("drain_started")
 	go e.deregister(ctx)
-	maxDuration := e.settings.Host.ShutdownTimeout - exitMargin
 	for time.Since(started) < maxDuration {
 		elapsed := time.Since(started)
 		idle := elapsed >= minDrainDuration && e.inProgress() == 0
@@ -100,7 +104,7 @@
 		}
 		// Requests that arrive from here on are refused at once, so that none of them is in
 		// progress when the listeners close.
-		if idle || elapsed >= drainAcceptDuration {
+		if idle || elapsed >= acceptDuration {
 			e.refusing.Store(true)
 		}
 		if !sleep(ctx, drainPollInterval) {
--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -81,6 +81,8 @@
 	// draining is set on the first signal to stop, refusing once new requests are refused.
 	draining atomic.Bool
 	refusing atomic.Bool
+	// drainEnd is the end of the drain; nil before the first signal to stop.
+	drainEnd atomic.Pointer[time.Time]
 }
 
 func newEntryHost(s *settings.Settings, path string, logger *log.Logger) (*entryHost, error) {
@@ -246,9 +248,12 @@
 	return nil
 }
 
-// refusalError returns the error for new requests while they are refused, or nil.
-func (e *entryHost) refusalError() error {
-	if !e.refusing.Load() {
+// refusalError returns the error for a new request if the host is draining and refuses it, or nil.
+// Requests with a single response are refused if they may be in progress at the end of the drain.
+// Streams last much shorter than their deadlines allow.
+func (e *entryHost) refusalError(route *fleet.Route, deadline time.Time) error {
+	end := e.drainEnd.Load()
+	if end == nil || !e.refusing.Load() && (route.Kind == fleet.KindStreaming || !deadline.After(*end)) {
 		return nil
 	}
 	return fault.AddRetryAfter(fault.New(api.KindDraining, "the host is draining"), drainRetryAfter)
--- a/cmd/entry_stop_test.go
+++ b/cmd/entry_stop_test.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	wire "redwingloft/platform"
+	"redwingloft/standin/platform"
 )
 
 // stopLoad sends requests on kept and on new connections until the host no longer accepts any,
@@ -132,3 +134,50 @@
 	}
 	s.awaitStop(t)
 }
+
+// TestLateRequestsOfPlannedStop guards against requests that a draining host takes although they
+// may not end within its grace period, and that are cut at its end, with short and long grace
+// periods.
+func TestLateRequestsOfPlannedStop(t *testing.T) {
+	const orderTime = 1500 * time.Millisecond
+	for _, grace := range []time.Duration{2500 * time.Millisecond, 4 * time.Second, 8 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			s := startSite(t)
+			s.host.settings.Host.ShutdownTimeout = grace
+			orders := s.startUpstreamAs(t, "orders", "orders", func(w *bufio.Writer, run platform.Request) bool {
+				time.Sleep(orderTime)
+				platform.WriteResponse(w, run.Header.Get(wire.HeaderRequestID), 200, "done")
+				return true
+			})
+			s.write(t, wire.KeyDocument, `{"version":2,"routes":[
+{"name":"order","host":"h","pathPrefix":"/order/","kind":"non_idempotent","timeoutMs":6000,"sloMs":1500,"maxAttempts":1,"service":"orders"},
+{"name":"look","host":"h","pathPrefix":"/look/","kind":"idempotent","timeoutMs":6000,"sloMs":1500,"maxAttempts":2,"service":"orders"}],
+"services":[{"name":"orders"}],"tenants":[{"name":"w","apiKeys":["k"]}],
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`)
+			s.eventually(t, "the new version", func() bool {
+				status, _, _ := s.call(t, "/order/1", "first", nil)
+				return status == http.StatusOK
+			})
+			load := &stopLoad{site: s, cut: map[string]error{}}
+			var running sync.WaitGroup
+			for worker := range 16 {
+				path := []string{"/order/1", "/look/1"}[worker%2]
+				running.Go(func() {
+					time.Sleep(time.Duration(worker) * orderTime / 16)
+					load.run(worker, path, worker%4 < 2)
+				})
+			}
+			s.eventually(t, "load", func() bool { return load.answered.Load() > 16 })
+			s.signal(t)
+			s.awaitStop(t)
+			running.Wait()
+			reached := map[string]bool{}
+			for _, id := range orders.RequestIDs() {
+				reached[id] = true
+			}
+			for id, err := range load.cut {
+				assert.Check(t, !reached[id], "%s was passed on and got no answer: %v", id, err)
+			}
+		})
+	}
+}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -56,8 +56,9 @@
 	Prompts *quarantine.Tracker
 	// RunStages runs the stages of a request.
 	RunStages func(ctx context.Context, work *StageWork) (*StageResults, error)
-	// RefusalError returns the error with which new requests are refused, or nil.
-	RefusalError func() error
+	// RefusalError returns the error with which a new request with the given deadline is refused, or
+	// nil. It may be nil.
+	RefusalError func(route *fleet.Route, deadline time.Time) error
 }
 
 // call is the state of one request while it is served.
@@ -183,7 +184,7 @@
 		}
 	}
 	if s.RefusalError != nil {
-		if err := s.RefusalError(); err != nil {
+		if err := s.RefusalError(route, c.deadline); err != nil {
 			return nil, err
 		}
 	}
