Bound the history for following hosts in bytes

Cause: the history for hosts that follow this one was bounded by 4,096 changes, whatever their size.

Change: its values are bounded to 8 MiB as well. A follower that misses more gets the whole state, as it does for the number of changes.

Test: TestHistoryIsBoundedInBytes failed before at the ninth version.

--- a/internal/service/directory/feed.go
+++ b/internal/service/directory/feed.go
@@ -27,6 +27,9 @@
 	// maxHistory is the number of changes that a host keeps for those who follow it. A host
 	// that has missed more gets the whole state.
 	maxHistory = 4096
+	// maxHistoryBytes bounds the values of these changes: some versions of the largest document
+	// that the store holds.
+	maxHistoryBytes = 8 << 20
 	// defaultMaxAge is used if the settings state no time within which changes must be known.
 	defaultMaxAge = 4 * time.Second
 	// followAgeRatio is the part of MaxAge after which a host whose sources supply no newer
@@ -177,17 +180,21 @@
 // recordHistory keeps changes for the hosts that follow this one. The caller holds mu.
 func (s *Service) recordHistory(events []store.Event) {
 	s.history = append(s.history, events...)
-	if len(s.history) <= maxHistory {
+	for _, event := range events {
+		s.historyBytes += len(event.Value)
+	}
+	if len(s.history) <= maxHistory && s.historyBytes <= maxHistoryBytes {
 		return
 	}
-	// Events of one transaction share a revision and stay together.
-	dropped := len(s.history) - maxHistory/2
-	for dropped < len(s.history) && s.history[dropped].Version == s.history[dropped-1].Version {
+	// Half of the history is dropped at once, so that it is not copied with each change. Events of
+	// one transaction share a revision and stay together.
+	dropped := 0
+	for dropped < len(s.history) && (len(s.history)-dropped > maxHistory/2 || s.historyBytes > maxHistoryBytes/2 ||
+		dropped > 0 && s.history[dropped].Version == s.history[dropped-1].Version) {
+		s.historyBytes -= len(s.history[dropped].Value)
+		s.historyFrom = max(s.historyFrom, s.history[dropped].Version)
 		dropped++
 	}
-	for _, event := range s.history[:dropped] {
-		s.historyFrom = max(s.historyFrom, event.Version)
-	}
 	s.history = slices.Clone(s.history[dropped:])
 }
 
--- a/internal/service/directory/feed_test.go
+++ b/internal/service/directory/feed_test.go
@@ -143,6 +143,33 @@
 	})
 }
 
+// TestHistoryIsBoundedInBytes guards against a host that keeps every version of a large document in
+// memory, and against a follower that misses a change for it.
+func TestHistoryIsBoundedInBytes(t *testing.T) {
+	const size, changes = 1 << 20, 200
+	source := &Service{Log: logging.Discard(), Metrics: metric.New()}
+	source.state.Decoder = testDecoder()
+	source.replace(nil, 1, time.Now())
+	for version := store.Version(2); version < 2+changes; version++ {
+		source.recordWatch([]store.Event{
+			{Entry: store.Entry{Key: "other", Value: make([]byte, size), Version: version}},
+			{Entry: upstreamEntry("u", fleet.StateReady, 1, version)},
+		}, time.Now(), 0)
+		kept := 0
+		for _, event := range source.history {
+			kept += len(event.Value)
+		}
+		assert.Assert(t, kept <= maxHistoryBytes, "version %d: %d bytes are kept", version, kept)
+		update, sent := source.Updates(context.Background(), version-1, 0)
+		sent()
+		assert.Assert(t, !update.Full, "version %d", version)
+		assert.Equal(t, len(update.Events), 2)
+	}
+	update, sent := source.Updates(context.Background(), 1, 0)
+	sent()
+	assert.Assert(t, update.Full)
+}
+
 // TestHistoryIsBounded guards against a history that grows without limit, and against a host
 // that misses changes which the history has dropped.
 func TestHistoryIsBounded(t *testing.T) {
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -75,8 +75,10 @@
 	// startedAt is the start of Run.
 	startedAt time.Time
 	// history holds the changes since historyFrom, in order.
-	history     []store.Event
-	historyFrom store.Version
+	history []store.Event
+	// historyBytes is the size of the values in history.
+	historyBytes int
+	historyFrom  store.Version
 	// gaps holds the latest ranges of versions for which the history is not complete.
 	gaps []versionGap
 	// changeSignal is closed at the next change or confirmation; nil if nobody waits.
