--- a/internal/service/directory/follow_test.go
+++ b/internal/service/directory/follow_test.go
@@ -91,6 +91,27 @@
 	assert.Assert(t, time.Since(began) < testWait+time.Second)
 }
 
+// TestManyLargeChangesAreRead guards against a host that requests more changes than fit into a
+// response again and again, until the store drops them, because a watch call went silent meanwhile.
+func TestManyLargeChangesAreRead(t *testing.T) {
+	kv, client := startStore(t)
+	write(t, kv, documentEntry(1, 0))
+	service := startService(t, client, nil)
+	eventually(t, "the first document", func() bool { return service.View().Snapshot != nil })
+	kv.StallWatches.Store(true)
+	time.Sleep(testWait)
+	for range 12 {
+		write(t, kv, store.Entry{Key: "large", Value: make([]byte, 1<<20)})
+	}
+	write(t, kv, documentEntry(2, 0))
+	kv.StallWatches.Store(false)
+	began := time.Now()
+	eventually(t, "the document written in the gap", func() bool { return service.View().Snapshot.Revision == 2 })
+	assert.Assert(t, time.Since(began) < testWait+time.Second+2*time.Second)
+	write(t, kv, documentEntry(3, 0))
+	eventually(t, "the document written after it", func() bool { return service.View().Snapshot.Revision == 3 })
+}
+
 // TestOutageKeepsView guards against a host that loses routes and upstreams while the store is down.
 func TestOutageKeepsView(t *testing.T) {
 	kv, client := startStore(t)
