Let a test wait for the release of inputs instead of for a time

It needs the inputs of the first attempt to be released when its response is lost, which it left to two timers, 150 and 300 ms. Under load the release can come after the close.

The upstream now closes once the inputs are released. Checks and bounds are unchanged.

--- a/internal/service/forward/decide_test.go
+++ b/internal/service/forward/decide_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -181,12 +182,8 @@
 // run, and whose retry is refused, being called not run.
 func TestRefusalAfterLostResponseIsNotCalledNotRun(t *testing.T) {
 	refusal := fault.New(api.KindDeadlineUnreachable, "the stages can't be run in time")
-	lose := func(*bufio.Writer, platform.Request) bool {
-		// The inputs are released after this time.
-		time.Sleep(2 * inputFetchTime)
-		return false
-	}
-	noUpstream := func(f *fixture) {
+	noUpstream := func(f *fixture, release func()) {
+		release()
 		full := f.View()
 		f.View = func() *directory.View {
 			if f.totalRuns() > 0 {
@@ -197,22 +194,28 @@
 	}
 	for name, example := range map[string]struct {
 		route  fleet.Route
-		change func(f *fixture)
+		change func(f *fixture, release func())
 	}{
-		"stages of the retry are refused": {fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2, Stages: []fleet.Stage{{Service: "stage"}}}, func(f *fixture) {
+		"stages of the retry are refused": {fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2, Stages: []fleet.Stage{{Service: "stage"}}}, func(f *fixture, release func()) {
 			f.RunStages = func(context.Context, *StageWork) (*StageResults, error) {
 				if f.totalRuns() > 0 {
 					return nil, refusal
 				}
-				return &StageResults{Inputs: []fleet.ResultRef{"1.2.3.4:5/r"}, Release: func() {}}, nil
+				return &StageResults{Inputs: []fleet.ResultRef{"1.2.3.4:5/r"}, Release: release}, nil
 			}
 		}},
 		"no engine is left":   {fleet.Route{Kind: fleet.KindStreaming, Resumable: true, MaxAttempts: 2}, noUpstream},
 		"no upstream is left": {fleet.Route{Kind: fleet.KindIdempotent, MaxAttempts: 2}, noUpstream},
 	} {
 		t.Run(name, func(t *testing.T) {
+			released := make(chan struct{})
+			lose := func(*bufio.Writer, platform.Request) bool {
+				// A retry whose inputs are not released needs no stages.
+				<-released
+				return false
+			}
 			f := newFixture(t, example.route, lose, lose)
-			example.change(f)
+			example.change(f, sync.OnceFunc(func() { close(released) }))
 			_, err := f.serve(t, func(r *fleet.Request) { r.Items = []int{1} })
 			assert.Equal(t, f.totalRuns(), 1)
 			assert.Equal(t, fault.RunStateOf(err), api.RunUnknown, "%v", err)
