Read all keys at once also if a watch response is too slow

Reading 8 MiB can take longer than the call may; it then counted as any failed call, and the same call was made again with the same result.

Change: a read whose response began and was not received whole, for its size or its time, is store.ErrIncomplete (in place of ErrTooLarge). A host whose watch fails with it reads the keys once.

--- a/internal/data/store/store.go
+++ b/internal/data/store/store.go
@@ -174,10 +174,10 @@
 // and watch from their revision.
 var ErrCompacted = ErrUnavailable.NewSubtype("compacted")
 
-// ErrTooLarge is the error type for reads whose response is larger than a client accepts. For a
-// watch, the caller must read the keys again and watch from their revision: the same call would
-// get the same response.
-var ErrTooLarge = ErrUnavailable.NewSubtype("too_large")
+// ErrIncomplete is the error type for reads whose response began and was not received whole: it is
+// larger than a client accepts, or takes longer than the call may. For a watch, the caller must read
+// the keys again and watch from their revision: the same call would get no smaller response.
+var ErrIncomplete = ErrUnavailable.NewSubtype("incomplete")
 
 // IsErrLeaseNotFound reports whether a write failed because its lease had expired.
 func IsErrLeaseNotFound(err error) bool { return errorx.IsOfType(err, ErrLeaseNotFound) }
@@ -188,8 +188,8 @@
 // IsErrCompacted reports whether a watch failed because its start revision was compacted.
 func IsErrCompacted(err error) bool { return errorx.IsOfType(err, ErrCompacted) }
 
-// IsErrTooLarge reports whether a read failed because its response was too large.
-func IsErrTooLarge(err error) bool { return errorx.IsOfType(err, ErrTooLarge) }
+// IsErrIncomplete reports whether the response of a read was not received whole.
+func IsErrIncomplete(err error) bool { return errorx.IsOfType(err, ErrIncomplete) }
 
 // IsErrUnavailable reports whether err guarantees that nothing was applied.
 func IsErrUnavailable(err error) bool { return errorx.IsOfType(err, ErrUnavailable) }
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -176,10 +176,10 @@
 		case store.IsErrCompacted(err):
 			s.Log.Info().Int64("from", int64(s.View().Version)).Msg("store_history_dropped")
 			readAll = true
-		case store.IsErrTooLarge(err):
+		case store.IsErrIncomplete(err):
 			// One read of the keys has only the newest value of each.
-			s.Metrics.Counter("directory.large_watches").Inc(1)
-			s.Log.Info().Int64("from", int64(s.View().Version)).Err(err).Msg("store_changes_too_large")
+			s.Metrics.Counter("directory.incomplete_watches").Inc(1)
+			s.Log.Info().Int64("from", int64(s.View().Version)).Err(err).Msg("store_changes_incomplete")
 			readAll = true
 		default:
 			s.storeFailed(err)
--- a/internal/service/directory/follow_test.go
+++ b/internal/service/directory/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -112,6 +113,36 @@
 	eventually(t, "the document written after it", func() bool { return service.View().Snapshot.Revision == 3 })
 }
 
+// TestSlowChangesAreRead guards against the same for changes that take longer to arrive than a
+// watch call may.
+func TestSlowChangesAreRead(t *testing.T) {
+	kv := platform.NewStore()
+	// slow delays the rest of the responses of watch calls.
+	var slow atomic.Bool
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !slow.Load() || r.URL.Path != wire.PathStoreWatch {
+			kv.ServeHTTP(w, r)
+			return
+		}
+		recorder := httptest.NewRecorder()
+		kv.ServeHTTP(recorder, r)
+		_, _ = w.Write(recorder.Body.Bytes()[:recorder.Body.Len()/2])
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(server.Close)
+	client, err := wire.NewStore(kernel.StoreOptions{
+		Endpoints: []string{strings.TrimPrefix(server.URL, "http://")}, Timeout: time.Second, WatchWait: testWait,
+	})
+	assert.NilError(t, err)
+	write(t, kv, documentEntry(1, 0))
+	service := startService(t, client, nil)
+	eventually(t, "the first document", func() bool { return service.View().Snapshot != nil })
+	slow.Store(true)
+	write(t, kv, documentEntry(2, 0))
+	eventually(t, "the document whose change is slow", func() bool { return service.View().Snapshot.Revision == 2 })
+}
+
 // TestOutageKeepsView guards against a host that loses routes and upstreams while the store is down.
 func TestOutageKeepsView(t *testing.T) {
 	kv, client := startStore(t)
