--- /dev/null
+++ b/internal/service/forward/engine.go
@@ -0,0 +1,88 @@
+package forward
+
+import (
+	"time"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/hashing"
+	"redwingloft/pkg/api"
+)
+
+const (
+	// prefillRate is the assumed number of prompt tokens that an engine prefills per
+	// millisecond. It only weighs tokens against requests.
+	prefillRate = 38.0
+	// requestCost is the delay that one running generation adds to the others on its engine.
+	requestCost = 8 * time.Millisecond
+	// remoteCost is the cost of transferring inputs and responses between data centres.
+	remoteCost = 3 * time.Millisecond
+)
+
+// SelectEngine returns the engine for a generation. All hosts send requests with a
+// common prompt prefix to the engine selected by the hash of the prefix, unless its backlog
+// of prefill work costs more than a repeated prefill of the prefix on another engine. It
+// suits long shared prompts. An engine with a rate limit costs no repeated prefill: it has time
+// for it, and the requests that it accepts would be lost to engines that get all others.
+func SelectEngine(candidates []Candidate, request *fleet.Request, preferred api.DataCentre, exclude map[api.UpstreamID]bool, now time.Time) *fleet.Upstream {
+	prefix, shared := sharedPrefix(request)
+	owner := rendezvousOwner(candidates, prefix)
+	return best(candidates, request.ID, exclude, now, func(c *Candidate) float64 {
+		cost := float64(c.Health.PendingTokens) / prefillRate / 1000
+		cost += requestCost.Seconds() * float64(c.Health.Running)
+		if c.Upstream != owner && !c.Limited {
+			cost += float64(shared) / prefillRate / 1000
+		}
+		if c.Upstream.DataCentre != preferred && preferred != "" {
+			cost += remoteCost.Seconds()
+		}
+		if c.Upstream.WarmUp > 0 {
+			cost += requestCost.Seconds()
+		}
+		rate := c.Health.failureRate(now)
+		return (cost + requestCost.Seconds()) * (1 + failurePenalty*rate)
+	})
+}
+
+// PrefixDataCentre returns the data centre of the engine that the hash of a request's prefix
+// selects. Returns "" if there is no such engine or it is in cooldown.
+func PrefixDataCentre(candidates []Candidate, request *fleet.Request, now time.Time) api.DataCentre {
+	prefix, _ := sharedPrefix(request)
+	owner := rendezvousOwner(candidates, prefix)
+	if owner == nil {
+		return ""
+	}
+	for i := range candidates {
+		if candidates[i].Upstream == owner && now.Before(candidates[i].Health.CooldownUntil) {
+			return ""
+		}
+	}
+	return owner.DataCentre
+}
+
+// sharedPrefix returns the id and the token count of the longest prefix that other requests
+// may share.
+func sharedPrefix(request *fleet.Request) (string, int) {
+	parts := request.SharedParts()
+	if len(parts) == 0 {
+		return string(request.ID), 0
+	}
+	shared := 0
+	for _, part := range parts {
+		shared += part.Tokens
+	}
+	return parts[len(parts)-1].ID, shared
+}
+
+// rendezvousOwner returns the upstream that rendezvous hashing selects for key.
+func rendezvousOwner(candidates []Candidate, key string) *fleet.Upstream {
+	var owner *fleet.Upstream
+	var highest uint64
+	hash := hashing.Of(key)
+	for i := range candidates {
+		score := hashing.Score(hash, hashing.Of(string(candidates[i].Upstream.ID)))
+		if owner == nil || score > highest {
+			owner, highest = candidates[i].Upstream, score
+		}
+	}
+	return owner
+}
