--- a/internal/service/request/request_test.go
+++ b/internal/service/request/request_test.go
@@ -346,3 +346,17 @@
 	_, err = readServiceResponse(strings.NewReader(whole + "x"))
 	assert.ErrorContains(t, err, "more than")
 }
+
+// TestWorkspaceWithoutCredentials guards against a workspace that admits everybody once its last
+// credential is removed.
+func TestWorkspaceWithoutCredentials(t *testing.T) {
+	workspace := &document.CompiledWorkspace{Workspace: &document.Workspace{Name: "w"}}
+	snapshot := &document.Snapshot{Workspaces: map[api.WorkspaceName]*document.CompiledWorkspace{"w": workspace}}
+	for _, hashes := range [][]string{nil, {}, {""}} {
+		workspace.CredentialHashes = hashes
+		for _, caller := range []Caller{{Workspace: "w"}, {Workspace: "w", Credential: "removed"}, {}, {Workspace: "other", Credential: "removed"}} {
+			_, err := (&Service{}).authenticate(snapshot, caller)
+			assert.Equal(t, fault.KindOf(err), api.KindUnauthorized, "%q, %+v", hashes, caller)
+		}
+	}
+}
