Send nothing to the upstreams of evacuated data centres

The key is now a record of directory.State, so that watches, full reads, feeds between hosts, whole states and restores carry it like other entries. View.Ready omits the upstreams, and every choice of an upstream starts there; a replacement that was chosen before is chosen again, and queued stage jobs are refused at once when no upstream of a service is left. An evacuation that an older copy of the store lacks is kept for the grace period, and one that it still has is in force at once.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -132,7 +132,7 @@
 		Decoder: directory.Decoder{
 			DocumentKey: platform.KeyDocument, Document: platform.DecodeDocument,
 			UpstreamPrefix: platform.PrefixUpstream, Upstream: platform.DecodeUpstream, HostPrefix: s.Store.Prefix + "hosts/",
-			QuarantinePrefix: quarantinePrefix(s),
+			QuarantinePrefix: quarantinePrefix(s), EvacuationPrefix: platform.PrefixEvacuation,
 		},
 		FetchUpdate: web.FetchUpdate(e.peerClient), MaxAge: s.Store.MaxAge,
 		Seeds: s.Peer.Seeds,
@@ -140,7 +140,8 @@
 			ID: s.Host.ID, DataCentre: s.Host.DataCentre, CallerAddress: s.Caller.Advertise, PeerAddress: s.Peer.Advertise,
 			MemoryMegabytes: s.Host.MemoryLimit,
 		},
-		OnChange: e.onViewChange,
+		OnChange: e.onViewChange, ConfirmAfterPause: s.Store.EvacuatedWithin > 0,
+		InProgress: func(upstream *fleet.Upstream) int { return e.health.Get(upstream).Running },
 	}
 }
 
--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -43,6 +45,10 @@
 	engine   *platform.Upstream
 	plain    *platform.Upstream
 	stopped  chan error
+	// values are additional values for the settings of the hosts.
+	values map[string]string
+	// handles counts the results of stages.
+	handles atomic.Int64
 	// log holds what the host has logged.
 	log logBuffer
 }
@@ -106,7 +112,13 @@
 
 func startSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{store: platform.NewStore(), stopped: make(chan error, 1)}
+	return startSiteWith(t, nil)
+}
+
+// startSiteWith starts a site whose hosts get additional values for their settings.
+func startSiteWith(t *testing.T, values map[string]string) *site {
+	t.Helper()
+	s := &site{store: platform.NewStore(), stopped: make(chan error, 1), values: values}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
 	s.plain = s.startUpstream(t, "plain", func(w *bufio.Writer, run platform.Request) bool {
@@ -117,21 +129,8 @@
 		platform.WriteResponse(w, run.Header.Get(wire.HeaderRequestID), 200, "booked "+string(run.Body))
 		return true
 	})
-	handles := 0
 	s.stage = s.startUpstream(t, "stage", func(w *bufio.Writer, run platform.Request) bool {
-		var call struct{ Items []json.RawMessage }
-		if run.Path != wire.PathStageRun || json.Unmarshal(run.Body, &call) != nil {
-			fmt.Fprint(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-			return true
-		}
-		var results []string
-		for range call.Items {
-			handles++
-			results = append(results, fmt.Sprintf(`{"handle":"%s/%d"}`, s.stage.Entry.Address, handles))
-		}
-		body := `{"items":[` + strings.Join(results, ",") + `]}`
-		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-		return true
+		return s.runStage(w, run, s.stage)
 	})
 	s.engine = s.startUpstream(t, "engine", func(w *bufio.Writer, run platform.Request) bool {
 		platform.WriteEvents(w, run.Header.Get(wire.HeaderRequestID), 1, 5, true, time.Millisecond)
@@ -148,6 +147,22 @@
 	return s
 }
 
+// runStage writes the response of an upstream to a stage call.
+func (s *site) runStage(w *bufio.Writer, run platform.Request, u *platform.Upstream) bool {
+	var call struct{ Items []json.RawMessage }
+	if run.Path != wire.PathStageRun || json.Unmarshal(run.Body, &call) != nil {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	var results []string
+	for range call.Items {
+		results = append(results, fmt.Sprintf(`{"handle":"%s/%d"}`, u.Entry.Address, s.handles.Add(1)))
+	}
+	body := `{"items":[` + strings.Join(results, ",") + `]}`
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return true
+}
+
 // startHost starts an entry host of the site, whose result is sent to stopped, and waits until
 // it is ready.
 func (s *site) startHost(t *testing.T, id string, stopped chan<- error) (*entryHost, *settings.Settings) {
@@ -158,6 +173,7 @@
 		"listen.ready": freeAddress(t), "platform.address": s.address, "bounds.retryRatio": "0.2",
 		"bounds.retrySlack": "54", "bounds.retryWindowS": "10",
 	}
+	maps.Copy(values, s.values)
 	path := renderSettings(t, values)
 	s.path = path
 	loaded, err := settings.Load(path)
@@ -197,9 +213,16 @@
 
 // writeUpstream writes the entry of an upstream to the store.
 func (s *site) writeUpstream(t *testing.T, u *platform.Upstream, service, state string) {
+	t.Helper()
+	s.writeUpstreamIn(t, u, service, state, "a", 0)
+}
+
+// writeUpstreamIn writes the entry of an upstream in a data centre, which stays cold for coldLeft.
+func (s *site) writeUpstreamIn(t *testing.T, u *platform.Upstream, service, state, centre string, coldLeft time.Duration) {
 	t.Helper()
 	s.write(t, wire.PrefixUpstream+string(u.Entry.ID), fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":4,"state":%q,"coldLeftMs":0,"callSeq":1,"born":1}`, service, u.Entry.Address, state))
+		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":4,"state":%q,"coldLeftMs":%d,"callSeq":1,"born":1}`,
+		service, u.Entry.Address, centre, state, coldLeft.Milliseconds()))
 }
 
 func (s *site) write(t *testing.T, key, value string) {
--- a/internal/data/settings/platform.go
+++ b/internal/data/settings/platform.go
@@ -18,6 +18,9 @@
 	WatchWait time.Duration
 	// MaxAge is the time within which a host must know each change; 0 means no limit.
 	MaxAge time.Duration
+	// EvacuatedWithin is the time within which a host must send nothing more to the upstreams of an
+	// evacuated data centre; 0 means no limit.
+	EvacuatedWithin time.Duration
 	// Retention is how long order records are kept.
 	Retention time.Duration
 }
@@ -34,7 +37,8 @@
 	if st.Kind != "memory" && len(st.Endpoints) == 0 {
 		s.faultf("endpoints", "kind %q requires at least one endpoint", st.Kind)
 	}
-	st.MaxAge = loadMaxAge(s)
+	limits := loadChangeLimits(s)
+	st.MaxAge, st.EvacuatedWithin = shortest(limits), limits[keyEvacuatedWithin]
 	if st.MaxAge > 0 {
 		st.WatchWait = min(st.WatchWait, time.Duration(watchWaitFraction*float64(st.MaxAge)))
 	}
@@ -45,20 +49,30 @@
 // of it are used as wait times.
 const minMaxAge = time.Millisecond
 
-// loadMaxAge returns the shortest of the times within which a change must take effect.
-func loadMaxAge(s *section) time.Duration {
-	shortest := time.Duration(0)
-	for _, key := range []string{"in_force_within", "drained_within", "revoked_within"} {
-		limit := s.duration(key, 0, 0, time.Hour)
-		switch {
-		case limit == 0:
-		case limit < minMaxAge:
-			s.faultf(key, "%s is not 0 or between %s and %s", limit, minMaxAge, time.Hour)
-		case shortest == 0 || limit < shortest:
-			shortest = limit
+// keyEvacuatedWithin is the key of Store.EvacuatedWithin.
+const keyEvacuatedWithin = "evacuated_within"
+
+// loadChangeLimits returns the times within which changes must take effect, by key; 0 means no limit.
+func loadChangeLimits(s *section) map[string]time.Duration {
+	limits := map[string]time.Duration{}
+	for _, key := range []string{"in_force_within", "drained_within", "revoked_within", keyEvacuatedWithin} {
+		limits[key] = s.duration(key, 0, 0, time.Hour)
+		if limits[key] != 0 && limits[key] < minMaxAge {
+			s.faultf(key, "%s is not 0 or between %s and %s", limits[key], minMaxAge, time.Hour)
+		}
+	}
+	return limits
+}
+
+// shortest returns the shortest limit, or 0 if there is none.
+func shortest(limits map[string]time.Duration) time.Duration {
+	least := time.Duration(0)
+	for _, limit := range limits {
+		if limit > 0 && (least == 0 || limit < least) {
+			least = limit
 		}
 	}
-	return shortest
+	return least
 }
 
 // HostList holds the settings of section [host_list].
--- a/internal/service/directory/feed.go
+++ b/internal/service/directory/feed.go
@@ -368,6 +368,9 @@
 		s.sourceRecovered(source, age)
 	}
 	known := s.state.Version()
+	if judgement == nil && update.Version >= known {
+		defer s.pause.confirm(sent)
+	}
 	s.lacksDocument = !update.Full && update.Version == known && update.Revision > s.state.documentRevision()
 	if update.Version < known || update.Version == known && !update.Full {
 		s.mu.Unlock()
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -62,10 +62,17 @@
 	Self fleet.Host
 	// OnChange is called after each change of the view; it may be nil.
 	OnChange func(*View)
+	// InProgress returns the number of requests of this host that an upstream is processing; it may
+	// be nil.
+	InProgress func(*fleet.Upstream) int
+	// ConfirmAfterPause makes the view offer no upstream after the process was suspended, until the
+	// store or another host has supplied a newer one.
+	ConfirmAfterPause bool
 
 	view         atomic.Pointer[View]
 	role         atomic.Pointer[Role]
 	registration registration
+	pause        pauseGuard
 
 	mu    sync.Mutex
 	state State
@@ -109,10 +116,14 @@
 
 // View returns the current view; it is never nil.
 func (s *Service) View() *View {
-	if v := s.view.Load(); v != nil {
-		return v
+	v := s.view.Load()
+	switch {
+	case v == nil:
+		return &View{}
+	case s.ConfirmAfterPause && s.pause.isUnconfirmed(s.now()):
+		return v.unconfirmed
 	}
-	return &View{}
+	return v
 }
 
 // Run follows the store until ctx is canceled.
@@ -129,7 +140,11 @@
 		}
 		return 0
 	})
-	defer s.Timer.Every(expirePeriod, func(time.Time) { s.expire() })()
+	s.Metrics.GaugeFunc("directory.evacuated", func() int64 { return int64(len(s.View().Evacuated)) })
+	defer s.Timer.Every(expirePeriod, func(time.Time) {
+		s.detectPause()
+		s.expire()
+	})()
 	var following sync.WaitGroup
 	if s.FetchUpdate != nil {
 		following.Go(func() { s.followSources(ctx) })
@@ -238,6 +253,7 @@
 
 // recordWatch applies the result of a watch call that started at start.
 func (s *Service) recordWatch(events []store.Event, start time.Time, wait time.Duration) {
+	defer s.pause.confirm(start)
 	s.mu.Lock()
 	confirmed := start
 	if len(events) == 0 && wait > 0 && s.now().Sub(start) >= wait {
@@ -385,6 +401,7 @@
 
 // replace applies the result of a full read that started at start.
 func (s *Service) replace(entries []store.Entry, version store.Version, start time.Time) {
+	defer s.pause.confirm(start)
 	s.mu.Lock()
 	now := s.now()
 	entered := s.enterEra(version, now, missingEntryGrace)
--- a/internal/service/directory/log.go
+++ b/internal/service/directory/log.go
@@ -20,6 +20,7 @@
 		s.Metrics.Counter("directory.documents").Inc(1)
 	}
 	s.logUpstreams(old, view)
+	s.logEvacuations(old, view)
 	for id, part := range view.Quarantined {
 		if _, known := old.Quarantined[id]; !known {
 			s.Log.Info().Str("part", id).Int("crashes", part.Crashes).Str("until", part.Until.UTC().Format(time.RFC3339)).Int64("version", int64(view.Version)).Msg("quarantine_in_force")
--- a/internal/service/directory/restore.go
+++ b/internal/service/directory/restore.go
@@ -96,6 +96,9 @@
 	removed, known := s.removed[rec.entry.Key]
 	switch {
 	case !known:
+	case rec.evacuated != "":
+		// An evacuation that is wrong costs capacity only.
+		delete(s.removed, rec.entry.Key)
 	case removed.started >= rec.started() && now.Sub(removed.at) <= removedKeyTTL && s.isCopied(rec.entry, removed):
 		rec.heldUntil = now.Add(reappearedHold)
 		if rec.quarantined != nil {
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -39,6 +39,9 @@
 	// QuarantinePrefix is the key prefix of quarantined parts of prompts, whose values are JSON.
 	// Empty means that there are none.
 	QuarantinePrefix string
+	// EvacuationPrefix is the key prefix of evacuations, followed by the name of the data centre;
+	// the values are ignored. Empty means that there are none.
+	EvacuationPrefix string
 }
 
 // isQuarantine reports whether a key is that of a quarantined part.
@@ -46,6 +49,11 @@
 	return d.QuarantinePrefix != "" && strings.HasPrefix(key, d.QuarantinePrefix)
 }
 
+// isEvacuation reports whether a key is that of an evacuation.
+func (d *Decoder) isEvacuation(key string) bool {
+	return d.EvacuationPrefix != "" && strings.HasPrefix(key, d.EvacuationPrefix)
+}
+
 // View is an immutable snapshot of the fleet as known to a host.
 type View struct {
 	// Snapshot is nil until a routing document is known.
@@ -60,12 +68,18 @@
 	// LostQuarantines holds the quarantined parts that the store lost when it came back from an
 	// older copy, and LiftedQuarantines those that it has again although they were removed.
 	LostQuarantines, LiftedQuarantines []fleet.QuarantinedPart
+	// Evacuated holds the data centres whose upstreams get no new work; nil if there are none.
+	Evacuated map[api.DataCentre]bool
+
+	// unconfirmed is the same view without ready upstreams.
+	unconfirmed *View
 
 	ready     map[api.ServiceName][]*fleet.Upstream
 	upstreams map[api.UpstreamID]*fleet.Upstream
 }
 
-// Ready returns the upstreams of a service that accept new work, sorted by ID.
+// Ready returns the upstreams of a service that accept new work, sorted by ID. Those of evacuated
+// data centres are not among them.
 // Callers must not modify the slice.
 func (v *View) Ready(service api.ServiceName) []*fleet.Upstream {
 	if v == nil {
@@ -83,10 +97,11 @@
 // record is an entry of the store with its decoded value.
 type record struct {
 	entry store.Entry
-	// At most one of upstream, host and quarantined is set; none if the value is malformed.
+	// At most one of upstream, host, quarantined and evacuated is set; none if the entry is malformed.
 	upstream    *fleet.Upstream
 	host        *fleet.Host
 	quarantined *fleet.QuarantinedPart
+	evacuated   api.DataCentre
 	// expiresAt is the time at which an entry that went missing during an outage is
 	// removed; zero if the entry is not missing.
 	expiresAt time.Time
@@ -230,6 +245,10 @@
 		keep, expiry = now.Before(s.hostsKeptUntil), s.hostsKeptUntil
 	case existing.quarantined != nil:
 		keep = !expiry.IsZero() && s.restoring
+	case existing.evacuated != "":
+		// Later reads of the same copy lack the entry too. One that is in the copy was deleted since.
+		lost := s.restoring && existing.entry.Version.Era() < version.Era()
+		keep = !expiry.IsZero() && lost || !existing.expiresAt.IsZero()
 	}
 	if !keep {
 		s.deleteRecord(key, version, now)
@@ -248,7 +267,8 @@
 	case entry.Key == s.Decoder.DocumentKey:
 		s.putDocument(entry)
 		return
-	case strings.HasPrefix(entry.Key, s.Decoder.UpstreamPrefix), strings.HasPrefix(entry.Key, s.Decoder.HostPrefix), s.Decoder.isQuarantine(entry.Key):
+	case strings.HasPrefix(entry.Key, s.Decoder.UpstreamPrefix), strings.HasPrefix(entry.Key, s.Decoder.HostPrefix), s.Decoder.isQuarantine(entry.Key),
+		s.Decoder.isEvacuation(entry.Key):
 	default:
 		return
 	}
@@ -286,6 +306,13 @@
 		decoded.quarantined = part
 		return decoded
 	}
+	if s.Decoder.isEvacuation(entry.Key) {
+		decoded.evacuated = api.DataCentre(strings.TrimPrefix(entry.Key, s.Decoder.EvacuationPrefix))
+		if decoded.evacuated == "" {
+			s.reportMalformed(entry.Key, errNoDataCentre)
+		}
+		return decoded
+	}
 	upstream, err := s.Decoder.Upstream(entry.Key, entry.Value)
 	if err != nil {
 		s.reportMalformed(entry.Key, err)
@@ -357,6 +384,7 @@
 		Snapshot: s.snapshot, Version: s.version,
 		ready: map[api.ServiceName][]*fleet.Upstream{}, upstreams: map[api.UpstreamID]*fleet.Upstream{},
 	}
+	s.addEvacuations(v)
 	for _, rec := range s.records {
 		if rec.isHeld() {
 			v.addReappeared(rec)
@@ -365,7 +393,7 @@
 		switch {
 		case rec.upstream != nil:
 			v.upstreams[rec.upstream.ID] = rec.upstream
-			if rec.upstream.State == fleet.StateReady {
+			if rec.upstream.State == fleet.StateReady && !v.Evacuated[rec.upstream.DataCentre] {
 				v.ready[rec.upstream.Service] = append(v.ready[rec.upstream.Service], rec.upstream)
 			}
 		case rec.host != nil:
@@ -384,5 +412,8 @@
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
 	sort.Slice(v.Hosts, func(i, j int) bool { return v.Hosts[i].ID < v.Hosts[j].ID })
+	unconfirmed := *v
+	unconfirmed.ready = nil
+	v.unconfirmed = &unconfirmed
 	return v
 }
--- a/internal/service/directory/state_test.go
+++ b/internal/service/directory/state_test.go
@@ -14,7 +14,7 @@
 
 func testDecoder() Decoder {
 	return Decoder{
-		DocumentKey: "document", UpstreamPrefix: "upstream/", HostPrefix: "host/",
+		DocumentKey: "document", UpstreamPrefix: "upstream/", HostPrefix: "host/", EvacuationPrefix: "evacuate/",
 		Document: func(data []byte) (*fleet.Document, error) {
 			var d fleet.Document
 			return &d, json.Unmarshal(data, &d)
--- a/internal/service/forward/stall.go
+++ b/internal/service/forward/stall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -280,7 +281,11 @@
 func (c *call) nextUpstream(choose func([]Candidate) *fleet.Upstream) (*fleet.Upstream, error) {
 	if next := c.replacement; next != nil {
 		c.replacement = nil
-		return next.upstream, nil
+		if slices.ContainsFunc(c.View().Ready(c.service), func(u *fleet.Upstream) bool { return u.Incarnation() == next.upstream.Incarnation() }) {
+			return next.upstream, nil
+		}
+		// The upstream has left since it was chosen. The attempt is charged already.
+		return c.selectUpstream(choose)
 	}
 	if err := c.checkPrompt(); err != nil {
 		return nil, c.afterAttempts(err)
--- a/internal/service/stage/group_test.go
+++ b/internal/service/stage/group_test.go
@@ -15,11 +15,11 @@
 )
 
 // groupView returns a view with a number of hosts and, for each data centre, an upstream of each
-// listed service.
-func groupView(t *testing.T, hosts int, upstreams map[string][]api.ServiceName) *directory.View {
+// listed service. Some data centres may be evacuated.
+func groupView(t *testing.T, hosts int, upstreams map[string][]api.ServiceName, evacuated ...string) *directory.View {
 	t.Helper()
 	state := directory.State{Decoder: directory.Decoder{
-		DocumentKey: "document", UpstreamPrefix: "upstream/", HostPrefix: "host/",
+		DocumentKey: "document", UpstreamPrefix: "upstream/", HostPrefix: "host/", EvacuationPrefix: "evacuate/",
 		Document: func([]byte) (*fleet.Document, error) {
 			return &fleet.Document{Services: []fleet.Service{*batchedService("s", 8), *batchedService("t", 8)}}, nil
 		},
@@ -39,6 +39,9 @@
 			entries = append(entries, store.Entry{Key: fmt.Sprint("upstream/", centre, i), Version: 3, Value: []byte(value)})
 		}
 	}
+	for _, centre := range evacuated {
+		entries = append(entries, store.Entry{Key: "evacuate/" + centre, Version: 3})
+	}
 	state.Replace(entries, 10, time.Now(), time.Time{})
 	return state.View()
 }
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -125,6 +125,22 @@
 	}
 }
 
+// failUnserved ends the jobs with work for services that have no upstream left.
+func (p *plan) failUnserved() {
+	served := map[api.ServiceName]bool{}
+	for _, w := range p.workers {
+		served[w.upstream.Service] = served[w.upstream.Service] || !w.removed
+	}
+	for _, j := range p.jobs {
+		for i := range j.stages {
+			if j.stages[i].remaining > 0 && !served[j.stages[i].Service] && !j.running() {
+				p.fail(j, errNotServed)
+				break
+			}
+		}
+	}
+}
+
 // submit adds a job and queues its first items.
 func (p *plan) submit(job Job, now time.Time, finished func(Outcome, error)) *jobState {
 	j := newJob(job, now, finished)
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -35,6 +35,7 @@
 
 var (
 	errDeadlineUnreachable = fault.New(api.KindDeadlineUnreachable, "the stages could not be run in time")
+	errNotServed           = fault.AddRetryAfter(fault.New(api.KindNoUpstream, "no upstream of a stage is ready"), minRetryAfter)
 	errTooManyFailures     = fault.New(api.KindNoUpstream, "a stage failed too often")
 	// ErrHandedBack ends jobs that this host stops working on. Their results are kept.
 	ErrHandedBack = errors.New("the scheduling host handed the job back")
@@ -153,7 +154,7 @@
 func (s *Scheduler) admit(job *Job, now time.Time) error {
 	f := s.plan.forecast(job, now)
 	if !f.served {
-		return fault.AddRetryAfter(fault.New(api.KindNoUpstream, "no upstream of a stage is ready"), minRetryAfter)
+		return errNotServed
 	}
 	if f.meetsTarget(job, now) {
 		s.plan.addLoad(job, now)
@@ -196,6 +197,10 @@
 		s.replacedAt = now
 	}
 	s.plan.setUpstreams(s.Upstreams(view), view.Snapshot.Services)
+	// Jobs of a group that is gone are handed back, and upstreams that restart return soon.
+	if len(view.Evacuated) > 0 && s.role != RoleNone {
+		s.plan.failUnserved()
+	}
 }
 
 // ViewChanged applies a new view if jobs are in progress.
