Place short requests by the pace of upstreams

Responses carry the pace of an upstream as a fourth figure of Redwingloft-Server-Load; decodeLoad dropped such reports whole, and no decision used the other three. They are decoded within bounds; what is absurd is counted (load.invalid), logged once an upstream and ignored.

The choice took the lowest moving average of this host's response times. It never aged, so that a host stayed with the upstream that once was fastest. Health now has a pace that returns to the usual one with a half life of 1 s, from the report or from response times relative to those of the service, the reported load with what this host has sent since, and the time for which requests in flight got no response. The choice is random, weighted by the eighth power of the expected time, since the least time alone sends all hosts with the same reports to one upstream. Orders are not placed at an upstream that lost two requests in a row while another one is sound.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -103,6 +103,7 @@
 	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, Log: logger, Metrics: e.metrics}
 	e.pool = &forward.Pool{
 		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
+		Health: e.health, Log: logger,
 		BufferLimit: int64(bufferMemoryRatio * s.Host.MemoryLimit * megabyte),
 		OnLeaving:   func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
 	}
@@ -205,6 +206,20 @@
 	}
 }
 
+// sweepHealth drops the health of upstreams that are not used and reports which ones are slow.
+func (e *entryHost) sweepHealth(time.Time) {
+	e.health.Sweep(clock.Now())
+	slow := e.health.SlowUpstreams(clock.Now())
+	if before := int(e.metrics.Gauge("pace.slow_upstreams").Value()); len(slow) != before {
+		entry := e.log.Info().Int("upstreams", len(slow)).Int("before", before)
+		if len(slow) > 0 {
+			entry = entry.Str("slowest", string(slow[0].ID)).Float64("pace", slow[0].Pace)
+		}
+		entry.Msg("slow_upstreams_changed")
+	}
+	e.metrics.Gauge("pace.slow_upstreams").Update(float64(len(slow)))
+}
+
 // sweepThrottle drops the rate limits of upstreams that are gone.
 func (e *entryHost) sweepThrottle(time.Time) {
 	keep := e.limitPresence.Keep(e.directory.View().Has, clock.Now())
@@ -295,7 +310,7 @@
 		Str("version", version).Msg("host_started")
 	e.timer.Every(sweepInterval, e.pool.Sweep)
 	e.timer.Every(sweepInterval, e.idleTracker.Sweep)
-	e.timer.Every(sweepInterval, func(time.Time) { e.health.Sweep(clock.Now()) })
+	e.timer.Every(sweepInterval, e.sweepHealth)
 	e.timer.Every(sweepInterval, e.sweepThrottle)
 	e.timer.Every(outlier.ExchangeInterval, e.outliers.Run)
 	e.timer.Every(quarantine.PublishInterval, e.publisher.Run)
--- a/internal/data/fleet/request.go
+++ b/internal/data/fleet/request.go
@@ -76,6 +76,8 @@
 	IdleTimeout time.Duration
 	// Load is nil if the upstream does not report it.
 	Load *Load
+	// InvalidLoad is the start of a load report that could not be decoded; empty if there is none.
+	InvalidLoad string
 	// RateLimit is the number of requests a second that the upstream accepts from all hosts
 	// together; nil if it names no limit.
 	RateLimit *float64
@@ -91,6 +93,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes at this moment relative to the usual time, which is 1; 0 if the
+	// upstream does not report it.
+	Pace float64
 }
 
 // ItemRef identifies one item of one stage of a request.
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"redwingloft/internal/data/fleet"
@@ -17,26 +18,60 @@
 }
 
 const (
-	// assumedLatency is used for an upstream without a measured latency. It is low, so that
-	// new upstreams are tried.
-	assumedLatency = 10 * time.Millisecond
 	// failurePenalty is the relative cost increase of an upstream whose attempts all fail.
 	failurePenalty = 20
+	// timeExponent is the power of the expected time by which upstreams are weighted: one that is
+	// expected to take a tenth longer gets about half as many requests, and one that takes twice as
+	// long nearly none. With the least expected time alone, all hosts that know the same reports
+	// send to the same upstream.
+	timeExponent = 8
+	// riskyLossRate is the rate of losses from which no order is placed at an upstream. It is reached
+	// with the second loss in a row, and is the failure rate from which hosts report an upstream.
+	riskyLossRate = 0.3
 )
 
-// LeastLoaded returns the candidate for a non-streaming request: the one with the lowest
-// expected response time, estimated from this host's load and measurements. It suits many
-// short requests on few slots. Candidates in cooldown and excluded ones are a last resort.
-// Ties are broken by the hash of the request. Returns nil if there are no candidates.
+// LeastLoaded returns the candidate for a non-streaming request: a random one, weighted by the
+// expected response time, which follows from the pace, the open requests and the failures. It suits
+// many short requests of many hosts on few slots. The random numbers are derived from the hash of the
+// request. Candidates in cooldown and excluded ones are a last resort. Returns nil if there are no
+// candidates.
 func LeastLoaded(candidates []Candidate, request api.RequestID, exclude map[api.UpstreamID]bool, now time.Time) *fleet.Upstream {
+	hash := hashing.Of(string(request))
 	return best(candidates, request, exclude, now, func(c *Candidate) float64 {
-		latency := max(c.Health.Latency, assumedLatency)
-		slots := max(c.Upstream.Slots, 1)
-		queued := float64(c.Health.Running+1) / float64(slots)
-		return latency.Seconds() * (1 + queued) * (1 + failurePenalty*c.Health.failureRate(now))
+		// The lowest of -ln(u)/weight, with u uniform in (0, 1), is a weighted random choice.
+		u := (float64(hashing.Score(hash, hashing.Of(string(c.Upstream.ID)))>>11) + 0.5) / (1 << 53)
+		return -math.Log(u) * math.Pow(expectedTime(c, now), timeExponent)
 	})
 }
 
+// LeastLoadedForOrder is like LeastLoaded, for a request that may run at most once. A candidate that
+// has recently lost requests is chosen only if all have, since an order that is lost can't be repeated
+// and one that is refused can.
+func LeastLoadedForOrder(candidates []Candidate, request api.RequestID, exclude map[api.UpstreamID]bool, now time.Time) *fleet.Upstream {
+	sound := make([]Candidate, 0, len(candidates))
+	for i := range candidates {
+		if candidates[i].Health.lossRate(now) < riskyLossRate {
+			sound = append(sound, candidates[i])
+		}
+	}
+	if len(sound) == 0 {
+		sound = candidates
+	}
+	return LeastLoaded(sound, request, exclude, now)
+}
+
+// expectedTime returns the expected response time of a candidate, relative to that of an idle one at
+// the usual pace.
+func expectedTime(c *Candidate, now time.Time) float64 {
+	slots := c.Upstream.Slots
+	if !c.Health.Load.At.IsZero() {
+		slots = c.Health.Load.Slots
+	}
+	open := c.Health.Load.open(c.Health.Running, now) / float64(max(slots, 1))
+	pace := max(c.Health.Pace.Now(now), c.Health.silence(now))
+	return pace * (1 + open) * (1 + failurePenalty*c.Health.failureRate(now))
+}
+
 // best returns the candidate with the lowest cost. Ties are broken by the hash of the request.
 func best(candidates []Candidate, request api.RequestID, exclude map[api.UpstreamID]bool, now time.Time, cost func(*Candidate) float64) *fleet.Upstream {
 	var chosen *fleet.Upstream
--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -97,6 +97,9 @@
 	if reply.WrongUpstream {
 		return
 	}
+	if genuine {
+		p.observeLoad(upstream, reply)
+	}
 	if p.Throttle != nil && (reply.RateLimit != nil || genuine) {
 		p.Throttle.Observe(upstream, reply.RateLimit, clock.Now())
 	}
--- a/internal/service/forward/health.go
+++ b/internal/service/forward/health.go
@@ -6,6 +6,7 @@
 
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/clock"
+	"redwingloft/pkg/api"
 )
 
 const (
@@ -39,12 +40,28 @@
 	UnreachableCount int
 	// LastOutcome is the time of the last outcome.
 	LastOutcome time.Time
+	// Pace is how long work takes at the upstream.
+	Pace Pace
+	// Load is the load that the upstream last reported.
+	Load ReportedLoad
+	// SilentSince is the time of the last outcome, or the time since which this host has had requests
+	// in flight without interruption if that is later.
+	SilentSince time.Time
+	// Usual is the usual response time of the service; 0 means unknown.
+	Usual time.Duration
+	// LossRate is the moving average of the share of requests without a usable response, between 0
+	// and 1, at the last outcome.
+	LossRate float64
 }
 
 // failureRate returns the failure rate, decayed since the last outcome.
-func (h *Health) failureRate(now time.Time) float64 {
+func (h *Health) failureRate(now time.Time) float64 { return h.decayed(h.FailureRate, now) }
+
+// lossRate returns the rate of losses, decayed since the last outcome.
+func (h *Health) lossRate(now time.Time) float64 { return h.decayed(h.LossRate, now) }
+
+func (h *Health) decayed(rate float64, now time.Time) float64 {
 	age := now.Sub(h.LastOutcome)
-	rate := h.FailureRate
 	for ; age > failureHalfLife && rate > 0.01; age -= failureHalfLife {
 		rate /= 2
 	}
@@ -58,8 +75,10 @@
 const (
 	// OutcomeAnswered: a successful response.
 	OutcomeAnswered Outcome = "answered"
-	// OutcomeFailed: an error response or an unusable one.
+	// OutcomeFailed: an error response.
 	OutcomeFailed Outcome = "failed"
+	// OutcomeLost: no usable response, although the request may have run.
+	OutcomeLost Outcome = "lost"
 	// OutcomeRefused: the upstream did not run the request.
 	OutcomeRefused Outcome = "refused"
 	// OutcomeUnreachable: no connection could be opened.
@@ -77,6 +96,8 @@
 	// shared holds the failure rates over all hosts, received at sharedAt.
 	shared   map[fleet.Incarnation]float64
 	sharedAt time.Time
+	// usual holds the usual response time of each service.
+	usual map[api.ServiceName]*usualLatency
 }
 
 // Observation counts the outcomes of attempts at one upstream.
@@ -155,21 +176,30 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := *t.entry(u)
+	if usual := t.usual[u.Service]; usual != nil {
+		h.Usual = usual.mean
+	}
 	if shared := t.shared[u.Incarnation()]; shared > 0 {
 		now := clock.Now()
 		if now.Sub(t.sharedAt) < sharedTTL && shared > h.failureRate(now) {
-			h.FailureRate, h.LastOutcome = shared, now
+			h.FailureRate, h.LossRate, h.LastOutcome = shared, max(shared, h.lossRate(now)), now
 		}
 	}
 	return h
 }
 
 // Begin counts a request that is sent to an upstream.
-func (t *HealthTable) Begin(u *fleet.Upstream, tokens int) {
+func (t *HealthTable) Begin(u *fleet.Upstream, tokens int) { t.begin(u, tokens, clock.Now()) }
+
+func (t *HealthTable) begin(u *fleet.Upstream, tokens int, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.entry(u)
+	if h.Running == 0 {
+		h.SilentSince = now
+	}
 	h.Running++
+	h.Load.Change++
 	h.PendingTokens += tokens
 }
 
@@ -185,8 +215,8 @@
 func (t *HealthTable) Stalled(u *fleet.Upstream, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.observe(u, OutcomeFailed)
-	t.record(t.entry(u), OutcomeFailed, 0, now)
+	t.observe(u, OutcomeLost)
+	t.record(t.entry(u), OutcomeLost, 0, now)
 }
 
 // End records the outcome of a request; latency is its response time, 0 if unknown.
@@ -195,17 +225,23 @@
 	defer t.mu.Unlock()
 	h := t.entry(u)
 	h.Running--
+	h.SilentSince = now
+	h.Load.Change--
 	t.observe(u, outcome)
 	t.record(h, outcome, latency, now)
+	if outcome == OutcomeAnswered && latency > 0 {
+		t.measurePace(u.Service, h, latency, now)
+	}
 }
 
 func (t *HealthTable) record(h *Health, outcome Outcome, latency time.Duration, now time.Time) {
-	rate := h.failureRate(now)
+	rate, losses := h.failureRate(now), h.lossRate(now)
 	switch outcome {
 	case OutcomeCancelled:
 		return
 	case OutcomeAnswered:
 		rate -= failureWeight * rate
+		losses -= failureWeight * losses
 		h.UnreachableCount, h.CooldownUntil = 0, time.Time{}
 		if latency > 0 && h.Latency == 0 {
 			h.Latency = latency
@@ -217,12 +253,15 @@
 		h.UnreachableCount = 0
 	case OutcomeFailed:
 		rate += failureWeight * (1 - rate)
+	case OutcomeLost:
+		rate += failureWeight * (1 - rate)
+		losses += failureWeight * (1 - losses)
 	case OutcomeUnreachable:
 		rate += failureWeight * (1 - rate)
 		h.CooldownUntil = now.Add(min(minCooldown<<min(h.UnreachableCount, 8), maxCooldown))
 		h.UnreachableCount++
 	}
-	h.FailureRate, h.LastOutcome = rate, now
+	h.FailureRate, h.LossRate, h.LastOutcome = rate, losses, now
 }
 
 // Sweep drops the health of upstreams that have not been used recently.
@@ -230,7 +269,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for incarnation, h := range t.table {
-		if h.Running == 0 && now.Sub(h.LastOutcome) > healthTTL {
+		if h.Running == 0 && now.Sub(h.LastOutcome) > healthTTL && now.Sub(h.Load.At) > healthTTL {
 			delete(t.table, incarnation)
 		}
 	}
--- /dev/null
+++ b/internal/service/forward/pace.go
@@ -0,0 +1,189 @@
+package forward
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/clock"
+	"redwingloft/pkg/api"
+)
+
+const (
+	// paceHalfLife is the time in which a known pace moves halfway back to the usual one. Upstreams
+	// that share their machines are slow for half a second to some seconds.
+	paceHalfLife = time.Second
+	// paceWeight is the weight of a new measurement of the pace. One request in a hundred takes
+	// several times as long as the others at any pace, so that one alone is weak evidence.
+	paceWeight = 0.4
+	// minPace and maxPace bound the pace as used in decisions.
+	minPace, maxPace = 0.1, 20
+	// loadHalfLife is the time in which the excess of a reported load over this host's own requests
+	// halves. Many hosts send requests to the same upstream in that time.
+	loadHalfLife = 300 * time.Millisecond
+	// usualLatencyWeight is the weight of a new response in the usual response time of a service,
+	// once it has had as many responses as the inverse of the weight.
+	usualLatencyWeight = 0.02
+)
+
+// Pace is how long work takes at an upstream relative to the usual time, with its age.
+type Pace struct {
+	// Value is 1 at the usual pace and 2 where work takes twice as long; 0 means unknown.
+	Value float64
+	// At is the time of the last measurement.
+	At time.Time
+	// Reported is true if the upstream reports its pace, so that response times do not count.
+	Reported bool
+}
+
+// Now returns the pace that is expected now. Without new measurements it returns to 1.
+func (p *Pace) Now(now time.Time) float64 {
+	if p.Value == 0 {
+		return 1
+	}
+	return 1 + (p.Value-1)*halved(now.Sub(p.At), paceHalfLife)
+}
+
+// measure adds a measurement.
+func (p *Pace) measure(value float64, now time.Time) {
+	before := p.Now(now)
+	p.Value, p.At = before+paceWeight*(min(max(value, minPace), maxPace)-before), now
+}
+
+// silence returns the time for which requests in flight have had no response, relative to the usual
+// response time. It shows a slow upstream before the response does.
+func (h *Health) silence(now time.Time) float64 {
+	if h.Running <= 0 || h.Usual <= 0 {
+		return 0
+	}
+	return min(float64(now.Sub(h.SilentSince))/float64(h.Usual), maxPace)
+}
+
+// halved returns the share that remains after age of a quantity that halves in each halfLife.
+func halved(age, halfLife time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(halfLife))
+}
+
+// ReportedLoad is the load that an upstream last reported, with what this host has sent since.
+type ReportedLoad struct {
+	fleet.Load
+	// At is when the report was received; zero if there was none.
+	At time.Time
+	// Change is the number of this host's requests that have begun since the report less those that
+	// have ended.
+	Change int
+}
+
+// open returns the number of requests that are expected to run or wait at the upstream, of which
+// own are this host's.
+func (l *ReportedLoad) open(own int, now time.Time) float64 {
+	if l.At.IsZero() {
+		return float64(own)
+	}
+	others := float64(l.Running + l.Waiting + l.Change - own)
+	return float64(own) + max(others, 0)*halved(now.Sub(l.At), loadHalfLife)
+}
+
+// maxInvalidLoads bounds the upstreams whose invalid reports are logged.
+const maxInvalidLoads = 256
+
+// invalidLoads holds the upstreams whose invalid reports have been logged.
+type invalidLoads struct {
+	mu     sync.Mutex
+	logged map[api.UpstreamID]bool
+}
+
+// first reports whether the invalid report of an upstream is to be logged.
+func (l *invalidLoads) first(id api.UpstreamID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.logged[id] || len(l.logged) >= maxInvalidLoads {
+		return false
+	}
+	if l.logged == nil {
+		l.logged = map[api.UpstreamID]bool{}
+	}
+	l.logged[id] = true
+	return true
+}
+
+// observeLoad records the load that a response reports.
+func (p *Pool) observeLoad(upstream *fleet.Upstream, reply fleet.ResponseInfo) {
+	switch {
+	case reply.InvalidLoad != "":
+		p.Metrics.Counter("load.invalid").Inc(1)
+		if p.Log != nil && p.invalidLoads.first(upstream.ID) {
+			p.Log.Warn().Str("upstream", string(upstream.ID)).Str("report", reply.InvalidLoad).Msg("load_report_invalid")
+		}
+	case reply.Load != nil && p.Health != nil:
+		p.Health.ReportLoad(upstream, reply.Load, clock.Now())
+	}
+}
+
+// slowPace is the pace from which an upstream counts as slow in metrics and logs.
+const slowPace = 2
+
+// SlowUpstreams returns the upstreams whose expected pace is at least slowPace, the slowest first.
+func (t *HealthTable) SlowUpstreams(now time.Time) []PaceOf {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var slow []PaceOf
+	for incarnation, h := range t.table {
+		if pace := h.Pace.Now(now); pace >= slowPace {
+			slow = append(slow, PaceOf{incarnation.ID, pace})
+		}
+	}
+	slices.SortFunc(slow, func(a, b PaceOf) int { return cmp.Compare(b.Pace, a.Pace) })
+	return slow
+}
+
+// PaceOf is the expected pace of one upstream.
+type PaceOf struct {
+	ID   api.UpstreamID
+	Pace float64
+}
+
+// usualLatency is the mean response time of a service over all its upstreams.
+type usualLatency struct {
+	mean  time.Duration
+	count int
+}
+
+// add adds a response time and returns it relative to the mean.
+func (u *usualLatency) add(latency time.Duration) float64 {
+	u.count++
+	u.mean += time.Duration(max(1/float64(u.count), usualLatencyWeight) * float64(latency-u.mean))
+	return float64(latency) / float64(max(u.mean, 1))
+}
+
+// ReportLoad records the load that an upstream reports in a response.
+func (t *HealthTable) ReportLoad(u *fleet.Upstream, load *fleet.Load, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.entry(u)
+	h.Load = ReportedLoad{Load: *load, At: now}
+	if h.Pace.Reported = load.Pace > 0; h.Pace.Reported {
+		h.Pace.measure(load.Pace, now)
+	}
+}
+
+// measurePace derives the pace of an upstream from a response time. t.mu must be held.
+func (t *HealthTable) measurePace(service api.ServiceName, h *Health, latency time.Duration, now time.Time) {
+	usual := t.usual[service]
+	if usual == nil {
+		if t.usual == nil {
+			t.usual = map[api.ServiceName]*usualLatency{}
+		}
+		usual = &usualLatency{}
+		t.usual[service] = usual
+	}
+	if relative := usual.add(latency); !h.Pace.Reported {
+		h.Pace.measure(relative, now)
+	}
+}
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -63,7 +63,10 @@
 
 // leastLoaded returns the candidate for the next attempt.
 func (c *call) leastLoaded(candidates []Candidate) *fleet.Upstream {
-	return LeastLoaded(candidates, c.request.ID, c.exclude, clock.Now())
+	if c.route.Repeatable() {
+		return LeastLoaded(candidates, c.request.ID, c.exclude, clock.Now())
+	}
+	return LeastLoadedForOrder(candidates, c.request.ID, c.exclude, clock.Now())
 }
 
 // bufferedResponse is an upstream's response that was read completely.
@@ -148,7 +151,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return OutcomeCancelled
 	}
-	return OutcomeFailed
+	return OutcomeLost
 }
 
 // deliverOrFail forwards the last complete response. If there is none, it returns the reason why
--- a/internal/service/forward/pool.go
+++ b/internal/service/forward/pool.go
@@ -12,6 +12,8 @@
 	"syscall"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/dial"
@@ -49,7 +51,12 @@
 	// OnLeaving is called for each response in which an upstream announces its shutdown; it may
 	// be nil. The caller of the request has not received the response yet.
 	OnLeaving func(upstream *fleet.Upstream)
+	// Health records the load that upstreams report; it may be nil.
+	Health *HealthTable
+	// Log has a line for each upstream with an invalid report; it may be nil.
+	Log *log.Logger
 
+	invalidLoads invalidLoads
 	// buffered is the size of the response bodies that are held in memory.
 	buffered atomic.Int64
 
