Replace late short requests only where a slow upstream would have answered

An attempt at a short request was replaced after two targets of its route or four mean latencies, and its upstream then counted as failing for seconds: a slow period of half a second looked like an outage. The time is now at least 25 usual response times of the service, but at most a third of the time left, and a late upstream gets a slow pace, which is forgotten with a half life of 1 s. All hosts together still see it as failing if most requests are late.

--- a/internal/service/forward/pace.go
+++ b/internal/service/forward/pace.go
@@ -173,6 +173,21 @@
 	}
 }
 
+// Late records that a short request has had no response after a time in which others are answered. The
+// upstream may just be slow: its pace shows that for a moment, and only if most requests of all hosts
+// are late does it count as failing. Without a usual response time it does at once. The request remains
+// counted until End.
+func (t *HealthTable) Late(u *fleet.Upstream, after time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observe(u, OutcomeLost)
+	if usual := t.usual[u.Service]; usual != nil && usual.mean > 0 {
+		t.entry(u).Pace.measure(float64(after)/float64(usual.mean), now)
+		return
+	}
+	t.record(t.entry(u), OutcomeLost, 0, now)
+}
+
 // measurePace derives the pace of an upstream from a response time. t.mu must be held.
 func (t *HealthTable) measurePace(service api.ServiceName, h *Health, latency time.Duration, now time.Time) {
 	usual := t.usual[service]
--- a/internal/service/forward/pace_model_test.go
+++ b/internal/service/forward/pace_model_test.go
@@ -161,7 +161,7 @@
 				}
 				if !a.stalled {
 					a.stalled = true
-					table.Stalled(chosen, start.Add(now))
+					table.Late(chosen, now-a.sent, start.Add(now))
 				}
 				if m.route.Timeout-(now-r.received) < minAttemptTime || !budgets[r.host].Allow("orders", 1, start.Add(now)) {
 					at(now+stallRecheckInterval, check)
@@ -174,7 +174,7 @@
 				r.exclude[chosen.ID] = true
 				next(r)
 			}
-			at(now+max(stallObjectiveFactor*m.route.Objective, stallLatencyFactor*h.Latency), check)
+			at(now+stallAfter(&m.route, &h, m.route.Timeout-(now-r.received)), check)
 		}
 	}
 	next = func(r *modelRequest) {
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -18,6 +18,13 @@
 	// stallLatencyFactor is the same time in mean latencies of the upstream, for routes whose
 	// objective is shorter than the usual response time. The longer time applies.
 	stallLatencyFactor = 4
+	// stallUsualFactor is the same time in usual response times of the service. Up to it an upstream
+	// may be slow: one request in a hundred takes five times as long, and a slow machine five times
+	// as long for it. A replacement would gain nothing and take a slot of another upstream.
+	stallUsualFactor = 25
+	// stallLeftDivisor bounds that time to a third of the time until the deadline, so that enough
+	// remains for a replacement.
+	stallLeftDivisor = 3
 )
 
 // serveBuffered serves a request whose response is forwarded as a whole.
@@ -85,10 +92,11 @@
 	startTime := clock.Now()
 	c.Health.Begin(upstream, 0)
 	var stall *stallTimer
-	if c.route.Objective > 0 {
+	if c.route.Objective > 0 && c.mayRepeat() {
 		stall = c.newStallTimer(upstream, time.Time{}, cancel, func(context.Context, time.Time) (*replacement, error) {
 			return c.secureUpstream(upstream, c.leastLoaded)
 		})
+		stall.onStalled = func() { c.Health.Late(upstream, clock.Now().Sub(startTime), clock.Now()) }
 	}
 	stall.start(c.stallTimeout(upstream))
 	response, result, err := c.exchangeBuffered(ctx, upstream)
@@ -106,7 +114,15 @@
 
 // stallTimeout returns the time after which an attempt is replaced.
 func (c *call) stallTimeout(upstream *fleet.Upstream) time.Duration {
-	return max(stallObjectiveFactor*c.route.Objective, stallLatencyFactor*c.Health.Get(upstream).Latency)
+	health := c.Health.Get(upstream)
+	return stallAfter(c.route, &health, c.left())
+}
+
+// stallAfter returns the time after which an attempt with the given health of its upstream is replaced,
+// if left remains until the deadline.
+func stallAfter(route *fleet.Route, health *Health, left time.Duration) time.Duration {
+	timeout := max(stallObjectiveFactor*route.Objective, stallLatencyFactor*health.Latency)
+	return max(timeout, min(stallUsualFactor*health.Usual, left/stallLeftDivisor))
 }
 
 func (c *call) exchangeBuffered(ctx context.Context, upstream *fleet.Upstream) (*bufferedResponse, Result, error) {
