Order stage jobs by rank first and admit late jobs by more urgent demand

Cause: every late job ran behind every on-time job whatever the ranks, and a late job was judged by the capacity that on-time jobs of all ranks leave. A job that was admitted as late counted as on time until its target had passed and so delayed on-time jobs. Small results were forecast to wait for the room of large ones although calls skip those. An upstream in the 80 ms cooldown of a full one was taken for lost capacity.

Now on-time work of a rank runs first, then late work of that rank, then the next rank. Late jobs get what the offered load of their own and more urgent ranks leaves, in items and in bytes of results, and at least 0.05 of it.

The four tests of admission_test.go fail on the code before.

--- /dev/null
+++ b/internal/service/stage/admission_test.go
@@ -0,0 +1,84 @@
+package stage
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestSmallResultDoesNotWaitForRoomOfLargeOnes guards against the refusal of jobs with small results
+// while large ones wait for room: a call skips items whose results find none.
+func TestSmallResultDoesNotWaitForRoomOfLargeOnes(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 40))
+	w := b.worker(b.add("s", "a"))
+	w.hold("old", w.limits.ResultCapacity, b.now, b.now)
+	w.completeFree("old", b.now.Add(800*time.Millisecond))
+	for i := range 10 {
+		b.submitJob(b.job(fmt.Sprint("large", i), 0, 3*time.Second, 6*time.Second, Spec{Service: "s", Items: 4, ResultBytes: 5 << 20}))
+	}
+	small := b.job("small", 1, 2*time.Second, 15*time.Second, Spec{Service: "s", Items: 1, ResultBytes: 8000})
+	f := b.forecast(&small, b.now)
+	assert.Assert(t, f.meetsTarget(&small, b.now), "the forecast is %s", f.onTime)
+	large := b.job("large", 1, 2*time.Second, 15*time.Second, Spec{Service: "s", Items: 1, ResultBytes: 5 << 20})
+	f = b.forecast(&large, b.now)
+	assert.Assert(t, !f.meetsTarget(&large, b.now), "the forecast is %s", f.onTime)
+}
+
+// TestLateJobIsNotRefusedForLessUrgentWork guards against a burst of a less urgent kind that takes all
+// capacity from late jobs of a more urgent one.
+func TestLateJobIsNotRefusedForLessUrgentWork(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 8))
+	b.add("s", "a")
+	for i := range 40 {
+		job := b.job(fmt.Sprint("low", i), 2, 12*time.Second, 15*time.Second, Spec{Service: "s", Items: 4})
+		b.admit(&job, b.now)
+		b.submitJob(job)
+	}
+	urgent := b.job("urgent", 1, 300*time.Millisecond, 15*time.Second, Spec{Service: "s", Items: 4})
+	f := b.forecast(&urgent, b.now)
+	assert.Assert(t, !f.meetsTarget(&urgent, b.now))
+	assert.Assert(t, f.accepts(&urgent, b.now), "the forecast is %s", f.late)
+	low := b.job("low", 3, 300*time.Millisecond, 15*time.Second, Spec{Service: "s", Items: 4})
+	f = b.forecast(&low, b.now)
+	assert.Assert(t, !f.accepts(&low, b.now), "the forecast is %s", f.late)
+}
+
+// TestLateJobDoesNotDelayOnTimeJobs guards against jobs that are admitted as late and run before
+// on-time ones of their rank until their target has passed.
+func TestLateJobDoesNotDelayOnTimeJobs(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 1))
+	b.add("s", "a")
+	spec := Spec{Service: "s", Items: 1, ResultBytes: 1000}
+	b.submitJob(b.job("running", 0, time.Second, 9*time.Second, spec))
+	b.dispatchNow(nil)
+	for i := range 5 {
+		b.submitJob(b.job(fmt.Sprint("queued", i), 0, 2*time.Second, 9*time.Second, spec))
+	}
+	late := b.job("late", 0, time.Second, 9*time.Second, spec)
+	assert.Assert(t, b.admit(&late, b.now).accepted)
+	assert.Assert(t, late.Late)
+	b.submitJob(late)
+	for b.completeNext(nil) {
+		continue
+	}
+	for i := range 5 {
+		assert.Assert(t, b.endedAt[b.job(fmt.Sprint("queued", i), 0, 0, 0).Request].Before(b.endedAt["late"]))
+	}
+}
+
+// TestFullUpstreamCountsAsCapacity guards against forecasts that take an upstream for lost because it
+// was full: its cooldown is shorter than a call.
+func TestFullUpstreamCountsAsCapacity(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 8))
+	b.add("s", "a")
+	b.add("s", "a")
+	before, _ := b.rate("s", b.now)
+	b.submitJob(b.job("r", 0, time.Second, 9*time.Second, Spec{Service: "s", Items: 1}))
+	calls := b.dispatchNow(nil)
+	b.complete(calls[0], nil, FailureFull, b.now)
+	after, _ := b.rate("s", b.now)
+	assert.Equal(t, after, before)
+	assert.Assert(t, !b.idle(calls[0].Worker, b.now))
+}
--- a/internal/service/stage/complete.go
+++ b/internal/service/stage/complete.go
@@ -27,6 +27,7 @@
 // complete applies the results or the failure of a call.
 func (p *plan) complete(call *Call, results []fleet.ItemResult, failure Failure, now time.Time) {
 	w := call.Worker
+	p.timesChanged()
 	delete(w.calls, call)
 	w.reservedBytes -= call.reservedBytes
 	switch failure {
@@ -263,6 +264,7 @@
 		return 0
 	}
 	call.hedged = true
+	p.timesChanged()
 	call.Worker.slowdown = max(call.Worker.slowdown, slowThreshold)
 	count := 0
 	for _, it := range call.items {
--- a/internal/service/stage/dispatch.go
+++ b/internal/service/stage/dispatch.go
@@ -60,8 +60,13 @@
 // recomputed.
 func (p *plan) withRetainedInputs(queue []*item, now time.Time) []*item {
 	retained := queue[:0]
+	var last *item
+	kept := false
 	for _, it := range queue {
-		if it.job.inputsRetained(it.stage, now) {
+		if last == nil || last.job != it.job || last.stage != it.stage || !kept {
+			last, kept = it, it.job.inputsRetained(it.stage, now)
+		}
+		if kept {
 			retained = append(retained, it)
 		} else {
 			p.recomputeInputs(it, false, now)
@@ -125,9 +130,13 @@
 	// With more queued items than the next calls carry, an empty slot is lost capacity.
 	saturated := len(queue) > saturatedCalls*limit
 	rest := make([]*item, 0, len(queue))
-	for _, it := range queue {
+	for i, it := range queue {
+		if len(call.items) == limit {
+			rest = append(rest, queue[i:]...)
+			break
+		}
 		bytes := it.job.stages[it.stage].ResultBytes
-		if len(call.items) == limit || call.reservedBytes+bytes > freeBytes || (!saturated && p.waitsForLocality(it, w, service, now)) || (w.aboveHighWater() && p.deferLargeResult(it, now)) {
+		if call.reservedBytes+bytes > freeBytes || (!saturated && p.waitsForLocality(it, w, service, now)) || (w.aboveHighWater() && p.deferLargeResult(it, now)) {
 			rest = append(rest, it)
 			continue
 		}
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -7,10 +7,32 @@
 	"redwingloft/pkg/api"
 )
 
+// decision is the outcome of the admission of a job.
+type decision struct {
+	forecast
+	accepted   bool
+	retryAfter time.Duration
+}
+
+// admit decides whether to start a job. It marks the job as late if it can't meet its target.
+func (p *plan) admit(job *Job, now time.Time) decision {
+	f := p.forecast(job, now)
+	if !f.served {
+		return decision{forecast: f, retryAfter: minRetryAfter}
+	}
+	p.addLoad(job, now)
+	job.Late = !f.meetsTarget(job, now)
+	if f.accepts(job, now) {
+		return decision{forecast: f, accepted: true}
+	}
+	wait := f.late - time.Duration(lateDeadlineShare*float64(job.Deadline.Sub(now)))
+	return decision{forecast: f, retryAfter: max(min(max(wait, minRetryAfter), maxRetryAfter), p.pausedForJob(job, now))}
+}
+
 // forecast is the expected time until the stages of a new job are done.
 type forecast struct {
-	// onTime counts only the work that runs before the job while it can meet its target, late
-	// counts all known work.
+	// onTime counts the work that runs before the job while it can meet its target, late that which
+	// runs before it afterwards.
 	onTime, late time.Duration
 	// served is false if a service has no upstream.
 	served bool
@@ -22,6 +44,7 @@
 func (p *plan) forecast(job *Job, now time.Time) forecast {
 	f := forecast{served: true}
 	onTime, late := make([]time.Duration, len(job.Stages)), make([]time.Duration, len(job.Stages))
+	ahead, all := p.workAhead(job, now)
 	for i, spec := range job.Stages {
 		if job.pending(i) == 0 {
 			continue
@@ -31,16 +54,15 @@
 			return forecast{}
 		}
 		paused := p.pausedFor(spec.Service, now)
-		ahead, all := p.workAhead(spec.Service, job, now)
 		resultThroughput := p.resultThroughput(spec.Service, now)
 		start, lateStart := paused, paused
 		for _, needed := range spec.After {
 			start, lateStart = max(start, onTime[needed]), max(lateStart, late[needed])
 		}
 		call := p.callTime(spec.Service)
-		spareShare := p.spareShare(spec.Service, rate, now)
-		onTime[i] = max(start, paused+timeFor(ahead.items, rate), paused+timeFor(ahead.bytes, resultThroughput)) + call
-		late[i] = max(lateStart, paused+timeFor(all.items, rate*spareShare), paused+timeFor(all.bytes, resultThroughput*spareShare)) + call
+		spareItems, spareBytes := p.spareShares(spec.Service, job.Rank, rate, resultThroughput, now)
+		onTime[i] = max(start, paused+timeFor(ahead[i].items, rate), paused+timeFor(ahead[i].bytes, resultThroughput)) + call
+		late[i] = max(lateStart, paused+timeFor(all[i].items, rate*spareItems), paused+timeFor(all[i].bytes, resultThroughput*spareBytes)) + call
 		f.onTime, f.late = max(f.onTime, onTime[i]), max(f.late, late[i])
 	}
 	return f
@@ -57,35 +79,60 @@
 	return f.meetsTarget(job, now) || float64(f.late) <= lateDeadlineShare*float64(job.Deadline.Sub(now))
 }
 
-// load is an exponentially decaying count of the items of a service that were accepted to meet
-// their target.
+// load is an exponentially decaying count of the items of a service and of the bytes of their
+// results.
 type load struct {
-	items float64
-	at    time.Time
+	items, bytes float64
+	at           time.Time
+}
+
+// loadKey identifies the load of a service by jobs of a rank.
+type loadKey struct {
+	service api.ServiceName
+	rank    int
 }
 
-// decayed returns the count decayed to now.
-func (l load) decayed(now time.Time) float64 {
-	return l.items * math.Exp(-now.Sub(l.at).Seconds()/loadDecayTime.Seconds())
+// decayed returns the load decayed to now.
+func (l load) decayed(now time.Time) load {
+	factor := math.Exp(-now.Sub(l.at).Seconds() / loadDecayTime.Seconds())
+	return load{l.items * factor, l.bytes * factor, now}
 }
 
-// addLoad counts the items of a job that was accepted to meet its target.
+// addLoad counts the items of a new job. Refused jobs count too: if only accepted ones did, late jobs
+// that take the room of on-time ones would lower the load that keeps them out.
 func (p *plan) addLoad(job *Job, now time.Time) {
 	for i, spec := range job.Stages {
 		if pending := job.pending(i); pending > 0 {
-			l := p.loads[spec.Service]
-			p.loads[spec.Service] = load{l.decayed(now) + float64(pending), now}
+			key := loadKey{spec.Service, job.Rank}
+			l := p.loads[key].decayed(now)
+			l.items += float64(pending)
+			l.bytes += float64(pending) * float64(spec.ResultBytes)
+			p.loads[key] = l
 		}
 	}
 }
 
-// spareShare returns the share of a service's capacity that on-time work leaves to late jobs.
-func (p *plan) spareShare(service api.ServiceName, rate float64, now time.Time) float64 {
+// spareShares returns the shares of a service's item rate and result throughput that more urgent
+// work leaves to late jobs of a rank.
+func (p *plan) spareShares(service api.ServiceName, rank int, rate, resultThroughput float64, now time.Time) (items, bytes float64) {
+	var used load
+	late := class(rank, true)
+	for key, l := range p.loads {
+		if key.service == service && class(key.rank, false) <= late {
+			l = l.decayed(now)
+			used.items += l.items
+			used.bytes += l.bytes
+		}
+	}
+	return spareShare(used.items, rate), spareShare(used.bytes, resultThroughput)
+}
+
+// spareShare returns the share of a rate that the used part leaves to late jobs.
+func spareShare(used, rate float64) float64 {
 	if rate == 0 {
 		return minSpareShare
 	}
-	used := p.loads[service].decayed(now) / loadDecayTime.Seconds() / rate
-	return max(1-used, minSpareShare)
+	return max(1-used/loadDecayTime.Seconds()/rate, minSpareShare)
 }
 
 func timeFor[N int | int64](count N, rate float64) time.Duration {
@@ -119,17 +166,33 @@
 	return rate
 }
 
-// workAhead returns the pending work of a service that runs before a new on-time job, and all of
-// its pending work.
-func (p *plan) workAhead(service api.ServiceName, job *Job, now time.Time) (ahead, all backlog) {
+// workAhead returns, for each stage of a new job, the pending work of its service that runs before
+// it while it is on time, and while it is late.
+func (p *plan) workAhead(job *Job, now time.Time) (ahead, all []backlog) {
+	ahead, all = make([]backlog, len(job.Stages)), make([]backlog, len(job.Stages))
+	onTimeClass, lateClass := class(job.Rank, false), class(job.Rank, true)
 	for _, j := range p.jobs {
+		class := class(j.Rank, j.Late || now.After(j.Target))
+		if class > lateClass {
+			continue
+		}
 		for i := range j.stages {
-			if j.stages[i].Service != service {
+			st := &j.stages[i]
+			if st.remaining == 0 {
 				continue
 			}
-			all.add(j.stages[i].remaining, j.stages[i].ResultBytes)
-			if j.Rank <= job.Rank && !now.After(j.Target) {
-				ahead.add(j.stages[i].remaining, j.stages[i].ResultBytes)
+			for k := range job.Stages {
+				if st.Service != job.Stages[k].Service {
+					continue
+				}
+				bytes := st.ResultBytes
+				if bytes > skippedSizeRatio*job.Stages[k].ResultBytes {
+					bytes = 0
+				}
+				all[k].add(st.remaining, bytes)
+				if class <= onTimeClass {
+					ahead[k].add(st.remaining, bytes)
+				}
 			}
 		}
 	}
--- a/internal/service/stage/job.go
+++ b/internal/service/stage/job.go
@@ -30,6 +30,9 @@
 	// Pinned jobs are not handed back when another host schedules the group, because their
 	// submitting host can't reach it.
 	Pinned bool
+	// Late is set at admission if the job can't meet its target. It then gets capacity that on-time
+	// jobs leave.
+	Late bool
 }
 
 // Spec is one stage of a job.
@@ -93,6 +96,9 @@
 	inputsReleased bool
 	// consumers holds the indexes of the stages that depend on this one and are not skipped.
 	consumers []int
+	// path is the critical path at pathVersion.
+	path        time.Duration
+	pathVersion int
 }
 
 // jobState is a job in progress.
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -22,9 +22,13 @@
 	// lateDeadlineShare is the share of the remaining time that the forecast of a late job may
 	// take.
 	lateDeadlineShare = 0.6
-	// minSpareShare is the least share of the capacity that late jobs are assumed to get, since
-	// on-time work arrives in bursts.
-	minSpareShare = 0.15
+	// minSpareShare is the least share of the capacity that late jobs are assumed to get, so that
+	// they don't starve in a long burst. Room that they occupy is lost to on-time jobs.
+	minSpareShare = 0.05
+	// skippedSizeRatio is the ratio of the sizes of results from which a small one does not wait for
+	// the room of a large one: a call skips large results without room, and the rest that they leave
+	// fits the small one.
+	skippedSizeRatio = 16
 	// deferSlack is added to the call time by which a large result may precede the other stages of
 	// its job, to allow for the time in its queue.
 	deferSlack = 100 * time.Millisecond
@@ -35,7 +39,7 @@
 	// contentionTime is how long inputs are kept until their calls end after one was released too
 	// early. A result of the other host's jobs lives this long.
 	contentionTime = 4 * time.Second
-	// loadDecayTime is the time constant of the decaying load of on-time work.
+	// loadDecayTime is the time constant of the decaying load.
 	loadDecayTime = 2 * time.Second
 	// firstEventTime is the time that an engine needs from the results to its first event.
 	firstEventTime = 250 * time.Millisecond
@@ -78,7 +82,11 @@
 	jobs    map[api.RequestID]*jobState
 	queues  map[api.ServiceName][]*item
 	workers map[fleet.Incarnation]*worker
-	loads   map[api.ServiceName]load
+	// loads holds the work of the jobs that arrived lately, whether they were accepted or not.
+	loads map[loadKey]load
+	// callTimes holds the results of callTime; timesVersion changes when they do.
+	callTimes    map[api.ServiceName]time.Duration
+	timesVersion int
 	// fetching holds the stages whose inputs are being fetched, ordered by end time.
 	fetching []inputFetch
 	// contendedUntil is the time until which upstreams are assumed to run calls of other hosts, so
@@ -93,12 +101,13 @@
 
 func newPlan(retry func(api.ServiceName) bool) *plan {
 	return &plan{
-		retry: retry, loads: map[api.ServiceName]load{}, jobs: map[api.RequestID]*jobState{}, queues: map[api.ServiceName][]*item{}, workers: map[fleet.Incarnation]*worker{},
+		retry: retry, loads: map[loadKey]load{}, callTimes: map[api.ServiceName]time.Duration{}, timesVersion: 1, jobs: map[api.RequestID]*jobState{}, queues: map[api.ServiceName][]*item{}, workers: map[fleet.Incarnation]*worker{},
 	}
 }
 
 // setUpstreams replaces the upstreams in use. Results of upstreams that are gone are recomputed.
 func (p *plan) setUpstreams(list []*fleet.Upstream, services map[api.ServiceName]*fleet.Service) {
+	p.timesChanged()
 	seen := map[fleet.Incarnation]bool{}
 	for _, upstream := range list {
 		service := services[upstream.Service]
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -151,23 +151,19 @@
 
 // admit refuses a job that can't be done in time. The caller holds mu.
 func (s *Scheduler) admit(job *Job, now time.Time) error {
-	f := s.plan.forecast(job, now)
-	if !f.served {
-		return fault.AddRetryAfter(fault.New(api.KindNoUpstream, "no upstream of a stage is ready"), minRetryAfter)
-	}
-	if f.meetsTarget(job, now) {
-		s.plan.addLoad(job, now)
-	}
-	if f.accepts(job, now) {
+	d := s.plan.admit(job, now)
+	if d.accepted {
 		return nil
 	}
+	if !d.served {
+		return fault.AddRetryAfter(fault.New(api.KindNoUpstream, "no upstream of a stage is ready"), d.retryAfter)
+	}
 	s.Metrics.Counter("stage.refused").Inc(1)
 	s.Log.Info().Str("request", string(job.Request)).Int("rank", job.Rank).Int("jobs", len(s.plan.jobs)).
-		Int64("on_time_ms", f.onTime.Milliseconds()).Int64("late_ms", f.late.Milliseconds()).
+		Int64("on_time_ms", d.onTime.Milliseconds()).Int64("late_ms", d.late.Milliseconds()).
 		Int64("aim_ms", job.Target.Sub(now).Milliseconds()).Int64("left_ms", job.Deadline.Sub(now).Milliseconds()).Msg("job_refused")
-	err := fault.New(api.KindDeadlineUnreachable, "the stages need %s, but only %s remain until the deadline", f.late.Round(time.Millisecond), job.Deadline.Sub(now).Round(time.Millisecond))
-	wait := f.late - time.Duration(lateDeadlineShare*float64(job.Deadline.Sub(now)))
-	return fault.AddRetryAfter(err, max(min(max(wait, minRetryAfter), maxRetryAfter), s.plan.pausedForJob(job, now)))
+	err := fault.New(api.KindDeadlineUnreachable, "the stages need %s, but only %s remain until the deadline", d.late.Round(time.Millisecond), job.Deadline.Sub(now).Round(time.Millisecond))
+	return fault.AddRetryAfter(err, d.retryAfter)
 }
 
 // refresh records that the scheduler runs and updates the plan to the newest view. After a long
--- a/internal/service/stage/worker.go
+++ b/internal/service/stage/worker.go
@@ -92,8 +92,11 @@
 	return !w.removed && len(w.calls) < w.limits.MaxConcurrent && !now.Before(w.cooldownUntil)
 }
 
-// usable reports whether the upstream takes calls apart from those that run.
-func (w *worker) usable(now time.Time) bool { return !w.removed && !now.Before(w.cooldownUntil) }
+// usable reports whether the upstream takes calls apart from those that run. The short cooldown of a
+// full upstream does not count: it still serves, so that forecasts must not take it for lost.
+func (w *worker) usable(now time.Time) bool {
+	return !w.removed && (w.failures == 0 || !now.Before(w.cooldownUntil))
+}
 
 // rate returns the items per second with full calls.
 func (w *worker) rate() float64 {
