Order requests by the priority of their workspace, then by that of their route

Cause: a priority of the workspace replaced that of the route. All workspaces of the deployments in force have one, so all requests of all routes had the same rank, in the order of stage jobs and at the engines. The logs show rank=1 for each of 2,159 refused or abandoned jobs of all kinds.

Change: the rank orders by the workspace first and by the route among equal workspaces, and engines get it as it is, up to 9.

--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -32,8 +32,7 @@
 	Request  *fleet.Request
 	Route    *fleet.Route
 	Snapshot *fleet.Snapshot
-	// Rank is the priority; 0 is the highest.
-	Rank int
+	Rank     fleet.Rank
 	// EngineDataCentre is the data centre of the engine that the hash of the prompt prefix selects.
 	EngineDataCentre api.DataCentre
 	// Target is when the results should be ready.
@@ -69,7 +68,7 @@
 	view      *directory.View
 	service   api.ServiceName
 	workspace api.WorkspaceName
-	rank      int
+	rank      fleet.Rank
 	deadline  time.Time
 	history   AttemptCounts
 	exclude   map[api.UpstreamID]bool
@@ -164,7 +163,7 @@
 		return nil, fault.New(api.KindNotFound, "no route matches this host and path")
 	}
 	c := &call{
-		Service: s, request: request, route: route, view: view, service: route.ServiceFor(request.ID), rank: route.Priority,
+		Service: s, request: request, route: route, view: view, service: route.ServiceFor(request.ID),
 		exclude: map[api.UpstreamID]bool{}, writer: w,
 	}
 	if view.Snapshot.RequiresCredential() && !route.Public {
@@ -172,10 +171,9 @@
 		if workspace == nil {
 			return nil, fault.New(api.KindUnauthorized, "unknown credential")
 		}
-		c.workspace = workspace.Name
-		if workspace.Priority != nil {
-			c.rank = *workspace.Priority
-		}
+		c.workspace, c.rank = workspace.Name, fleet.RankOf(route, workspace)
+	} else {
+		c.rank = fleet.RankOf(route, nil)
 	}
 	c.deadline = request.Received.Add(maxRequestTime)
 	for _, bound := range []time.Duration{request.CallerTimeout, route.Timeout} {
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -33,10 +33,6 @@
 	// queueingLatency is the mean time to the first event from which an engine is assumed to
 	// queue requests.
 	queueingLatency = 800 * time.Millisecond
-	// rankStep is the number of engine ranks per priority level of routes.
-	rankStep = 2
-	// maxRank is the lowest priority that engines accept.
-	maxRank = 9
 )
 
 // serveStream serves a request whose response is an event stream.
@@ -202,7 +198,7 @@
 func (s *streamCall) exchange(ctx context.Context, upstream *fleet.Upstream, stall *stallTimer) (Result, time.Duration, error) {
 	attempt := s.newAttempt(upstream)
 	attempt.LastEventID, attempt.Inputs = s.lastEventID, s.prepared.Inputs
-	attempt.SendRank, attempt.Rank = true, min(max(s.rank, 0)*rankStep, maxRank)
+	attempt.SendRank, attempt.Rank = true, s.rank.ForEngine()
 	startTime := clock.Now()
 	if len(attempt.Inputs) > 0 && s.Health.Get(upstream).Latency < queueingLatency {
 		prepared := s.prepared
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -185,7 +185,7 @@
 
 func newMessage(work *forward.StageWork, group Group, now time.Time) *Message {
 	m := &Message{
-		Request: work.Request.ID, Key: work.Request.ItemKey, Rank: work.Rank, Group: group, Home: work.EngineDataCentre,
+		Request: work.Request.ID, Key: work.Request.ItemKey, Rank: int(work.Rank), Group: group, Home: work.EngineDataCentre,
 		DeadlineMs: (work.Deadline.Sub(now) - engineReserve).Milliseconds(),
 		TargetMs:   work.Target.Sub(now).Milliseconds(),
 	}
