Limit what all hosts together send to a cold upstream

The bound floor(coldPerS x coldExcess + coldSlack) is divided into slots, half of them for each of two lists of hosts that may be in use at once. Rendezvous hashing gives each slot to one host, which sends one request in 1.5 s: a second and the spread of the times from the decision to the arrival. So no burst and no rate adds to the slots. A host uses a slot only if all lists that it had in the last 3 s give it one, and none in the first 3 s, since hosts that start together know different lists.

Cold times come from entries, from Redwingloft-Cold-Ms in responses, which only makes them longer, and from the end of an evacuation, until the entry is written again. Invalid ones are ignored, counted and logged once. A request whose stages would end at engines that are all cold and taken is refused before its stages.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -100,7 +100,7 @@
 	}
 	e.directory = e.newDirectory(kv)
 	e.prompts = &quarantine.Tracker{Stored: e.quarantinedParts}
-	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, Log: logger, Metrics: e.metrics}
+	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, ColdBound: e.coldBound, Log: logger, Metrics: e.metrics}
 	e.pool = &forward.Pool{
 		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
 		BufferLimit: int64(bufferMemoryRatio * s.Host.MemoryLimit * megabyte),
@@ -197,8 +197,18 @@
 	return created
 }
 
-// onViewChange notifies the schedulers of a new view.
+// coldBound returns the number of requests that a cold upstream of a service may get in any one second.
+func (e *entryHost) coldBound(service api.ServiceName) (bound int, limited bool) {
+	snapshot := e.directory.View().Snapshot
+	if snapshot == nil || snapshot.Services[service] == nil {
+		return 0, false
+	}
+	return e.settings.Cold.Bound(snapshot.Services[service].ColdRate)
+}
+
+// onViewChange notifies the schedulers of a new view, and the throttle of the hosts in it.
 func (e *entryHost) onViewChange(*directory.View) {
+	e.throttle.UpdateHosts(clock.Now())
 	e.schedulersMu.Lock()
 	defer e.schedulersMu.Unlock()
 	for _, scheduler := range e.schedulers {
--- a/cmd/entry_limit_test.go
+++ b/cmd/entry_limit_test.go
@@ -39,15 +39,15 @@
 	a.at = append(a.at, time.Now())
 }
 
-// most returns the most requests in a window of limitWindow after a time.
-func (a *arrivals) most(after time.Time) int {
+// most returns the most requests in a window after a time.
+func (a *arrivals) most(after time.Time, window time.Duration) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	most := 0
 	for i, first := range a.at {
 		count := 0
 		for _, at := range a.at[i:] {
-			if at.Sub(first) < limitWindow {
+			if at.Sub(first) < window {
 				count++
 			}
 		}
@@ -85,7 +85,7 @@
 	}
 	requests.Wait()
 	for i := range limited {
-		most := limited[i].most(start.Add(contactTime))
+		most := limited[i].most(start.Add(contactTime), limitWindow)
 		assert.Assert(t, most <= maxInWindow, "upstream %d got %d requests in %s", i, most, limitWindow)
 		assert.Assert(t, most > 0, "upstream %d got no requests", i)
 	}
--- a/cmd/entry_settings_test.go
+++ b/cmd/entry_settings_test.go
@@ -19,7 +19,7 @@
 		"ip": "127.0.0.1", "portRange.0": "3", "listen.directory": "127.0.0.1:4", "listen.ready": "127.0.0.1:5",
 		"platform.address": "127.0.0.1:6", "bounds.graceS": "8", "limits.memoryMb": "284", "bounds.configMs": "2000",
 		"bounds.drainMs": "2000", "bounds.revokeMs": "5000", "bounds.retryRatio": "0.2", "bounds.retrySlack": "54",
-		"bounds.retryWindowS": "10", "bounds.evacuateMs": "5000",
+		"bounds.retryWindowS": "10", "bounds.evacuateMs": "5000", "bounds.coldExcess": "1.5", "bounds.coldSlack": "5",
 	}
 }
 
@@ -28,7 +28,7 @@
 	"bounds.graceS": "[host] shutdown", "limits.memoryMb": "[host] memory_limit", "bounds.configMs": "[store] in_force_within",
 	"bounds.drainMs": "[store] drained_within", "bounds.revokeMs": "[store] revoked_within", "bounds.retryRatio": "[retry] ratio",
 	"bounds.retrySlack": "[retry] slack", "bounds.retryWindowS": "[retry] window",
-	"bounds.evacuateMs": "[store] evacuated_within",
+	"bounds.evacuateMs": "[store] evacuated_within", "bounds.coldExcess": "[cold] excess", "bounds.coldSlack": "[cold] slack",
 }
 
 // TestEveryBoundTakesEveryForm guards against a host that does not start, or that names no key,
--- a/internal/data/fleet/document.go
+++ b/internal/data/fleet/document.go
@@ -117,6 +117,10 @@
 	Engine *Engine
 	// Batching is nil for services that don't run stages.
 	Batching *Batching
+	// ColdTime is how long an upstream is cold after its start; 0 means never.
+	ColdTime time.Duration
+	// ColdRate is the number of requests a second that a cold upstream tolerates; 0 means any.
+	ColdRate float64
 }
 
 // Workspace is a tenant with its credentials.
--- a/internal/data/fleet/request.go
+++ b/internal/data/fleet/request.go
@@ -81,6 +81,10 @@
 	RateLimit *float64
 	// Leaving is true if the upstream announces its shutdown.
 	Leaving bool
+	// ColdLeft is how long the upstream stays cold; 0 means not specified.
+	ColdLeft time.Duration
+	// ColdErr is the error of a cold time that was ignored; nil if there is none.
+	ColdErr error
 	// RetryAfter is how long the upstream, which refused the request, wants no request from this
 	// host; 0 means not specified.
 	RetryAfter time.Duration
--- a/internal/data/fleet/upstream.go
+++ b/internal/data/fleet/upstream.go
@@ -27,8 +27,11 @@
 	// Slots is the number of requests that it processes concurrently; 0 means not specified.
 	Slots int
 	State State
-	// WarmUp is how long the upstream is slow after its start.
+	// WarmUp is how long the upstream is slow and cold, as of the time at which its entry was written.
 	WarmUp time.Duration
+	// ColdUntil is the end of its cold time by the clock of this host, as its entry and the
+	// evacuations of its data centre show; zero if it is warm.
+	ColdUntil time.Time
 	// Started is the Unix time of the start in milliseconds; it identifies the incarnation.
 	Started int64
 }
--- a/internal/data/settings/platform.go
+++ b/internal/data/settings/platform.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // watchWaitFraction is the fraction of MaxAge that a watch call may wait without a
 // reply. The rest is reserved for reading the complete state again.
@@ -49,6 +52,32 @@
 // of it are used as wait times.
 const minMaxAge = time.Millisecond
 
+// Cold holds the settings of section [cold], the limit of cold upstreams: they get no more requests in
+// any one second from all hosts together than Excess times the rate that they tolerate, and Slack more.
+type Cold struct {
+	// Excess is positive; 0 means that there is no limit.
+	Excess float64
+	Slack  float64
+}
+
+const (
+	maxColdExcess = 1000
+	maxColdSlack  = 1e6
+)
+
+func loadCold(s *section) Cold {
+	return Cold{Excess: s.decimal("excess", 0, 0, maxColdExcess), Slack: s.decimal("slack", 0, 0, maxColdSlack)}
+}
+
+// Bound returns the number of requests that a cold upstream that tolerates rate requests a second may
+// get in any one second, and false if there is no limit.
+func (c Cold) Bound(rate float64) (bound int, limited bool) {
+	if c.Excess <= 0 || !(rate > 0) {
+		return 0, false
+	}
+	return int(min(rate*c.Excess+c.Slack, math.MaxInt32)), true
+}
+
 // keyEvacuatedWithin is the key of Store.EvacuatedWithin.
 const keyEvacuatedWithin = "evacuated_within"
 
--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -141,6 +141,7 @@
 		return 0
 	})
 	s.Metrics.GaugeFunc("directory.evacuated", func() int64 { return int64(len(s.View().Evacuated)) })
+	s.Metrics.GaugeFunc("directory.cold", s.countCold)
 	defer s.Timer.Every(expirePeriod, func(time.Time) {
 		s.detectPause()
 		s.expire()
--- a/internal/service/directory/log.go
+++ b/internal/service/directory/log.go
@@ -53,7 +53,7 @@
 	}
 	for _, upstream := range changed {
 		s.Log.Info().Str("upstream", string(upstream.ID)).Str("service", string(upstream.Service)).Str("state", string(upstream.State)).
-			Int64("started", upstream.Started).Int64("version", int64(view.Version)).Msg("upstream_changed")
+			Int64("started", upstream.Started).Int64("cold_ms", upstream.WarmUp.Milliseconds()).Int64("version", int64(view.Version)).Msg("upstream_changed")
 	}
 	for _, id := range gone {
 		s.Log.Info().Str("upstream", string(id)).Int64("version", int64(view.Version)).Msg("upstream_gone")
--- a/internal/service/directory/restore.go
+++ b/internal/service/directory/restore.go
@@ -86,7 +86,11 @@
 	if len(s.removed) < maxRemoved {
 		s.removed[key] = removal{s.records[key].started(), version, now}
 	}
+	centre := s.records[key].evacuated
 	delete(s.records, key)
+	if centre != "" {
+		s.chill(centre, now)
+	}
 }
 
 // holdReappeared holds a record back if its entry is in the copy from which the store came back,
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -102,6 +102,8 @@
 	host        *fleet.Host
 	quarantined *fleet.QuarantinedPart
 	evacuated   api.DataCentre
+	// coldIgnored is true if the cold time of the upstream is invalid.
+	coldIgnored bool
 	// expiresAt is the time at which an entry that went missing during an outage is
 	// removed; zero if the entry is not missing.
 	expiresAt time.Time
@@ -283,6 +285,7 @@
 		return
 	}
 	s.holdReappeared(decoded, now)
+	s.setCold(decoded, now)
 	s.records[entry.Key] = decoded
 }
 
@@ -314,8 +317,12 @@
 		return decoded
 	}
 	upstream, err := s.Decoder.Upstream(entry.Key, entry.Value)
-	if err != nil {
+	decoded.coldIgnored = err != nil && upstream != nil
+	// Upstreams write their entries every second or so.
+	if known := s.records[entry.Key]; err != nil && (known == nil || !known.coldIgnored || !decoded.coldIgnored) {
 		s.reportMalformed(entry.Key, err)
+	}
+	if upstream == nil {
 		return decoded
 	}
 	if upstream.State == fleet.StateDraining {
--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -100,6 +100,7 @@
 	if p.Throttle != nil && (reply.RateLimit != nil || genuine) {
 		p.Throttle.Observe(upstream, reply.RateLimit, clock.Now())
 	}
+	p.Throttle.ObserveCold(upstream, reply.ColdLeft, reply.ColdErr, clock.Now())
 	if genuine && reply.RetryAfter > 0 {
 		p.Throttle.Pause(upstream, reply.RetryAfter, clock.Now())
 	}
--- a/internal/service/forward/prepare.go
+++ b/internal/service/forward/prepare.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"redwingloft/internal/helper/clock"
@@ -32,12 +33,50 @@
 	if len(c.request.Items) != len(c.route.Stages) {
 		return nil, fault.New(api.KindBadRequest, "request has items for %d stages, but the route has %d", len(c.request.Items), len(c.route.Stages))
 	}
+	leave, err := c.enterStages(deadline)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
 	return c.RunStages(ctx, &StageWork{
 		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Target: target, Deadline: deadline,
 		EngineDataCentre: PrefixDataCentre(c.candidates(), c.request, clock.Now()),
 	})
 }
 
+// preparing counts the requests whose stages run, by service. The zero value is ready to use.
+type preparing struct {
+	mu     sync.Mutex
+	counts map[api.ServiceName]int
+}
+
+// enterStages returns an error if no engine can take the request when its stages are done, because all
+// are evacuated, or are cold and get as many requests until the deadline as they tolerate. Otherwise the
+// returned function is called after the stages.
+func (c *call) enterStages(deadline time.Time) (leave func(), err error) {
+	view := c.View()
+	ready := view.Ready(c.service)
+	if len(ready) == 0 && len(view.Evacuated) > 0 {
+		return nil, c.noCandidateError()
+	}
+	p := &c.preparing
+	room := c.Pool.Throttle.Room(ready, clock.Now(), deadline.Add(-minAttemptTime))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(ready) > 0 && p.counts[c.service] >= room {
+		return nil, c.noCandidateError()
+	}
+	if p.counts == nil {
+		p.counts = map[api.ServiceName]int{}
+	}
+	p.counts[c.service]++
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.counts[c.service]--
+	}, nil
+}
+
 // rerunStages runs the stages of the request again. A stream that has begun is cut if it can't go
 // on, so its stages are not late before its caller gives up. lastEvent is the time of the last
 // event; zero if there was none.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -59,6 +59,8 @@
 	// RefusalError returns the error with which a new request with the given deadline is refused, or
 	// nil. It may be nil.
 	RefusalError func(route *fleet.Route, deadline time.Time) error
+
+	preparing preparing
 }
 
 // call is the state of one request while it is served.
--- a/internal/service/stage/dispatch.go
+++ b/internal/service/stage/dispatch.go
@@ -98,7 +98,7 @@
 	var rate float64
 	for _, other := range p.workers {
 		if other != w && other.upstream.Service == w.upstream.Service && p.usable(other, now) && other.slowdown < slowThreshold {
-			rate += p.itemRate(other)
+			rate += p.itemRate(other, now)
 		}
 	}
 	if rate == 0 {
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -148,9 +148,9 @@
 		served = true
 		switch {
 		case p.usable(w, now):
-			rate += p.itemRate(w)
+			rate += p.itemRate(w, now)
 		case w.usable(now):
-			later += p.itemRate(w)
+			later += p.itemRate(w, now)
 		}
 	}
 	if rate == 0 {
@@ -193,7 +193,7 @@
 	return last
 }
 
-// itemRate returns the items per second of an upstream with full calls, within its rate limit.
-func (p *plan) itemRate(w *worker) float64 {
-	return min(w.rate(), p.throttle.Limit(w.upstream)*float64(w.limits.MaxItems))
+// itemRate returns the items per second of an upstream with full calls, within its limits.
+func (p *plan) itemRate(w *worker, now time.Time) float64 {
+	return min(w.rate(), p.throttle.RateAlone(w.upstream, now)*float64(w.limits.MaxItems))
 }
--- a/internal/service/stage/room.go
+++ b/internal/service/stage/room.go
@@ -40,7 +40,7 @@
 // mayFree reports whether the rate limit and the pause of an upstream allow a call that frees
 // results, and counts it. Queued items go first, unless they lack the room.
 func (p *plan) mayFree(w *worker, now time.Time) bool {
-	if math.IsInf(p.throttle.Limit(w.upstream), 1) {
+	if math.IsInf(p.throttle.RateAlone(w.upstream, now), 1) {
 		return p.throttle.Paused(w.upstream, now) == 0
 	}
 	if len(p.queues[w.upstream.Service]) > 0 && !w.aboveHighWater() {
--- a/internal/service/throttle/pause.go
+++ b/internal/service/throttle/pause.go
@@ -46,14 +46,19 @@
 	}
 }
 
-// Paused returns the time until an upstream wants requests from this host again.
+// Paused returns the time until an upstream, which gets requests from this host only, accepts one again
+// after a pause, or because it is cold and this host has no slot.
 func (t *Table) Paused(upstream *fleet.Upstream, now time.Time) time.Duration {
 	if t == nil {
 		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.paused(upstream, now)
+	paused := t.paused(upstream, now)
+	if cold := t.coldLimit(upstream, now); cold != nil && t.coldSlotsAlone(cold, now) == 0 {
+		paused = max(paused, cold.wait(0, now))
+	}
+	return paused
 }
 
 // paused is like Paused. The caller holds mu.
--- a/internal/service/throttle/throttle.go
+++ b/internal/service/throttle/throttle.go
@@ -1,7 +1,8 @@
 // Package throttle keeps the requests of all hosts to an upstream below the rate limit that the
 // upstream names in its responses. A few hosts share the limit of an upstream, and the others
 // send it nothing: with a share for each host of a large fleet, one request from each would
-// already be too many. It also keeps the pauses that upstreams ask this host for.
+// already be too many. It also keeps the limits of cold upstreams, and the pauses that upstreams ask
+// this host for.
 package throttle
 
 import (
@@ -58,13 +59,23 @@
 type Table struct {
 	Self api.HostID
 	// Hosts returns the registered hosts. The slice is not modified after it was returned.
-	Hosts   func() []fleet.Host
-	Log     *log.Logger
-	Metrics *metric.Set
+	Hosts func() []fleet.Host
+	// ColdBound returns the number of requests that a cold upstream of a service may get in any one
+	// second from all hosts together, and false if there is no such limit; nil means that there is none.
+	ColdBound func(service api.ServiceName) (bound int, limited bool)
+	Log       *log.Logger
+	Metrics   *metric.Set
 
 	mu     sync.Mutex
 	limits map[fleet.Incarnation]*limit
-	pauses map[fleet.Incarnation]*pause
+	cold   map[fleet.Incarnation]*coldUse
+	// lists holds the lists of hosts of the last settleTime, the newest last. listsSince is the time of
+	// the first one, and listsSettled is set settleTime later. listsVersion rises with each change.
+	lists        []hostList
+	listsSince   time.Time
+	listsSettled bool
+	listsVersion int
+	pauses       map[fleet.Incarnation]*pause
 	// hosts are those for which nodes and self were computed, in the given version.
 	hosts        []fleet.Host
 	hostsVersion int
@@ -138,20 +149,23 @@
 }
 
 // State reports whether an upstream names a limit, and whether this host may send it no request
-// now because of it or of a pause.
+// now because of it, of a pause, or because the upstream is cold.
 func (t *Table) State(upstream *fleet.Upstream, now time.Time) (limited, exhausted bool) {
 	if t == nil {
 		return false, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	paused := t.paused(upstream, now) > 0
+	exhausted = t.paused(upstream, now) > 0
+	if cold := t.coldLimit(upstream, now); cold != nil {
+		exhausted = exhausted || cold.wait(t.coldSlots(upstream, cold, now), now) > 0
+	}
 	known := t.limited(upstream)
 	if known == nil {
-		return false, paused
+		return false, exhausted
 	}
 	rate := t.share(upstream.ID, known)
-	return true, paused || rate == 0 || known.wait(rate, now) > 0
+	return true, exhausted || rate == 0 || known.wait(rate, now) > 0
 }
 
 // Take reports whether this host may send the upstream a request now, and counts it.
@@ -164,8 +178,17 @@
 	if t.paused(upstream, now) > 0 {
 		return false
 	}
-	known := t.limited(upstream)
-	return known == nil || known.take(t.share(upstream.ID, known), now)
+	cold := t.coldLimit(upstream, now)
+	if cold != nil && cold.wait(t.coldSlots(upstream, cold, now), now) > 0 {
+		return false
+	}
+	if known := t.limited(upstream); known != nil && !known.take(t.share(upstream.ID, known), now) {
+		return false
+	}
+	if cold != nil {
+		cold.take(now)
+	}
+	return true
 }
 
 // WaitAlone returns the time until this host may send a request to an upstream that gets requests
@@ -180,6 +203,9 @@
 	if known := t.limited(upstream); known != nil {
 		wait = max(wait, known.wait(known.rate, now))
 	}
+	if cold := t.coldLimit(upstream, now); cold != nil {
+		wait = max(wait, cold.wait(t.coldSlotsAlone(cold, now), now))
+	}
 	return wait
 }
 
@@ -193,8 +219,17 @@
 	if t.paused(upstream, now) > 0 {
 		return false
 	}
-	known := t.limited(upstream)
-	return known == nil || known.take(known.rate, now)
+	cold := t.coldLimit(upstream, now)
+	if cold != nil && cold.wait(t.coldSlotsAlone(cold, now), now) > 0 {
+		return false
+	}
+	if known := t.limited(upstream); known != nil && !known.take(known.rate, now) {
+		return false
+	}
+	if cold != nil {
+		cold.take(now)
+	}
+	return true
 }
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
@@ -276,4 +311,9 @@
 			delete(t.limits, incarnation)
 		}
 	}
+	for incarnation := range t.cold {
+		if !keep(incarnation) {
+			delete(t.cold, incarnation)
+		}
+	}
 }
