Measure the costs of prompts and requests at engines

SelectEngine weighed waiting prompt tokens, running requests and a second reading of a prefix by two assumed constants, 38 tokens a ms and 8 ms. Both costs are now measured from the time to the first event by least squares over the tokens to read and this host's running requests, with the constants as prior: for an engine from 16 responses, else for its service, else the constants remain. Responses beyond twice the mean difference are cut off, weights halve in 30 s, and a measurement ends two minutes after its last response. A reported pace multiplies the cost of its engine.

Test with noise and one response in 25 two seconds late: 10.0, 38.4, 56.3 and 90.5 tokens a ms measured of 10, 38.4, 56.6 and 91.8; 27 ms a running request of 20. Ruled out: a cut at four times the prediction (43 ms).

Health holds measurements by pointers, since a copy of them for each of 112 candidates took 32 KB.

--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -64,11 +64,11 @@
 // the usual pace.
 func expectedTime(c *Candidate, now time.Time) float64 {
 	slots := c.Upstream.Slots
-	if !c.Health.Load.At.IsZero() {
-		slots = c.Health.Load.Slots
+	if !c.Health.reportedAt().IsZero() {
+		slots = c.Health.Measured.Load.Slots
 	}
-	open := c.Health.Load.open(c.Health.Running, now) / float64(max(slots, 1))
-	pace := max(c.Health.Pace.Now(now), c.Health.silence(now))
+	open := c.Health.open(now) / float64(max(slots, 1))
+	pace := max(c.Health.pace(now), c.Health.silence(now))
 	return pace * (1 + open) * (1 + failurePenalty*c.Health.failureRate(now))
 }
 
@@ -77,7 +77,6 @@
 	var chosen *fleet.Upstream
 	var chosenTier int
 	var chosenCost float64
-	var chosenTieScore uint64
 	hash := hashing.Of(string(request))
 	for i := range candidates {
 		c := &candidates[i]
@@ -88,10 +87,13 @@
 		if exclude[c.Upstream.ID] {
 			tier = 2
 		}
-		candidateCost, tieScore := cost(c), hashing.Score(hash, hashing.Of(string(c.Upstream.ID)))
-		better := tier < chosenTier || (tier == chosenTier && (candidateCost < chosenCost || (candidateCost == chosenCost && tieScore > chosenTieScore)))
-		if chosen == nil || better {
-			chosen, chosenTier, chosenCost, chosenTieScore = c.Upstream, tier, candidateCost, tieScore
+		candidateCost := cost(c)
+		better := chosen == nil || tier < chosenTier || (tier == chosenTier && candidateCost < chosenCost)
+		if !better && tier == chosenTier && candidateCost == chosenCost {
+			better = hashing.Score(hash, hashing.Of(string(c.Upstream.ID))) > hashing.Score(hash, hashing.Of(string(chosen.ID)))
+		}
+		if better {
+			chosen, chosenTier, chosenCost = c.Upstream, tier, candidateCost
 		}
 	}
 	return chosen
--- a/internal/service/forward/engine.go
+++ b/internal/service/forward/engine.go
@@ -10,9 +10,10 @@
 
 const (
 	// prefillRate is the assumed number of prompt tokens that an engine prefills per
-	// millisecond. It only weighs tokens against requests.
+	// millisecond, until there are measurements.
 	prefillRate = 38.0
-	// requestCost is the delay that one running generation adds to the others on its engine.
+	// requestCost is the assumed delay that one running generation adds to the others on its
+	// engine, until there are measurements.
 	requestCost = 8 * time.Millisecond
 	// remoteCost is the cost of transferring inputs and responses between data centres.
 	remoteCost = 3 * time.Millisecond
@@ -24,23 +25,36 @@
 // suits long shared prompts. An engine with a rate limit costs no repeated prefill: it has time
 // for it, and the requests that it accepts would be lost to engines that get all others.
 func SelectEngine(candidates []Candidate, request *fleet.Request, preferred api.DataCentre, exclude map[api.UpstreamID]bool, now time.Time) *fleet.Upstream {
+	upstream, _ := selectEngine(candidates, request, preferred, exclude, now)
+	return upstream
+}
+
+// selectEngine is like SelectEngine and also returns the prompt tokens that the engine presumably keeps.
+func selectEngine(candidates []Candidate, request *fleet.Request, preferred api.DataCentre, exclude map[api.UpstreamID]bool, now time.Time) (*fleet.Upstream, int) {
 	prefix, shared := sharedPrefix(request)
 	owner := rendezvousOwner(candidates, prefix)
-	return best(candidates, request.ID, exclude, now, func(c *Candidate) float64 {
-		cost := float64(c.Health.PendingTokens) / prefillRate / 1000
-		cost += requestCost.Seconds() * float64(c.Health.Running)
+	chosen := best(candidates, request.ID, exclude, now, func(c *Candidate) float64 {
+		costs := c.Health.engineCosts()
+		tokens := c.Health.PendingTokens
 		if c.Upstream != owner && !c.Limited {
-			cost += float64(shared) / prefillRate / 1000
+			tokens += shared
 		}
+		cost := costs.Token*float64(tokens) + costs.Request*float64(c.Health.Running+1)
 		if c.Upstream.DataCentre != preferred && preferred != "" {
 			cost += remoteCost.Seconds()
 		}
 		if c.Upstream.WarmUp > 0 {
-			cost += requestCost.Seconds()
+			cost += costs.Request
 		}
-		rate := c.Health.failureRate(now)
-		return (cost + requestCost.Seconds()) * (1 + failurePenalty*rate)
+		if c.Health.Measured != nil && c.Health.Measured.Pace.Reported {
+			cost *= c.Health.pace(now)
+		}
+		return cost * (1 + failurePenalty*c.Health.failureRate(now))
 	})
+	if chosen == nil || chosen != owner {
+		shared = 0
+	}
+	return chosen, shared
 }
 
 // PrefixDataCentre returns the data centre of the engine that the hash of a request's prefix
--- a/internal/service/forward/health.go
+++ b/internal/service/forward/health.go
@@ -40,18 +40,68 @@
 	UnreachableCount int
 	// LastOutcome is the time of the last outcome.
 	LastOutcome time.Time
+	// LossRate is the moving average of the share of requests without a usable response, between 0
+	// and 1, at the last outcome.
+	LossRate float64
+	// LoadChange is the number of this host's requests that have begun since the last report of the
+	// upstream's load less those that have ended.
+	LoadChange int
+	// SilentSince is the time of the last outcome, or the time since which this host has had requests
+	// in flight without interruption if that is later, in Unix nanoseconds.
+	SilentSince int64
+	// Measured holds the measurements of the upstream, and Service those of its service; nil if there
+	// are none. They are not changed but replaced, since a choice copies the health of all candidates.
+	Measured *Measured
+	Service  *MeasuredService
+}
+
+// Measured holds measurements of an upstream.
+type Measured struct {
 	// Pace is how long work takes at the upstream.
 	Pace Pace
 	// Load is the load that the upstream last reported.
 	Load ReportedLoad
-	// SilentSince is the time of the last outcome, or the time since which this host has had requests
-	// in flight without interruption if that is later.
-	SilentSince time.Time
-	// Usual is the usual response time of the service; 0 means unknown.
+	// Costs are the costs of work at an engine; zero if unknown.
+	Costs EngineCosts
+}
+
+// MeasuredService holds measurements of a service over all its upstreams.
+type MeasuredService struct {
+	// Usual is the usual response time.
 	Usual time.Duration
-	// LossRate is the moving average of the share of requests without a usable response, between 0
-	// and 1, at the last outcome.
-	LossRate float64
+	// Costs are the costs of work at an engine; zero if unknown.
+	Costs EngineCosts
+}
+
+// healthEntry is the health of one upstream with its measurements.
+type healthEntry struct {
+	Health
+	costs   costEstimate
+	service *serviceMeasures
+}
+
+// change replaces the measurements of an upstream.
+func (e *healthEntry) change(change func(*Measured)) {
+	measured := Measured{}
+	if e.Measured != nil {
+		measured = *e.Measured
+	}
+	change(&measured)
+	e.Measured = &measured
+}
+
+// serviceMeasures computes the measurements of a service.
+type serviceMeasures struct {
+	usual usualLatency
+	costs costEstimate
+	// streams is set for services whose time to the first event depends on the prompt.
+	streams bool
+	// published is replaced with each change.
+	published *MeasuredService
+}
+
+func (m *serviceMeasures) publish() {
+	m.published = &MeasuredService{Usual: m.usual.mean, Costs: m.costs.measured()}
 }
 
 // failureRate returns the failure rate, decayed since the last outcome.
@@ -90,14 +140,13 @@
 // HealthTable holds the health of all upstreams. The zero value is ready to use.
 type HealthTable struct {
 	mu    sync.Mutex
-	table map[fleet.Incarnation]*Health
+	table map[fleet.Incarnation]*healthEntry
 	// observed holds the outcomes since the last call to Observations.
 	observed map[fleet.Incarnation]*Observation
 	// shared holds the failure rates over all hosts, received at sharedAt.
 	shared   map[fleet.Incarnation]float64
 	sharedAt time.Time
-	// usual holds the usual response time of each service.
-	usual map[api.ServiceName]*usualLatency
+	services map[api.ServiceName]*serviceMeasures
 }
 
 // Observation counts the outcomes of attempts at one upstream.
@@ -158,13 +207,18 @@
 	}
 }
 
-func (t *HealthTable) entry(u *fleet.Upstream) *Health {
+func (t *HealthTable) entry(u *fleet.Upstream) *healthEntry {
 	if t.table == nil {
-		t.table = map[fleet.Incarnation]*Health{}
+		t.table, t.services = map[fleet.Incarnation]*healthEntry{}, map[api.ServiceName]*serviceMeasures{}
 	}
 	h := t.table[u.Incarnation()]
 	if h == nil {
-		h = &Health{}
+		service := t.services[u.Service]
+		if service == nil {
+			service = &serviceMeasures{}
+			t.services[u.Service] = service
+		}
+		h = &healthEntry{service: service}
 		t.table[u.Incarnation()] = h
 	}
 	return h
@@ -175,9 +229,27 @@
 func (t *HealthTable) Get(u *fleet.Upstream) Health {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := *t.entry(u)
-	if usual := t.usual[u.Service]; usual != nil {
-		h.Usual = usual.mean
+	var h Health
+	t.copyTo(&h, u)
+	return h
+}
+
+// Fill sets the health of all candidates.
+func (t *HealthTable) Fill(candidates []Candidate) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range candidates {
+		t.copyTo(&candidates[i].Health, candidates[i].Upstream)
+	}
+}
+
+// copyTo copies the health of an upstream to h. t.mu must be held.
+func (t *HealthTable) copyTo(h *Health, u *fleet.Upstream) {
+	e := t.entry(u)
+	*h = e.Health
+	h.Service = e.service.published
+	if len(t.shared) == 0 {
+		return
 	}
 	if shared := t.shared[u.Incarnation()]; shared > 0 {
 		now := clock.Now()
@@ -185,7 +257,6 @@
 			h.FailureRate, h.LossRate, h.LastOutcome = shared, max(shared, h.lossRate(now)), now
 		}
 	}
-	return h
 }
 
 // Begin counts a request that is sent to an upstream.
@@ -196,10 +267,10 @@
 	defer t.mu.Unlock()
 	h := t.entry(u)
 	if h.Running == 0 {
-		h.SilentSince = now
+		h.SilentSince = now.UnixNano()
 	}
 	h.Running++
-	h.Load.Change++
+	h.LoadChange++
 	h.PendingTokens += tokens
 }
 
@@ -216,7 +287,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.observe(u, OutcomeLost)
-	t.record(t.entry(u), OutcomeLost, 0, now)
+	t.record(&t.entry(u).Health, OutcomeLost, 0, now)
 }
 
 // End records the outcome of a request; latency is its response time, 0 if unknown.
@@ -225,12 +296,12 @@
 	defer t.mu.Unlock()
 	h := t.entry(u)
 	h.Running--
-	h.SilentSince = now
-	h.Load.Change--
+	h.SilentSince = now.UnixNano()
+	h.LoadChange--
 	t.observe(u, outcome)
-	t.record(h, outcome, latency, now)
-	if outcome == OutcomeAnswered && latency > 0 {
-		t.measurePace(u.Service, h, latency, now)
+	t.record(&h.Health, outcome, latency, now)
+	if outcome == OutcomeAnswered && latency > 0 && !h.service.streams {
+		h.measurePace(latency, now)
 	}
 }
 
@@ -268,8 +339,16 @@
 func (t *HealthTable) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, service := range t.services {
+		if service.costs.expire(now) {
+			service.publish()
+		}
+	}
 	for incarnation, h := range t.table {
-		if h.Running == 0 && now.Sub(h.LastOutcome) > healthTTL && now.Sub(h.Load.At) > healthTTL {
+		if h.costs.expire(now) {
+			h.change(func(m *Measured) { m.Costs = EngineCosts{} })
+		}
+		if h.Running == 0 && now.Sub(h.LastOutcome) > healthTTL && now.Sub(h.reportedAt()) > healthTTL {
 			delete(t.table, incarnation)
 		}
 	}
--- a/internal/service/forward/pace.go
+++ b/internal/service/forward/pace.go
@@ -53,13 +53,21 @@
 	p.Value, p.At = before+paceWeight*(min(max(value, minPace), maxPace)-before), now
 }
 
+// pace returns the pace that is expected now.
+func (h *Health) pace(now time.Time) float64 {
+	if h.Measured == nil {
+		return 1
+	}
+	return h.Measured.Pace.Now(now)
+}
+
 // silence returns the time for which requests in flight have had no response, relative to the usual
 // response time. It shows a slow upstream before the response does.
 func (h *Health) silence(now time.Time) float64 {
-	if h.Running <= 0 || h.Usual <= 0 {
+	if h.Running <= 0 || h.Service == nil || h.Service.Usual <= 0 {
 		return 0
 	}
-	return min(float64(now.Sub(h.SilentSince))/float64(h.Usual), maxPace)
+	return min(float64(now.UnixNano()-h.SilentSince)/float64(h.Service.Usual), maxPace)
 }
 
 // halved returns the share that remains after age of a quantity that halves in each halfLife.
@@ -70,24 +78,30 @@
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
-// ReportedLoad is the load that an upstream last reported, with what this host has sent since.
+// ReportedLoad is the load that an upstream last reported.
 type ReportedLoad struct {
 	fleet.Load
 	// At is when the report was received; zero if there was none.
 	At time.Time
-	// Change is the number of this host's requests that have begun since the report less those that
-	// have ended.
-	Change int
 }
 
-// open returns the number of requests that are expected to run or wait at the upstream, of which
-// own are this host's.
-func (l *ReportedLoad) open(own int, now time.Time) float64 {
-	if l.At.IsZero() {
-		return float64(own)
+// open returns the number of requests that are expected to run or wait at the upstream: those of this
+// host, and those of others by the last report, as far as it is recent.
+func (h *Health) open(now time.Time) float64 {
+	if h.Measured == nil || h.Measured.Load.At.IsZero() {
+		return float64(h.Running)
 	}
-	others := float64(l.Running + l.Waiting + l.Change - own)
-	return float64(own) + max(others, 0)*halved(now.Sub(l.At), loadHalfLife)
+	l := &h.Measured.Load
+	others := float64(l.Running + l.Waiting + h.LoadChange - h.Running)
+	return float64(h.Running) + max(others, 0)*halved(now.Sub(l.At), loadHalfLife)
+}
+
+// reportedAt returns when the upstream last reported its load; zero if it has not.
+func (h *Health) reportedAt() time.Time {
+	if h.Measured == nil {
+		return time.Time{}
+	}
+	return h.Measured.Load.At
 }
 
 // maxInvalidLoads bounds the upstreams whose invalid reports are logged.
@@ -135,7 +149,7 @@
 	defer t.mu.Unlock()
 	var slow []PaceOf
 	for incarnation, h := range t.table {
-		if pace := h.Pace.Now(now); pace >= slowPace {
+		if pace := h.pace(now); pace >= slowPace {
 			slow = append(slow, PaceOf{incarnation.ID, pace})
 		}
 	}
@@ -167,10 +181,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.entry(u)
-	h.Load = ReportedLoad{Load: *load, At: now}
-	if h.Pace.Reported = load.Pace > 0; h.Pace.Reported {
-		h.Pace.measure(load.Pace, now)
-	}
+	h.LoadChange = 0
+	h.change(func(m *Measured) {
+		m.Load = ReportedLoad{Load: *load, At: now}
+		if m.Pace.Reported = load.Pace > 0; m.Pace.Reported {
+			m.Pace.measure(load.Pace, now)
+		}
+	})
 }
 
 // Late records that a short request has had no response after a time in which others are answered. The
@@ -181,24 +198,19 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.observe(u, OutcomeLost)
-	if usual := t.usual[u.Service]; usual != nil && usual.mean > 0 {
-		t.entry(u).Pace.measure(float64(after)/float64(usual.mean), now)
+	e := t.entry(u)
+	if usual := e.service.usual.mean; usual > 0 {
+		e.change(func(m *Measured) { m.Pace.measure(float64(after)/float64(usual), now) })
 		return
 	}
-	t.record(t.entry(u), OutcomeLost, 0, now)
+	t.record(&e.Health, OutcomeLost, 0, now)
 }
 
-// measurePace derives the pace of an upstream from a response time. t.mu must be held.
-func (t *HealthTable) measurePace(service api.ServiceName, h *Health, latency time.Duration, now time.Time) {
-	usual := t.usual[service]
-	if usual == nil {
-		if t.usual == nil {
-			t.usual = map[api.ServiceName]*usualLatency{}
-		}
-		usual = &usualLatency{}
-		t.usual[service] = usual
-	}
-	if relative := usual.add(latency); !h.Pace.Reported {
-		h.Pace.measure(relative, now)
+// measurePace derives the pace of an upstream from a response time.
+func (e *healthEntry) measurePace(latency time.Duration, now time.Time) {
+	relative := e.service.usual.add(latency)
+	e.service.publish()
+	if e.Measured == nil || !e.Measured.Pace.Reported {
+		e.change(func(m *Measured) { m.Pace.measure(relative, now) })
 	}
 }
--- a/internal/service/forward/pace_model_test.go
+++ b/internal/service/forward/pace_model_test.go
@@ -303,7 +303,9 @@
 // ownView is like shortestDelay, but without what upstreams report.
 func ownView(candidates []Candidate, request api.RequestID, exclude map[api.UpstreamID]bool, now time.Time) *fleet.Upstream {
 	return best(candidates, request, exclude, now, func(c *Candidate) float64 {
-		c.Health.Load = ReportedLoad{}
+		if c.Health.Measured != nil {
+			c.Health.Measured = &Measured{Pace: c.Health.Measured.Pace}
+		}
 		return expectedTime(c, now)
 	})
 }
@@ -326,7 +328,7 @@
 	hash := hashing.Of(string(request))
 	return best(candidates, request, exclude, now, func(c *Candidate) float64 {
 		u := (float64(hashing.Score(hash, hashing.Of(string(c.Upstream.ID)))>>11) + 0.5) / (1 << 53)
-		return -math.Log(u) * c.Health.Pace.Now(now) * (1 + failurePenalty*c.Health.failureRate(now))
+		return -math.Log(u) * c.Health.pace(now) * (1 + failurePenalty*c.Health.failureRate(now))
 	})
 }
 
--- a/internal/service/forward/pace_test.go
+++ b/internal/service/forward/pace_test.go
@@ -23,7 +23,7 @@
 	list := engines(3)
 	for i := range list {
 		list[i].Upstream.Slots = 6
-		list[i].Health.Load = ReportedLoad{Load: fleet.Load{Running: 2 + i, Slots: 6}, At: now}
+		list[i].Health.Measured = &Measured{Load: ReportedLoad{Load: fleet.Load{Running: 2 + i, Slots: 6}, At: now}}
 	}
 	got := map[api.UpstreamID]int{}
 	const requests = 3000
@@ -75,9 +75,9 @@
 	now := time.Unix(1000, 0)
 	list := engines(2)
 	for i := range list {
-		list[i].Health = Health{Usual: 15 * time.Millisecond, Running: 1, SilentSince: now, LastOutcome: now}
+		list[i].Health = Health{Service: &MeasuredService{Usual: 15 * time.Millisecond}, Running: 1, SilentSince: now.UnixNano(), LastOutcome: now}
 	}
-	list[0].Health.SilentSince = now.Add(-100 * time.Millisecond)
+	list[0].Health.SilentSince -= int64(100 * time.Millisecond)
 	for i := range 50 {
 		assert.Equal(t, LeastLoaded(list, api.RequestID(fmt.Sprint(i)), nil, now).ID, list[1].Upstream.ID)
 	}
@@ -120,11 +120,11 @@
 	serve := func() ReportedLoad {
 		_, err := f.serve(t, nil)
 		assert.NilError(t, err)
-		return f.Health.Get(&f.upstreams[0].Entry).Load
+		return f.Health.Get(&f.upstreams[0].Entry).Measured.Load
 	}
 	load := serve()
 	assert.DeepEqual(t, load.Load, fleet.Load{Running: 2, Waiting: 1, Slots: 6, Pace: 3})
-	assert.Assert(t, f.Health.Get(&f.upstreams[0].Entry).Pace.Value > 1)
+	assert.Assert(t, f.Health.Get(&f.upstreams[0].Entry).Measured.Pace.Value > 1)
 	for range 3 {
 		report = "2,1,0,0"
 		assert.DeepEqual(t, serve().Load, load.Load)
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -122,7 +122,10 @@
 // if left remains until the deadline.
 func stallAfter(route *fleet.Route, health *Health, left time.Duration) time.Duration {
 	timeout := max(stallObjectiveFactor*route.Objective, stallLatencyFactor*health.Latency)
-	return max(timeout, min(stallUsualFactor*health.Usual, left/stallLeftDivisor))
+	if health.Service == nil {
+		return timeout
+	}
+	return max(timeout, min(stallUsualFactor*health.Service.Usual, left/stallLeftDivisor))
 }
 
 func (c *call) exchangeBuffered(ctx context.Context, upstream *fleet.Upstream) (*bufferedResponse, Result, error) {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -75,6 +76,8 @@
 	exclude   map[api.UpstreamID]bool
 	// upstream is the upstream of the last attempt.
 	upstream api.UpstreamID
+	// keptTokens is the number of prompt tokens that the engine chosen last presumably keeps.
+	keptTokens atomic.Int64
 	// prepareTime is the time from the arrival of the request to the end of its stages.
 	prepareTime time.Duration
 	writer      http.ResponseWriter
@@ -209,9 +212,10 @@
 	list := make([]Candidate, 0, len(ready))
 	for _, upstream := range ready {
 		if limited, exhausted := c.Pool.Throttle.State(upstream, now); !exhausted {
-			list = append(list, Candidate{upstream, c.Health.Get(upstream), limited})
+			list = append(list, Candidate{Upstream: upstream, Limited: limited})
 		}
 	}
+	c.Health.Fill(list)
 	return list
 }
 
--- a/internal/service/forward/stall_model_test.go
+++ b/internal/service/forward/stall_model_test.go
@@ -32,7 +32,7 @@
 // TestSilentUpstreamIsReplacedInTime guards against a replacement that comes too late for the deadline.
 func TestSilentUpstreamIsReplacedInTime(t *testing.T) {
 	route := &fleet.Route{Objective: 50 * time.Millisecond}
-	health := &Health{Usual: 100 * time.Millisecond, Latency: 100 * time.Millisecond}
+	health := &Health{Service: &MeasuredService{Usual: 100 * time.Millisecond}, Latency: 100 * time.Millisecond}
 	assert.Equal(t, stallAfter(route, health, 1500*time.Millisecond), 500*time.Millisecond)
 	assert.Equal(t, stallAfter(route, health, time.Minute), 2500*time.Millisecond)
 	assert.Equal(t, stallAfter(route, &Health{}, time.Minute), 100*time.Millisecond)
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -78,7 +78,9 @@
 // selectEngine returns the choice of an engine for a request with the given results of its stages.
 func (c *call) selectEngine(prepared *StageResults) func([]Candidate) *fleet.Upstream {
 	return func(candidates []Candidate) *fleet.Upstream {
-		return SelectEngine(candidates, c.request, prepared.DataCentre, c.exclude, clock.Now())
+		upstream, kept := selectEngine(candidates, c.request, prepared.DataCentre, c.exclude, clock.Now())
+		c.keptTokens.Store(int64(kept))
+		return upstream
 	}
 }
 
@@ -88,6 +90,8 @@
 	prepared *StageResults
 	// inputsReleased is set once the inputs may no longer exist.
 	inputsReleased atomic.Bool
+	// atStart is the load of the engine at the start of the current attempt.
+	atStart FirstEvent
 	// lastEventID is the id of the last forwarded event.
 	lastEventID string
 	// idStep is the difference between consecutive event ids; 0 until it is known.
@@ -164,6 +168,7 @@
 	defer cancel(nil)
 	s.events, s.continues = 0, s.forwarded > 0
 	tokens := s.request.PromptTokens
+	s.atStart = s.loadAtStart(upstream)
 	s.Health.Begin(upstream, tokens)
 	prepared := s.prepared
 	stall := s.newStallTimer(upstream, s.lastEventAt, cancel, func(ctx context.Context, lastEvent time.Time) (*replacement, error) {
@@ -202,7 +207,7 @@
 func (s *streamCall) exchange(ctx context.Context, upstream *fleet.Upstream, stall *stallTimer) (Result, time.Duration, error) {
 	attempt := s.newAttempt(upstream)
 	attempt.LastEventID, attempt.Inputs = s.lastEventID, s.prepared.Inputs
-	attempt.SendRank, attempt.Rank = true, min(max(s.rank, 0)*rankStep, maxRank)
+	attempt.SendRank, attempt.Rank = true, s.engineRank()
 	startTime := clock.Now()
 	if len(attempt.Inputs) > 0 && s.Health.Get(upstream).Latency < queueingLatency {
 		prepared := s.prepared
@@ -293,7 +298,7 @@
 		s.recordEvent(s.events)
 		if first == 0 {
 			first = max(clock.Now().Sub(startTime), 1)
-			s.Health.Prefilled(upstream, s.request.PromptTokens)
+			s.recordFirstEvent(upstream, first)
 			s.release(s.prepared)
 		}
 		stall.pause()
