Refuse generations that no engine can begin in time before their stages run

Stages ran for requests that no engine could serve before the caller gave up. Each host now keeps the waits for the first event of its last 32 responses with their stages, and refuses a request as not run, before its stages, if within the last 3 s at least four responses of four engines were too late for it and at most one in seven was not. Only responses of requests at least as urgent count, and only stages of the same route. The host's own requests in flight are no evidence, since it sees one part in 70 of the load; measured waits reflect all hosts.

--- a/internal/service/forward/engine_cost.go
+++ b/internal/service/forward/engine_cost.go
@@ -58,6 +58,20 @@
 	Read int
 	// Took is the time from the start of the attempt.
 	Took time.Duration
+	// Route is the route of the request, and Prepared the time from its arrival to the start of the
+	// attempt.
+	Route    fleet.RouteName
+	Prepared time.Duration
+}
+
+// sample returns the evidence for forecasts.
+func (f *FirstEvent) sample(u *fleet.Upstream, wait time.Duration, now time.Time) FirstEventSample {
+	return FirstEventSample{Engine: u.ID, Route: f.Route, At: now, Wait: wait, Prepared: f.Prepared, Rank: f.Rank}
+}
+
+// readTime returns the time to read tokens of a prompt; 0 if it is not measured.
+func readTime(costs EngineCosts, tokens int) time.Duration {
+	return time.Duration(costs.Token * float64(tokens) * float64(time.Second))
 }
 
 // costEstimate measures the costs of work by least squares: took = base + tokens x Token + running x
@@ -160,6 +174,7 @@
 	if predicted := e.service.costs.predict(f); predicted > 0 && (e.Measured == nil || !e.Measured.Pace.Reported) {
 		e.change(func(m *Measured) { m.Pace.measure(f.Took.Seconds()/predicted, now) })
 	}
+	e.service.addSample(f.sample(u, max(f.Took-readTime(e.service.costs.measured(), f.Read), 0), now))
 	e.costs.add(f, now)
 	e.service.costs.add(f, now)
 	e.service.publish()
@@ -171,7 +186,10 @@
 // loadAtStart returns what is known of the load of an engine before an attempt begins.
 func (s *streamCall) loadAtStart(upstream *fleet.Upstream) FirstEvent {
 	health, read := s.Health.Get(upstream), max(s.request.PromptTokens-int(s.keptTokens.Load()), 0)
-	return FirstEvent{Tokens: health.PendingTokens + read, Read: read, Running: health.Running, Rank: s.engineRank()}
+	return FirstEvent{
+		Tokens: health.PendingTokens + read, Read: read, Running: health.Running, Rank: s.engineRank(),
+		Route: s.route.Name, Prepared: clock.Now().Sub(s.request.Received),
+	}
 }
 
 // recordFirstEvent records the first event of an attempt.
--- a/internal/service/forward/health.go
+++ b/internal/service/forward/health.go
@@ -96,6 +96,9 @@
 	costs costEstimate
 	// streams is set for services whose time to the first event depends on the prompt.
 	streams bool
+	// samples holds recent waits for first events; oldest is the index of the next to replace.
+	samples []FirstEventSample
+	oldest  int
 	// published is replaced with each change.
 	published *MeasuredService
 }
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -41,6 +41,9 @@
 
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream(ctx context.Context) error {
+	if err := c.checkEngines(); err != nil {
+		return err
+	}
 	prepared, err := c.runStages(ctx, c.request.Received.Add(c.route.Objective), c.eventDeadline(c.request.Received))
 	c.prepareTime = clock.Now().Sub(c.request.Received)
 	if err != nil {
@@ -187,6 +190,10 @@
 	}
 	if first == 0 {
 		s.Health.Prefilled(upstream, tokens)
+		if result == ResultLost {
+			s.atStart.Took = clock.Now().Sub(sent)
+			s.Health.RecordNoEvent(upstream, &s.atStart, clock.Now())
+		}
 	}
 	if errors.Is(context.Cause(ctx), errStalled) {
 		err = errors.Join(errStalled, err)
