--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -37,6 +37,9 @@
 
 // serveStream serves a request whose response is an event stream.
 func (c *call) serveStream(ctx context.Context) error {
+	if err := c.checkEngines(); err != nil {
+		return err
+	}
 	prepared, err := c.runStages(ctx, c.request.Received.Add(c.route.Objective), c.eventDeadline(c.request.Received))
 	c.prepareTime = clock.Now().Sub(c.request.Received)
 	if err != nil {
@@ -74,7 +77,9 @@
 // selectEngine returns the choice of an engine for a request with the given results of its stages.
 func (c *call) selectEngine(prepared *StageResults) func([]Candidate) *fleet.Upstream {
 	return func(candidates []Candidate) *fleet.Upstream {
-		return SelectEngine(candidates, c.request, prepared.DataCentre, c.exclude, clock.Now())
+		upstream, kept := selectEngine(candidates, c.request, prepared.DataCentre, c.exclude, clock.Now())
+		c.keptTokens.Store(int64(kept))
+		return upstream
 	}
 }
 
@@ -84,6 +89,8 @@
 	prepared *StageResults
 	// inputsReleased is set once the inputs may no longer exist.
 	inputsReleased atomic.Bool
+	// atStart is the load of the engine at the start of the current attempt.
+	atStart FirstEvent
 	// lastEventID is the id of the last forwarded event.
 	lastEventID string
 	// idStep is the difference between consecutive event ids; 0 until it is known.
@@ -160,6 +167,7 @@
 	defer cancel(nil)
 	s.events, s.continues = 0, s.forwarded > 0
 	tokens := s.request.PromptTokens
+	s.atStart = s.loadAtStart(upstream)
 	s.Health.Begin(upstream, tokens)
 	prepared := s.prepared
 	stall := s.newStallTimer(upstream, s.lastEventAt, cancel, func(ctx context.Context, lastEvent time.Time) (*replacement, error) {
@@ -178,6 +186,10 @@
 	}
 	if first == 0 {
 		s.Health.Prefilled(upstream, tokens)
+		if result == ResultLost {
+			s.atStart.Took = clock.Now().Sub(sent)
+			s.Health.RecordNoEvent(upstream, &s.atStart, clock.Now())
+		}
 	}
 	if errors.Is(context.Cause(ctx), errStalled) {
 		err = errors.Join(errStalled, err)
@@ -289,7 +301,7 @@
 		s.recordEvent(s.events)
 		if first == 0 {
 			first = max(clock.Now().Sub(startTime), 1)
-			s.Health.Prefilled(upstream, s.request.PromptTokens)
+			s.recordFirstEvent(upstream, first)
 			s.release(s.prepared)
 		}
 		stall.pause()
