--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -54,16 +54,15 @@
 			return forecast{}
 		}
 		paused := p.pausedFor(spec.Service, now)
-		freeBytes, resultThroughput := p.resultRoom(spec.Service, now)
-		freeBytes -= int64(job.pending(i)) * spec.ResultBytes
+		resultThroughput := p.resultThroughput(spec.Service, now)
 		start, lateStart := paused, paused
 		for _, needed := range spec.After {
 			start, lateStart = max(start, onTime[needed]), max(lateStart, late[needed])
 		}
 		call := p.callTime(spec.Service)
 		spareItems, spareBytes := p.spareShares(spec.Service, job.Rank, rate, resultThroughput, now)
-		onTime[i] = max(start, paused+timeFor(ahead[i].items, rate), paused+timeFor(max(ahead[i].bytes-freeBytes, 0), resultThroughput)) + call
-		late[i] = max(lateStart, paused+timeFor(all[i].items, rate*spareItems), paused+timeFor(max(all[i].bytes-freeBytes, 0), resultThroughput*spareBytes)) + call
+		onTime[i] = max(start, paused+timeFor(ahead[i].items, rate), paused+timeFor(ahead[i].bytes, resultThroughput)) + call
+		late[i] = max(lateStart, paused+timeFor(all[i].items, rate*spareItems), paused+timeFor(all[i].bytes, resultThroughput*spareBytes)) + call
 		f.onTime, f.late = max(f.onTime, onTime[i]), max(f.late, late[i])
 	}
 	return f
@@ -151,26 +150,20 @@
 	b.bytes += int64(items) * bytes
 }
 
-// resultRoom returns the bytes that are free for results at the upstreams of a service, and the bytes
-// per second that they can store given the residence time of results; 0 if that is unknown.
-func (p *plan) resultRoom(service api.ServiceName, now time.Time) (free int64, throughput float64) {
-	known := true
+// resultThroughput returns the bytes of results per second that the upstreams of a service can
+// store, given the residence time of results; 0 if that is unknown.
+func (p *plan) resultThroughput(service api.ServiceName, now time.Time) float64 {
+	var rate float64
 	for _, w := range p.workers {
 		if w.upstream.Service != service || !p.usable(w, now) {
 			continue
 		}
-		capacity := (1 - w.margin) * float64(w.limits.ResultCapacity)
-		free += int64(capacity) - w.heldBytes
 		if w.residence <= 0 {
-			known = false
-			continue
+			return 0
 		}
-		throughput += capacity / w.residence.Seconds()
-	}
-	if !known {
-		return 0, 0
+		rate += (1 - w.margin) * float64(w.limits.ResultCapacity) / w.residence.Seconds()
 	}
-	return free, throughput
+	return rate
 }
 
 // workAhead returns, for each stage of a new job, the pending work of its service that runs before
--- a/internal/service/stage/plan_test.go
+++ b/internal/service/stage/plan_test.go
@@ -598,10 +598,10 @@
 	assert.Assert(t, f.meetsTarget(&job, b.now), "50 items are two calls: %s", f.onTime)
 	b.worker(u).hold("old", 1000, b.now, b.now)
 	b.worker(u).completeFree("old", b.now.Add(800*time.Millisecond))
-	// Storing 5500 bytes in 1000 takes four and a half times the residence time of 0.8 s.
+	// Storing 5000 bytes takes five times the residence time of 0.8 s.
 	f = b.forecast(&job, b.now)
 	assert.Assert(t, !f.meetsTarget(&job, b.now), "the forecast is %s", f.onTime)
-	assert.Equal(t, f.onTime, 3600*time.Millisecond+b.callTime("s"))
+	assert.Equal(t, f.onTime, 4*time.Second+b.callTime("s"))
 }
 
 // TestRateLimitOfStageUpstream guards against calls to an upstream of a stage beyond the limit
