Finish begun stages first and keep the account of unreachable upstreams

Cause: an upstream that could not be reached once was taken for empty, so that its room was promised twice for up to the lifetime of results (4 s), and all its results were made again. Now only a refused connection, which shows that the process is gone, or another upstream at the address does that. Items of a stage whose first items were in calls had no preference over new jobs, so results waited for their siblings. Begun stages now come first in their class, also before a call has ended, and a begun job that can no longer meet its deadline ends at once. Late jobs that hold a partial stage count as work ahead of on-time jobs, since they run first.

--- a/internal/service/stage/admission_test.go
+++ b/internal/service/stage/admission_test.go
@@ -82,3 +82,39 @@
 	assert.Equal(t, after, before)
 	assert.Assert(t, !b.idle(calls[0].Worker, b.now))
 }
+
+// TestUnreachableUpstreamKeepsItsResults guards against calls whose results find no room because an
+// upstream that could not be reached once is taken for empty, and against results that are made again.
+func TestUnreachableUpstreamKeepsItsResults(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 8), batchedService("t", 8))
+	w := b.worker(b.add("s", "a"))
+	b.add("t", "a")
+	stages := []Spec{{Service: "s", Items: 1, ResultBytes: 1000}, {Service: "t", After: []int{0}, Items: 1, ResultBytes: 10}}
+	b.submitJob(b.job("r", 0, 5*time.Second, 9*time.Second, stages...))
+	b.dispatchNow(nil)
+	b.completeNext(nil)
+	for _, c := range []struct {
+		failure Failure
+		free    int64
+	}{{FailureUnreachable, w.limits.ResultCapacity - 1000}, {FailureGone, w.limits.ResultCapacity}} {
+		b.now = b.now.Add(maxCooldown)
+		b.submitJob(b.job(string(c.failure), 0, 5*time.Second, 9*time.Second, stages...))
+		calls := b.dispatch(b.now)
+		assert.Equal(t, len(calls), 1)
+		b.complete(calls[0], nil, c.failure, b.now)
+		assert.Equal(t, w.freeBytes(b.now), c.free, "%s", c.failure)
+	}
+}
+
+// TestBegunStageIsFinishedFirst guards against results that wait for the other items of their stage
+// while calls carry items of new jobs with an earlier target.
+func TestBegunStageIsFinishedFirst(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 2))
+	b.add("s", "a")
+	b.submitJob(b.job("begun", 0, 8*time.Second, 9*time.Second, Spec{Service: "s", Items: 3, ResultBytes: 100}))
+	b.dispatchNow(nil)
+	b.add("s", "a")
+	b.submitJob(b.job("new", 0, 2*time.Second, 9*time.Second, Spec{Service: "s", Items: 2, ResultBytes: 100}))
+	calls := b.dispatchNow(nil)
+	assert.Equal(t, string(calls[0].Items[0].Request), "begun")
+}
--- a/internal/service/stage/complete.go
+++ b/internal/service/stage/complete.go
@@ -16,8 +16,10 @@
 	FailureNone Failure = ""
 	// FailureFull: the upstream did not accept the call.
 	FailureFull Failure = "full"
-	// FailureUnreachable: the request did not reach the upstream.
+	// FailureUnreachable: the request did not reach the upstream, which may still hold its results.
 	FailureUnreachable Failure = "unreachable"
+	// FailureGone: the upstream's process does not listen.
+	FailureGone Failure = "gone"
 	// FailureLost: no usable response was received.
 	FailureLost Failure = "lost"
 	// FailureMoved: the address now belongs to another upstream.
@@ -37,7 +39,9 @@
 		}
 	case FailureFull:
 		w.cooldownUntil = now.Add(fullCooldown)
-	case FailureUnreachable, FailureMoved:
+	case FailureUnreachable:
+		w.noteFailure(now)
+	case FailureGone, FailureMoved:
 		w.noteFailure(now)
 		p.dropResults(w)
 	default:
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -172,7 +172,7 @@
 	ahead, all = make([]backlog, len(job.Stages)), make([]backlog, len(job.Stages))
 	onTimeClass, lateClass := class(job.Rank, false), class(job.Rank, true)
 	for _, j := range p.jobs {
-		class := class(j.Rank, j.Late || now.After(j.Target))
+		class := class(j.Rank, (j.Late || now.After(j.Target)) && !j.holdsPartialStage())
 		if class > lateClass {
 			continue
 		}
--- a/internal/service/stage/job.go
+++ b/internal/service/stage/job.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -288,3 +289,18 @@
 	}
 	return text.String()
 }
+
+// holdsPartialStage reports whether some but not all items of a stage are done.
+func (j *jobState) holdsPartialStage() bool {
+	for i := range j.stages {
+		if j.partiallyDone(i) && j.stages[i].remaining > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// dispatchBegun reports whether an item of a stage is in a call or done.
+func (j *jobState) dispatchBegun(stage int) bool {
+	return slices.ContainsFunc(j.stages[stage].items, func(it *item) bool { return it.phase == phaseRunning || it.phase == phaseDone })
+}
--- a/internal/service/stage/order.go
+++ b/internal/service/stage/order.go
@@ -54,11 +54,12 @@
 	p.timesVersion++
 }
 
-// urgency orders items by class, then by the latest useful start.
+// urgency orders items by class, then those of begun stages before others, then by the latest useful
+// start.
 type urgency struct {
-	late  bool
-	class int
-	due   time.Time
+	late, begun bool
+	class       int
+	due         time.Time
 }
 
 // class returns the place of on-time or late work of a rank in the order; lower classes run first.
@@ -71,21 +72,28 @@
 	return 2 * rank
 }
 
-// urgency returns the urgency of the items of a stage. Items of partially done stages count as on
-// time, since their results occupy capacity to no use until the stage is done.
+// urgency returns the urgency of the items of a stage. Items of begun stages count as on time, since
+// the results occupy capacity to no use until the stage is done.
 func (p *plan) urgency(j *jobState, stage int, now time.Time) urgency {
 	criticalPath := p.criticalPath(j, stage)
 	target, deadline := j.Target.Add(-criticalPath), j.Deadline.Add(-criticalPath)
-	if (!j.Late && !now.After(target)) || j.partiallyDone(stage) {
-		return urgency{false, class(j.Rank, false), target}
+	begun := j.dispatchBegun(stage)
+	if begun || (!j.Late && !now.After(target)) {
+		return urgency{begun: begun, class: class(j.Rank, false), due: target}
 	}
-	return urgency{true, class(j.Rank, true), deadline}
+	return urgency{late: true, class: class(j.Rank, true), due: deadline}
 }
 
 func (u urgency) compare(o urgency) int {
 	if c := cmp.Compare(u.class, o.class); c != 0 {
 		return c
 	}
+	if u.begun != o.begun {
+		if u.begun {
+			return -1
+		}
+		return 1
+	}
 	return u.due.Compare(o.due)
 }
 
@@ -95,7 +103,7 @@
 	urgency
 }
 
-// sorted returns the items of a queue whose jobs are active, most urgent first. It fails late jobs
+// sorted returns the items of a queue whose jobs are active, most urgent first. It fails late and begun jobs
 // that can't meet their deadline.
 func (p *plan) sorted(queue []*item, now time.Time) []*item {
 	queue = slices.DeleteFunc(queue, func(it *item) bool { return it.job.ended || it.phase != phaseQueued })
@@ -113,10 +121,11 @@
 	var rate float64
 	for i := range runs {
 		it := runs[i].items[0]
-		if rate == 0 && runs[i].late {
+		judged := runs[i].late || runs[i].begun
+		if rate == 0 && judged {
 			rate, _ = p.rate(it.job.stages[it.stage].Service, now)
 		}
-		if runs[i].late && p.deadlineUnreachable(it, len(items)+len(runs[i].items)-1, rate, now) {
+		if judged && p.deadlineUnreachable(it, len(items)+len(runs[i].items)-1, rate, now) {
 			p.fail(it.job, errDeadlineUnreachable)
 			continue
 		}
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -304,6 +305,8 @@
 	}
 	answer, err := s.Pool.Call(ctx, s.Forward, call.Upstream(), s.Codec.RunPath, body, false)
 	switch {
+	case err != nil && forward.IsNotSent(err) && errors.Is(err, syscall.ECONNREFUSED):
+		return nil, FailureGone, err
 	case err != nil && forward.IsNotSent(err):
 		return nil, FailureUnreachable, err
 	case err != nil:
