Spread refused callers over time by a queue of returns

Cause: all callers that a forecast refused were told the same time, which was that of a late job even if a fresh one would meet its target earlier, and that did not allow for the time passing while the caller waits. Now a refused caller is told when its job is expected to be accepted, behind those refused before, at the pace that the offered load leaves. Whoever retries early gets a later time. A caller that is told more than a third of its remaining time takes no place, since it does not return.

In the model callers are judged by a fresh target when they return, as hosts do not know when a caller sent its first try.

--- a/internal/service/stage/admission_test.go
+++ b/internal/service/stage/admission_test.go
@@ -118,3 +118,33 @@
 	calls := b.dispatchNow(nil)
 	assert.Equal(t, string(calls[0].Items[0].Request), "begun")
 }
+
+// TestRefusedCallersReturnInOrder guards against refused callers that all return at once, and against
+// callers that gain from retrying early.
+func TestRefusedCallersReturnInOrder(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 8))
+	b.add("s", "a")
+	spec := Spec{Service: "s", Items: 4}
+	for i := range 20 {
+		b.submitJob(b.job(fmt.Sprint("queued", i), 0, 9*time.Second, 9*time.Second, spec))
+	}
+	var last time.Duration
+	returning := 0
+	for i := range 100 {
+		job := b.job(fmt.Sprint("refused", i), 0, 1200*time.Millisecond, 6*time.Second, spec)
+		d := b.admit(&job, b.now)
+		assert.Assert(t, !d.accepted)
+		assert.Assert(t, d.retryAfter >= minRetryAfter && d.retryAfter <= maxRetryAfter)
+		if d.retryAfter <= 2*time.Second {
+			assert.Assert(t, d.retryAfter > last, "caller %d: %s after %s", i, d.retryAfter, last)
+			returning++
+		}
+		last = d.retryAfter
+	}
+	assert.Assert(t, returning > 0 && returning < 10, "%d callers return within the time that they wait", returning)
+	// A caller that retries early is told a time after that of all others that were refused before.
+	b.now = b.now.Add(100 * time.Millisecond)
+	early := b.job("refused0", 0, 1200*time.Millisecond, 6*time.Second, spec)
+	d := b.admit(&early, b.now)
+	assert.Assert(t, !d.accepted && d.retryAfter >= last-100*time.Millisecond)
+}
--- a/internal/service/stage/compare_test.go
+++ b/internal/service/stage/compare_test.go
@@ -215,7 +215,9 @@
 	// noRoom counts the items that found no room for their result, unused the results that no
 	// answered request used.
 	noRoom, unused int
-	kinds          []kindCount
+	// returned and returnServed count the callers that retried and those of them that were accepted.
+	returned, returnServed int
+	kinds                  []kindCount
 	// offered and attained are the values by the second of arrival.
 	offered, attained [60]float64
 	random            *rand.Rand
@@ -308,7 +310,7 @@
 	arrived          time.Time
 	target, deadline time.Time
 	job              Job
-	retry            bool
+	retry, returned  bool
 	workspace        string
 }
 
@@ -353,7 +355,8 @@
 		s.unserved++
 		return
 	}
-	r.retry = false
+	r.retry, r.returned = false, true
+	s.returned++
 	s.after(delay, func() { s.submitRequest(r, s.plans[s.random.IntN(len(s.plans))], groups) })
 }
 
@@ -387,6 +390,9 @@
 		job.Rank, job.Target = 0, s.now.Add(time.Hour)
 		job.Deadline = job.Target
 	}
+	if r.returned {
+		s.returnServed++
+	}
 	var state *jobState
 	state = sched.submit(job, s.now, func(o Outcome, err error) {
 		if err != nil {
@@ -607,7 +613,8 @@
 // BenchmarkFleets reports the measures of the production policy in the scenarios of a small and a large
 // fleet, as means over the seeds: the shares of the value that were attained, in all, in the worst two
 // seconds, for the worst kind and for each kind, the share of each kind that was served, items that
-// found no room for their result, and results that were not used.
+// found no room for their result, results that were not used, callers that returned and those of
+// them that were accepted.
 func BenchmarkFleets(b *testing.B) {
 	for _, sc := range []struct {
 		name string
@@ -643,6 +650,8 @@
 				sums[fmt.Sprint("served", i)] += c.served()
 			}
 			sums["worstkind"] += worstKind
+			sums["returned"] += float64(run.returned)
+			sums["returnserved"] += float64(run.returnServed)
 		}
 		for name, sum := range sums {
 			b.ReportMetric(sum/benchmarkSeeds, name)
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -25,8 +25,29 @@
 	if f.accepts(job, now) {
 		return decision{forecast: f, accepted: true}
 	}
-	wait := f.late - time.Duration(lateDeadlineShare*float64(job.Deadline.Sub(now)))
-	return decision{forecast: f, retryAfter: max(min(max(wait, minRetryAfter), maxRetryAfter), p.pausedForJob(job, now))}
+	return decision{forecast: f, retryAfter: max(p.retryDelay(f, job, now), p.pausedForJob(job, now))}
+}
+
+// retryDelay returns the time after which a refused caller may retry: when its job is expected to be
+// accepted, behind the callers that were refused before. Those return at the pace that the offered load
+// leaves, so a caller that retries early or often only gets a later time. A caller does not wait for
+// more than a third of its remaining time, so one that is told to gets no place.
+func (p *plan) retryDelay(f forecast, job *Job, now time.Time) time.Duration {
+	left := job.Deadline.Sub(now)
+	onTimeWait := f.onTime + firstEventTime - job.Target.Sub(now)
+	// While the caller waits, the time that the late forecast may take shrinks too.
+	lateWait := time.Duration((float64(f.late) - lateDeadlineShare*float64(left)) / (1 - lateDeadlineShare))
+	returnAt := now.Add(max(min(onTimeWait, lateWait), minRetryAfter))
+	for rank, next := range p.nextReturn {
+		if rank <= job.Rank && next.After(returnAt) {
+			returnAt = next
+		}
+	}
+	delay := min(returnAt.Sub(now), maxRetryAfter)
+	if delay <= left/callerWaitShare {
+		p.nextReturn[job.Rank] = returnAt.Add(f.own)
+	}
+	return delay
 }
 
 // forecast is the expected time until the stages of a new job are done.
@@ -34,6 +55,9 @@
 	// onTime counts the work that runs before the job while it can meet its target, late that which
 	// runs before it afterwards.
 	onTime, late time.Duration
+	// own is the time that the work of the job takes of the capacity that more urgent work leaves of
+	// its scarcest service.
+	own time.Duration
 	// served is false if a service has no upstream.
 	served bool
 }
@@ -63,6 +87,9 @@
 		spareItems, spareBytes := p.spareShares(spec.Service, job.Rank, rate, resultThroughput, now)
 		onTime[i] = max(start, paused+timeFor(ahead[i].items, rate), paused+timeFor(ahead[i].bytes, resultThroughput)) + call
 		late[i] = max(lateStart, paused+timeFor(all[i].items, rate*spareItems), paused+timeFor(all[i].bytes, resultThroughput*spareBytes)) + call
+		work := backlog{}
+		work.add(job.pending(i), spec.ResultBytes)
+		f.own = max(f.own, timeFor(work.items, rate*spareItems), timeFor(work.bytes, resultThroughput*spareBytes))
 		f.onTime, f.late = max(f.onTime, onTime[i]), max(f.late, late[i])
 	}
 	return f
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -32,6 +32,9 @@
 	// of their time at most.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
+	// callerWaitShare is the part of its remaining time, as a divisor, for which a caller waits at
+	// most before it retries.
+	callerWaitShare = 3
 )
 
 var (
