--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -31,6 +32,9 @@
 	// of their time at most.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
+	// callerWaitShare is the part of its remaining time, as a divisor, for which a caller waits at
+	// most before it retries.
+	callerWaitShare = 3
 )
 
 var (
@@ -309,6 +313,8 @@
 	}
 	answer, err := s.Pool.Call(ctx, s.Forward, call.Upstream(), s.Codec.RunPath, body, false)
 	switch {
+	case err != nil && forward.IsNotSent(err) && errors.Is(err, syscall.ECONNREFUSED):
+		return nil, FailureGone, err
 	case err != nil && forward.IsNotSent(err):
 		return nil, FailureUnreachable, err
 	case err != nil:
