--- a/internal/service/forward/pace_model_test.go
+++ b/internal/service/forward/pace_model_test.go
@@ -6,7 +6,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -36,9 +35,6 @@
 	// length is the time that is played.
 	length time.Duration
 	choose func(candidates []Candidate, request api.RequestID, exclude map[api.UpstreamID]bool, now time.Time) *fleet.Upstream
-	// shared is true if hosts exchange the response times of upstreams each 0.5 s, and known is true
-	// if they know the present pace and open requests.
-	shared, known bool
 	// stall is true if late attempts of a repeatable route are replaced.
 	stall bool
 }
@@ -123,9 +119,6 @@
 	var result paceResult
 	got := make([]int, m.upstreams)
 	var next func(r *modelRequest)
-	sharedPace := make([]Pace, m.upstreams)
-	sums, counts := make([]float64, m.upstreams), make([]float64, m.upstreams)
-	var usual usualLatency
 	send := func(r *modelRequest, chosen *fleet.Upstream) {
 		index := slices.IndexFunc(upstreams, func(u *modelUpstream) bool { return u.Upstream == chosen })
 		u, table := upstreams[index], tables[r.host]
@@ -189,16 +182,6 @@
 		for i, u := range upstreams {
 			candidates[i] = Candidate{Upstream: u.Upstream, Health: tables[r.host].Get(u.Upstream)}
 		}
-		for i, u := range upstreams {
-			health := &candidates[i].Health
-			if m.shared && sharedPace[i].Value > 0 {
-				mean := (sharedPace[i].Now(start.Add(now)) + health.pace(start.Add(now))) / 2
-				health.Measured = &Measured{Pace: Pace{Value: mean, At: start.Add(now)}}
-			}
-			if m.known {
-				*health = Health{Running: len(u.running) + len(u.waiting), Measured: &Measured{Pace: Pace{Value: u.pace, At: start.Add(now)}}}
-			}
-		}
 		send(r, m.choose(candidates, r.id, r.exclude, start.Add(now)))
 	}
 	burst := func() float64 {
@@ -209,15 +192,6 @@
 	}
 	arrival := time.Duration(0)
 	for now = 0; now < m.length; now += modelStep {
-		if now%(500*time.Millisecond) == 0 {
-			for i := range sums {
-				if counts[i] > 0 {
-					pace := Pace{Value: sums[i] / counts[i] / float64(usual.mean), At: start.Add(now)}
-					at(now+250*time.Millisecond, func() { sharedPace[i] = pace })
-				}
-				sums[i], counts[i] = 0, 0
-			}
-		}
 		for arrival <= now {
 			arrival += time.Duration(random.ExpFloat64() / (m.rate * burst()) * float64(time.Second))
 			work := modelMean.Seconds() * math.Exp(0.5*random.NormFloat64()-0.125)
@@ -251,9 +225,6 @@
 						return
 					}
 					table.End(u.Upstream, OutcomeAnswered, now-a.sent, start.Add(now))
-					sums[a.upstream] += float64(now - a.sent)
-					counts[a.upstream]++
-					usual.add(now - a.sent)
 					a.done = true
 					took := now - a.received
 					if took <= m.route.Objective {
@@ -413,14 +384,10 @@
 				{"own view", ownView},
 				{"shortest delay", shortestDelay},
 				{"product", LeastLoadedForOrder},
-				{"product, shared", LeastLoadedForOrder},
-				{"shortest delay, shared", shortestDelay},
-				{"shortest delay, known", shortestDelay},
 			} {
 				b.Run(fmt.Sprintf("%s/reports=%t/%s", load.name, reports, rule.name), func(b *testing.B) {
 					model := load.model
 					model.length, model.route, model.reports, model.choose = modelTime, orderRoute, reports, rule.choose
-					model.shared, model.known = strings.HasSuffix(rule.name, "shared"), strings.HasSuffix(rule.name, "known")
 					for b.Loop() {
 						r := model.sum(4)
 						b.ReportMetric(float64(r.target)/float64(r.requests), "in-target")
