Describe the handling of uneven pace and bound what it logs and keeps

The line on slow upstreams is written at most once in 10 s, since their number may change each second. Measurements of a service end with the last of its upstreams.

--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,5 @@
 	go run ./internal/tool/capacity
 	$(BIN)/standin bench
 	$(BIN)/standin failures
-	go test -run XXX -bench Decisions -benchtime 1x -count=1 ./internal/service/stage
+	go test -run XXX -bench Decisions -benchtime 1x -count=1 ./internal/service/stage ./internal/service/forward
 	go test -count=1 -v -run TestCompareWithoutFeed ./internal/service/directory -args -all-sizes
--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -46,6 +46,9 @@
 	bufferMemoryRatio = 0.25
 	// sweepInterval is the interval at which idle connections and unused state are removed.
 	sweepInterval = time.Second
+	// slowLogInterval is the least interval between two log lines on slow upstreams, whose number may
+	// change each second.
+	slowLogInterval = 10 * time.Second
 	// serverCloseTimeout bounds the shutdown of each listener. exitMargin is long enough
 	// to shut down all of them.
 	serverCloseTimeout = 60 * time.Millisecond
@@ -55,14 +58,17 @@
 
 // entryHost holds the components of an entry host on the platform.
 type entryHost struct {
-	settings      *settings.Settings
-	settingsPath  string
-	log           *log.Logger
-	timer         *timer.Service
-	metrics       *metric.Set
-	directory     *directory.Service
-	pool          *forward.Pool
-	health        *forward.HealthTable
+	settings     *settings.Settings
+	settingsPath string
+	log          *log.Logger
+	timer        *timer.Service
+	metrics      *metric.Set
+	directory    *directory.Service
+	pool         *forward.Pool
+	health       *forward.HealthTable
+	// slowLogged is the number of slow upstreams in the last line about them, at slowLoggedAt.
+	slowLogged    int
+	slowLoggedAt  time.Time
 	prompts       *quarantine.Tracker
 	publisher     *quarantine.Publisher
 	throttle      *throttle.Table
@@ -209,15 +215,18 @@
 // sweepHealth drops the health of upstreams that are not used and reports which ones are slow.
 func (e *entryHost) sweepHealth(time.Time) {
 	e.health.Sweep(clock.Now())
-	slow := e.health.SlowUpstreams(clock.Now())
-	if before := int(e.metrics.Gauge("pace.slow_upstreams").Value()); len(slow) != before {
-		entry := e.log.Info().Int("upstreams", len(slow)).Int("before", before)
-		if len(slow) > 0 {
-			entry = entry.Str("slowest", string(slow[0].ID)).Float64("pace", slow[0].Pace)
-		}
-		entry.Msg("slow_upstreams_changed")
-	}
+	now := clock.Now()
+	slow := e.health.SlowUpstreams(now)
 	e.metrics.Gauge("pace.slow_upstreams").Update(float64(len(slow)))
+	if len(slow) == e.slowLogged || now.Sub(e.slowLoggedAt) < slowLogInterval {
+		return
+	}
+	entry := e.log.Info().Int("upstreams", len(slow)).Int("before", e.slowLogged)
+	if len(slow) > 0 {
+		entry = entry.Str("slowest", string(slow[0].ID)).Float64("pace", slow[0].Pace)
+	}
+	entry.Msg("slow_upstreams_changed")
+	e.slowLogged, e.slowLoggedAt = len(slow), now
 }
 
 // sweepThrottle drops the rate limits of upstreams that are gone.
--- a/internal/service/forward/engine_cost.go
+++ b/internal/service/forward/engine_cost.go
@@ -175,6 +175,9 @@
 		e.change(func(m *Measured) { m.Pace.measure(f.Took.Seconds()/predicted, now) })
 	}
 	e.service.addSample(f.sample(u, max(f.Took-readTime(e.service.costs.measured(), f.Read), 0), now))
+	if e.costs == nil {
+		e.costs = &costEstimate{}
+	}
 	e.costs.add(f, now)
 	e.service.costs.add(f, now)
 	e.service.publish()
--- a/internal/service/forward/health.go
+++ b/internal/service/forward/health.go
@@ -76,7 +76,8 @@
 // healthEntry is the health of one upstream with its measurements.
 type healthEntry struct {
 	Health
-	costs   costEstimate
+	// costs is nil before the first event of an engine.
+	costs   *costEstimate
 	service *serviceMeasures
 }
 
@@ -342,17 +343,22 @@
 func (t *HealthTable) Sweep(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, service := range t.services {
-		if service.costs.expire(now) {
-			service.publish()
-		}
-	}
+	used := map[*serviceMeasures]bool{}
 	for incarnation, h := range t.table {
-		if h.costs.expire(now) {
+		if h.costs != nil && h.costs.expire(now) {
 			h.change(func(m *Measured) { m.Costs = EngineCosts{} })
 		}
 		if h.Running == 0 && now.Sub(h.LastOutcome) > healthTTL && now.Sub(h.reportedAt()) > healthTTL {
 			delete(t.table, incarnation)
+			continue
+		}
+		used[h.service] = true
+	}
+	for name, service := range t.services {
+		if !used[service] {
+			delete(t.services, name)
+		} else if service.costs.expire(now) {
+			service.publish()
 		}
 	}
 }
