--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -100,7 +100,7 @@
 	}
 	e.directory = e.newDirectory(kv)
 	e.prompts = &quarantine.Tracker{Stored: e.quarantinedParts}
-	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, ColdBound: e.coldBound, Log: logger, Metrics: e.metrics}
+	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, ColdBound: e.coldBound, ListAge: s.Store.MaxAge, Log: logger, Metrics: e.metrics}
 	e.pool = &forward.Pool{
 		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
 		BufferLimit: int64(bufferMemoryRatio * s.Host.MemoryLimit * megabyte),
--- a/internal/service/stage/plan_test.go
+++ b/internal/service/stage/plan_test.go
@@ -649,6 +649,56 @@
 	assert.Assert(t, perSecond <= rate*8, "the forecast expects %.1f items a second", perSecond)
 }
 
+// TestColdStageUpstream guards against more calls to a cold upstream of a stage than it may get, those that
+// free results included, against a forecast that expects more, and against a queue that is not served.
+func TestColdStageUpstream(t *testing.T) {
+	const bound = 4
+	b := newBatchHarness(batchedService("s", 8))
+	b.throttle = &throttle.Table{Log: logging.Discard(), Metrics: metric.New(), ColdBound: func(api.ServiceName) (int, bool) { return bound, true }}
+	u := b.add("s", "a")
+	u.ColdUntil = b.now.Add(10 * time.Second)
+	perSecond, _ := b.rate("s", b.now)
+	assert.Assert(t, perSecond <= bound*8, "the forecast expects %.1f items a second", perSecond)
+	var sent []time.Time
+	for step := range 1500 {
+		b.now = b.now.Add(10 * time.Millisecond)
+		if step%10 == 0 {
+			b.submit(b.job(fmt.Sprint("j", step), 1, 3*time.Second, 6*time.Second, Spec{Service: "s", Items: 1, ResultBytes: 1000}), b.now, func(Outcome, error) {})
+		}
+		for _, call := range b.dispatch(b.now) {
+			sent = append(sent, b.now)
+			results := make([]fleet.ItemResult, len(call.Items))
+			for i := range results {
+				results[i].Result = fleet.ResultRef(fmt.Sprint("r", step, "/", i))
+			}
+			b.complete(call, results, FailureNone, b.now)
+		}
+		for _, f := range b.freeCalls(step%25 == 0, b.now) {
+			sent = append(sent, b.now)
+			b.completeFree(f, true, b.now)
+		}
+	}
+	cold := 0
+	for i, first := range sent {
+		if !first.Before(u.ColdUntil) {
+			break
+		}
+		cold++
+		count := 0
+		for _, at := range sent[i:] {
+			if at.Sub(first) < time.Second && at.Before(u.ColdUntil) {
+				count++
+			}
+		}
+		assert.Assert(t, count <= bound/2, "%d calls in a second from one scheduling host", count)
+	}
+	assert.Assert(t, cold > 5 && len(sent)-cold > 40, "%d calls while it was cold, %d later", cold, len(sent)-cold)
+	u.ColdUntil = b.now.Add(10 * time.Second)
+	b.throttle.ColdBound = func(api.ServiceName) (int, bool) { return 0, true }
+	job := b.job("refused", 0, time.Second, time.Second, Spec{Service: "s", Items: 1})
+	assert.Assert(t, !b.forecast(&job, b.now).accepts(&job, b.now), "no call is possible in time")
+}
+
 // TestItemsWaitForPausedUpstream guards against a call within a pause, one that is forgotten, and a job that waits in vain.
 func TestItemsWaitForPausedUpstream(t *testing.T) {
 	b := newBatchHarness(batchedService("s", 8))
--- a/internal/service/throttle/cold.go
+++ b/internal/service/throttle/cold.go
@@ -21,8 +21,8 @@
 	// hostLists is the number of different lists of hosts that may be in use at once, for instance in
 	// the two halves of a fleet that do not see each other. Each has an equal part of the slots.
 	hostLists = 2
-	// settleTime is how long a host must have had a slot by all lists that it has known before it uses
-	// it: within this time, all hosts that reach the store know the same list.
+	// settleTime is how long a host must at least have had a slot by all lists that it has known before
+	// it uses it: within this time, all hosts that reach the store know the same list.
 	settleTime = 3 * time.Second
 	// maxRecentLists bounds the lists that are remembered.
 	maxRecentLists = 64
@@ -30,6 +30,9 @@
 	maxSlots = 4096
 )
 
+// settleTime returns how long a host must have had a slot before it uses it.
+func (t *Table) settleTime() time.Duration { return max(t.ListAge, settleTime) }
+
 // hostList is a list of hosts that this host has used.
 type hostList struct {
 	// nodes are the hashes of the hosts, self is the index of this host or -1.
@@ -139,7 +142,7 @@
 	if t.Hosts == nil {
 		return l.slots
 	}
-	if now.Before(t.listsSince.Add(settleTime)) {
+	if now.Before(t.listsSince.Add(t.settleTime())) {
 		// Others may still use a list from before this host has known one.
 		l.slots = 0
 	}
@@ -158,7 +161,7 @@
 		return l.all
 	}
 	isIn := func(list hostList) bool { return list.self >= 0 }
-	if now.Before(t.listsSince.Add(settleTime)) || slices.ContainsFunc(t.lists, func(list hostList) bool { return !isIn(list) }) {
+	if now.Before(t.listsSince.Add(t.settleTime())) || slices.ContainsFunc(t.lists, func(list hostList) bool { return !isIn(list) }) {
 		return 0
 	}
 	return l.all
@@ -180,7 +183,7 @@
 	if t.listsSince.IsZero() {
 		t.listsSince = now
 	}
-	settled := !now.Before(t.listsSince.Add(settleTime))
+	settled := !now.Before(t.listsSince.Add(t.settleTime()))
 	if settled != t.listsSettled {
 		t.listsSettled = settled
 		t.listsVersion++
@@ -192,8 +195,12 @@
 		t.lists = append(t.lists, hostList{nodes: t.nodes, self: t.self})
 		t.listsVersion++
 	}
+	if len(t.lists) > maxRecentLists {
+		// Those between the oldest and the newest hardly differ from their neighbours.
+		t.lists = slices.Delete(t.lists, 1, 2)
+	}
 	expired := 0
-	for expired < len(t.lists)-1 && (len(t.lists)-expired > maxRecentLists || !now.Before(t.lists[expired].replacedAt.Add(settleTime))) {
+	for expired < len(t.lists)-1 && !now.Before(t.lists[expired].replacedAt.Add(t.settleTime())) {
 		expired++
 	}
 	if expired > 0 {
--- a/internal/service/throttle/throttle.go
+++ b/internal/service/throttle/throttle.go
@@ -60,6 +60,9 @@
 	Self api.HostID
 	// Hosts returns the registered hosts. The slice is not modified after it was returned.
 	Hosts func() []fleet.Host
+	// ListAge is the time within which all hosts that reach the store know a change of the list of
+	// hosts; 0 means not stated.
+	ListAge time.Duration
 	// ColdBound returns the number of requests that a cold upstream of a service may get in any one
 	// second from all hosts together, and false if there is no such limit; nil means that there is none.
 	ColdBound func(service api.ServiceName) (bound int, limited bool)
@@ -69,8 +72,8 @@
 	mu     sync.Mutex
 	limits map[fleet.Incarnation]*limit
 	cold   map[fleet.Incarnation]*coldUse
-	// lists holds the lists of hosts of the last settleTime, the newest last. listsSince is the time of
-	// the first one, and listsSettled is set settleTime later. listsVersion rises with each change.
+	// lists holds the lists of hosts that are or were in use, the newest last. listsSince is the time of
+	// the first one, and listsSettled is set once this is long ago. listsVersion rises with each change.
 	lists        []hostList
 	listsSince   time.Time
 	listsSettled bool
