Count an upstream that refuses connections as cold

A process that starts again under the id and address of one that crashed accepts requests before the hosts know its entry, so it is cold while they take it for the former, warm one. A refused connection shows the end of the former process: the host then keeps the cold limit of the service for 10 s, or until it learns of an entry 2 s later or more. Time-outs and resets have other causes and change nothing, nor do services without a cold limit. No host-side test of a whole fleet was run for this.

--- a/internal/data/fleet/upstream.go
+++ b/internal/data/fleet/upstream.go
@@ -32,6 +32,8 @@
 	// ColdUntil is the end of its cold time by the clock of this host, as its entry and the
 	// evacuations of its data centre show; zero if it is warm.
 	ColdUntil time.Time
+	// LearnedAt is when this host learned of the entry.
+	LearnedAt time.Time
 	// Started is the Unix time of the start in milliseconds; it identifies the incarnation.
 	Started int64
 }
--- a/internal/service/directory/cold.go
+++ b/internal/service/directory/cold.go
@@ -13,6 +13,7 @@
 	if upstream == nil {
 		return
 	}
+	upstream.LearnedAt = now
 	if upstream.WarmUp > 0 {
 		upstream.ColdUntil = now.Add(upstream.WarmUp)
 	}
--- a/internal/service/forward/cold_test.go
+++ b/internal/service/forward/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -50,6 +51,21 @@
 	<-second
 }
 
+// TestRefusedConnectionMakesAnUpstreamCold guards against an upstream that starts again and gets full
+// traffic before its entry is known.
+func TestRefusedConnectionMakesAnUpstreamCold(t *testing.T) {
+	f := newFixture(t, fleet.Route{Kind: fleet.KindIdempotent, MaxAttempts: 1}, respondOK)
+	f.Pool.Throttle = &throttle.Table{Log: logging.Discard(), Metrics: f.Metrics, ColdBound: func(api.ServiceName) (int, bool) { return 2, true }}
+	_, err := f.serve(t, nil)
+	assert.NilError(t, err)
+	f.upstreams[0].Close()
+	for range 3 {
+		_, err := f.serve(t, nil)
+		assert.Equal(t, fault.KindOf(err), api.KindOverloaded)
+	}
+	assert.Assert(t, math.MaxInt > f.Pool.Throttle.Room(f.View().Ready("s"), clock.Now(), clock.Now()))
+}
+
 // TestReplacementInEvacuatedDataCentreIsChosenAgain guards against an attempt at an upstream that was
 // evacuated after it was chosen to replace a silent one.
 func TestReplacementInEvacuatedDataCentreIsChosenAgain(t *testing.T) {
--- a/internal/service/forward/pool.go
+++ b/internal/service/forward/pool.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -102,6 +103,9 @@
 		}
 	}
 	raw, err := p.Dial(ctx, "tcp", string(upstream.Address))
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.Throttle.ObserveRefused(upstream, clock.Now())
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/service/throttle/cold.go
+++ b/internal/service/throttle/cold.go
@@ -26,6 +26,11 @@
 	settleTime = 3 * time.Second
 	// maxRecentLists bounds the lists that are remembered.
 	maxRecentLists = 64
+	// restartKnownTime is how long after a refused connection an entry must have been learned to be of
+	// the process that accepts connections since: a change of the store takes less than this.
+	restartKnownTime = 2 * time.Second
+	// maxSuspicion is how long after a refused connection an upstream counts as cold without such an entry.
+	maxSuspicion = 10 * time.Second
 	// maxSlots bounds the slots of an upstream.
 	maxSlots = 4096
 )
@@ -58,6 +63,8 @@
 type coldUse struct {
 	// until is the end of the cold time that responses have stated.
 	until time.Time
+	// refusedAt is when it last refused a connection.
+	refusedAt time.Time
 	// sent holds the times of the requests of the last coldInterval.
 	sent []time.Time
 	// promisedUntil is the time up to which refused callers were told to return.
@@ -99,6 +106,20 @@
 	}
 }
 
+// ObserveRefused records that an upstream refused a connection. Its process has ended, and the next one
+// is cold, which its entry may show only after it accepts connections.
+func (t *Table) ObserveRefused(upstream *fleet.Upstream, now time.Time) {
+	if t == nil || t.ColdBound == nil {
+		return
+	}
+	if _, limited := t.ColdBound(upstream.Service); !limited {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.coldUse(upstream).refusedAt = now
+}
+
 // coldUse returns the state of an upstream, which is created on first use. The caller holds mu.
 func (t *Table) coldUse(upstream *fleet.Upstream) *coldUse {
 	use := t.cold[upstream.Incarnation()]
@@ -120,6 +141,9 @@
 	if known != nil && known.until.After(end) {
 		end = known.until
 	}
+	if known != nil && !known.refusedAt.IsZero() && upstream.LearnedAt.Before(known.refusedAt.Add(restartKnownTime)) && known.refusedAt.Add(maxSuspicion).After(end) {
+		end = known.refusedAt.Add(maxSuspicion)
+	}
 	if !now.Before(end) || t.ColdBound == nil {
 		return nil
 	}
--- a/internal/service/throttle/cold_test.go
+++ b/internal/service/throttle/cold_test.go
@@ -362,6 +362,25 @@
 	assert.Equal(t, len(table.cold), 0)
 }
 
+// TestUpstreamThatRefusedAConnectionIsCold guards against full traffic for an upstream that has started
+// again under the same id, from hosts that know only its former entry, and against a limit for one that
+// wrote its entry since.
+func TestUpstreamThatRefusedAConnectionIsCold(t *testing.T) {
+	table, upstream, now := newColdTable(8)
+	upstream.ColdUntil, upstream.LearnedAt = time.Time{}, now
+	assert.Equal(t, taken(table, upstream, now), 100)
+	table.ObserveRefused(upstream, now)
+	assert.Equal(t, taken(table, upstream, now), 4)
+	early, written := *upstream, *upstream
+	early.LearnedAt, written.LearnedAt = now.Add(restartKnownTime/2), now.Add(restartKnownTime)
+	assert.Equal(t, taken(table, &early, now.Add(restartKnownTime)), 4, "the entry may be from before")
+	assert.Equal(t, taken(table, &written, now.Add(restartKnownTime)), 100)
+	assert.Equal(t, taken(table, upstream, now.Add(maxSuspicion)), 100)
+	other := &fleet.Upstream{ID: "o", Service: "other"}
+	table.ObserveRefused(other, now)
+	assert.Equal(t, taken(table, other, now), 100)
+}
+
 // TestColdUpstreamKeepsItsOtherLimits guards against a cold upstream that gets more than the limit that
 // it names or during its pause, and against a slot that is lost to a request that another limit refused.
 func TestColdUpstreamKeepsItsOtherLimits(t *testing.T) {
