--- a/internal/service/throttle/cold.go
+++ b/internal/service/throttle/cold.go
@@ -21,15 +21,23 @@
 	// hostLists is the number of different lists of hosts that may be in use at once, for instance in
 	// the two halves of a fleet that do not see each other. Each has an equal part of the slots.
 	hostLists = 2
-	// settleTime is how long a host must have had a slot by all lists that it has known before it uses
-	// it: within this time, all hosts that reach the store know the same list.
+	// settleTime is how long a host must at least have had a slot by all lists that it has known before
+	// it uses it: within this time, all hosts that reach the store know the same list.
 	settleTime = 3 * time.Second
 	// maxRecentLists bounds the lists that are remembered.
 	maxRecentLists = 64
+	// restartKnownTime is how long after a refused connection an entry must have been learned to be of
+	// the process that accepts connections since: a change of the store takes less than this.
+	restartKnownTime = 2 * time.Second
+	// maxSuspicion is how long after a refused connection an upstream counts as cold without such an entry.
+	maxSuspicion = 10 * time.Second
 	// maxSlots bounds the slots of an upstream.
 	maxSlots = 4096
 )
 
+// settleTime returns how long a host must have had a slot before it uses it.
+func (t *Table) settleTime() time.Duration { return max(t.ListAge, settleTime) }
+
 // hostList is a list of hosts that this host has used.
 type hostList struct {
 	// nodes are the hashes of the hosts, self is the index of this host or -1.
@@ -55,6 +63,8 @@
 type coldUse struct {
 	// until is the end of the cold time that responses have stated.
 	until time.Time
+	// refusedAt is when it last refused a connection.
+	refusedAt time.Time
 	// sent holds the times of the requests of the last coldInterval.
 	sent []time.Time
 	// promisedUntil is the time up to which refused callers were told to return.
@@ -96,6 +106,20 @@
 	}
 }
 
+// ObserveRefused records that an upstream refused a connection. Its process has ended, and the next one
+// is cold, which its entry may show only after it accepts connections.
+func (t *Table) ObserveRefused(upstream *fleet.Upstream, now time.Time) {
+	if t == nil || t.ColdBound == nil {
+		return
+	}
+	if _, limited := t.ColdBound(upstream.Service); !limited {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.coldUse(upstream).refusedAt = now
+}
+
 // coldUse returns the state of an upstream, which is created on first use. The caller holds mu.
 func (t *Table) coldUse(upstream *fleet.Upstream) *coldUse {
 	use := t.cold[upstream.Incarnation()]
@@ -117,6 +141,9 @@
 	if known != nil && known.until.After(end) {
 		end = known.until
 	}
+	if known != nil && !known.refusedAt.IsZero() && upstream.LearnedAt.Before(known.refusedAt.Add(restartKnownTime)) && known.refusedAt.Add(maxSuspicion).After(end) {
+		end = known.refusedAt.Add(maxSuspicion)
+	}
 	if !now.Before(end) || t.ColdBound == nil {
 		return nil
 	}
@@ -139,7 +166,7 @@
 	if t.Hosts == nil {
 		return l.slots
 	}
-	if now.Before(t.listsSince.Add(settleTime)) {
+	if now.Before(t.listsSince.Add(t.settleTime())) {
 		// Others may still use a list from before this host has known one.
 		l.slots = 0
 	}
@@ -158,7 +185,7 @@
 		return l.all
 	}
 	isIn := func(list hostList) bool { return list.self >= 0 }
-	if now.Before(t.listsSince.Add(settleTime)) || slices.ContainsFunc(t.lists, func(list hostList) bool { return !isIn(list) }) {
+	if now.Before(t.listsSince.Add(t.settleTime())) || slices.ContainsFunc(t.lists, func(list hostList) bool { return !isIn(list) }) {
 		return 0
 	}
 	return l.all
@@ -180,7 +207,7 @@
 	if t.listsSince.IsZero() {
 		t.listsSince = now
 	}
-	settled := !now.Before(t.listsSince.Add(settleTime))
+	settled := !now.Before(t.listsSince.Add(t.settleTime()))
 	if settled != t.listsSettled {
 		t.listsSettled = settled
 		t.listsVersion++
@@ -192,8 +219,12 @@
 		t.lists = append(t.lists, hostList{nodes: t.nodes, self: t.self})
 		t.listsVersion++
 	}
+	if len(t.lists) > maxRecentLists {
+		// Those between the oldest and the newest hardly differ from their neighbours.
+		t.lists = slices.Delete(t.lists, 1, 2)
+	}
 	expired := 0
-	for expired < len(t.lists)-1 && (len(t.lists)-expired > maxRecentLists || !now.Before(t.lists[expired].replacedAt.Add(settleTime))) {
+	for expired < len(t.lists)-1 && !now.Before(t.lists[expired].replacedAt.Add(t.settleTime())) {
 		expired++
 	}
 	if expired > 0 {
