Share the capacity of a rank among workspaces

Cause: the forecast treated all workspaces alike, so that one that sends many times its usual took the capacity of the others. Jobs now carry their workspace. While jobs of a rank are refused, the jobs of a workspace whose accepted work exceeds 1.25 times its share count as late ones: they run after the others and get what those leave. Shares are in proportion to the demand outside such times; a workspace is assumed to have at least a quarter of the mean.

--- a/internal/service/forward/prepare.go
+++ b/internal/service/forward/prepare.go
@@ -33,7 +33,7 @@
 		return nil, fault.New(api.KindBadRequest, "request has items for %d stages, but the route has %d", len(c.request.Items), len(c.route.Stages))
 	}
 	return c.RunStages(ctx, &StageWork{
-		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Target: target, Deadline: deadline,
+		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Workspace: c.workspace, Target: target, Deadline: deadline,
 		EngineDataCentre: PrefixDataCentre(c.candidates(), c.request, clock.Now()),
 	})
 }
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -34,6 +34,8 @@
 	Snapshot *fleet.Snapshot
 	// Rank is the priority; 0 is the highest.
 	Rank int
+	// Workspace is empty for public routes.
+	Workspace api.WorkspaceName
 	// EngineDataCentre is the data centre of the engine that the hash of the prompt prefix selects.
 	EngineDataCentre api.DataCentre
 	// Target is when the results should be ready.
--- a/internal/service/stage/admission_test.go
+++ b/internal/service/stage/admission_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"redwingloft/pkg/api"
 )
 
 // TestSmallResultDoesNotWaitForRoomOfLargeOnes guards against the refusal of jobs with small results
@@ -148,3 +151,79 @@
 	d := b.admit(&early, b.now)
 	assert.Assert(t, !d.accepted && d.retryAfter >= last-100*time.Millisecond)
 }
+
+// floodRun runs a service that is used to nine tenths by five workspaces, one of which sends many times
+// its usual from 10 to 18 s. It returns the jobs of the flooding and of another workspace that arrived
+// and that were accepted in this time.
+func floodRun(factor float64) (flood, other, floodAccepted, otherAccepted int) {
+	b := newBatchHarness(batchedService("s", 8))
+	for range 4 {
+		b.add("s", "a")
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	for step := range 1800 {
+		b.now = b.now.Add(10 * time.Millisecond)
+		for call, end := range b.running {
+			if !b.now.Before(end) {
+				delete(b.running, call)
+				b.complete(call, b.newResults(call), FailureNone, b.now)
+				for _, f := range b.freeCalls(true, b.now) {
+					b.completeFree(f, true, b.now)
+				}
+			}
+		}
+		for w := range 5 {
+			// The upstreams process 89 items, or 44 jobs, a second.
+			rate := 8.0
+			if w == 0 && step >= 1000 {
+				rate *= factor
+			}
+			for range poisson(rate*0.01, random) {
+				job := b.job(fmt.Sprint("r", step, w, random.Uint64()), 0, 1500*time.Millisecond, 6*time.Second, Spec{Service: "s", Items: 2, ResultBytes: 1000})
+				job.Workspace = api.WorkspaceName(fmt.Sprint("w", w))
+				d := b.admit(&job, b.now)
+				if d.accepted {
+					b.submitJob(job)
+				}
+				switch {
+				case step < 1000:
+				case w == 0 && d.accepted:
+					floodAccepted++
+				case d.accepted:
+					otherAccepted++
+				}
+				if step >= 1000 && w == 0 {
+					flood++
+				} else if step >= 1000 {
+					other++
+				}
+			}
+		}
+		b.dispatchNow(nil)
+	}
+	return flood, other, floodAccepted, otherAccepted
+}
+
+// poisson returns a random count with a mean.
+func poisson(mean float64, random *rand.Rand) int {
+	count := 0
+	for at := random.ExpFloat64(); at < mean; at += random.ExpFloat64() {
+		count++
+	}
+	return count
+}
+
+// TestFloodingWorkspaceGetsItsShare guards against a workspace that takes the capacity of the others by
+// sending many times its usual, and against one that is served less than a quarter as often as all.
+func TestFloodingWorkspaceGetsItsShare(t *testing.T) {
+	for _, factor := range []float64{1, 3, 10, 25} {
+		flood, other, floodAccepted, otherAccepted := floodRun(factor)
+		t.Logf("factor %.0f: %d of %d of the flooding workspace, %d of %d of the others", factor, floodAccepted, flood, otherAccepted, other)
+		all := float64(floodAccepted+otherAccepted) / float64(flood+other)
+		rate := float64(otherAccepted) / float64(other)
+		assert.Assert(t, rate >= all)
+		assert.Assert(t, float64(floodAccepted)/float64(flood) >= all/4)
+		// The share of the flooding workspace is what it usually sends, a fifth, or what others leave.
+		assert.Assert(t, rate > 0.75, "factor %.0f: %.2f of the others are accepted", factor, rate)
+	}
+}
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -42,14 +42,15 @@
 // Message is a job as submitted to another host. Times are sent as durations, because the hosts'
 // clocks differ.
 type Message struct {
-	Request    api.RequestID  `json:"request"`
-	Key        string         `json:"key"`
-	TargetMs   int64          `json:"aim_ms"`
-	DeadlineMs int64          `json:"deadline_ms"`
-	Rank       int            `json:"rank"`
-	Home       api.DataCentre `json:"home,omitempty"`
-	Group      Group          `json:"group"`
-	Stages     []Spec         `json:"stages"`
+	Request    api.RequestID     `json:"request"`
+	Key        string            `json:"key"`
+	TargetMs   int64             `json:"aim_ms"`
+	DeadlineMs int64             `json:"deadline_ms"`
+	Rank       int               `json:"rank"`
+	Workspace  api.WorkspaceName `json:"workspace,omitempty"`
+	Home       api.DataCentre    `json:"home,omitempty"`
+	Group      Group             `json:"group"`
+	Stages     []Spec            `json:"stages"`
 	// Stored lists the results that were already produced for another scheduling host, as far as the
 	// submitting host knows.
 	Stored []StoredResults `json:"made,omitempty"`
@@ -80,7 +81,7 @@
 // Job converts a message that was received at now to a job.
 func (m *Message) Job(now time.Time) Job {
 	return Job{
-		Request: m.Request, Key: m.Key, Rank: m.Rank, Home: m.Home, Stages: m.Stages, Stored: m.Stored, Pinned: m.Pinned,
+		Request: m.Request, Key: m.Key, Rank: m.Rank, Workspace: m.Workspace, Home: m.Home, Stages: m.Stages, Stored: m.Stored, Pinned: m.Pinned,
 		Target:   now.Add(time.Duration(m.TargetMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.DeadlineMs) * time.Millisecond),
 	}
@@ -185,7 +186,7 @@
 
 func newMessage(work *forward.StageWork, group Group, now time.Time) *Message {
 	m := &Message{
-		Request: work.Request.ID, Key: work.Request.ItemKey, Rank: work.Rank, Group: group, Home: work.EngineDataCentre,
+		Request: work.Request.ID, Key: work.Request.ItemKey, Rank: work.Rank, Workspace: work.Workspace, Group: group, Home: work.EngineDataCentre,
 		DeadlineMs: (work.Deadline.Sub(now) - engineReserve).Milliseconds(),
 		TargetMs:   work.Target.Sub(now).Milliseconds(),
 	}
--- a/internal/service/stage/compare_test.go
+++ b/internal/service/stage/compare_test.go
@@ -76,6 +76,8 @@
 	retries bool
 	// sizeError is the greatest relative error of the known size of a result.
 	sizeError float64
+	// workspaces is the number of workspaces, with different rates.
+	workspaces int
 	// fetchTime is when an engine has fetched its inputs.
 	fetchTime time.Duration
 }
@@ -95,7 +97,7 @@
 	small := Spec{Service: "first", Items: 1, ResultBytes: 8000}
 	second := Spec{Service: "second", After: []int{0}, Items: 6, ResultBytes: 60_000}
 	return &scenario{
-		groups: 3, retries: true, sizeError: 0.1, fetchTime: 300 * time.Millisecond,
+		groups: 3, retries: true, workspaces: 20, sizeError: 0.1, fetchTime: 300 * time.Millisecond,
 		services: []simService{service("first", 18, 20, 8.6, 45), service("second", 15, 58, 2.9, 7.6), service("third", 18, 92, 1.9, 1.2)},
 		kinds: []requestKind{
 			{vary(113), 5.1, 0.3, 0, time.Second, 5 * time.Second, []Spec{draft}, []float64{1}, bursts(burst{3600 * time.Millisecond, 8600 * time.Millisecond, 2.3})},
@@ -188,10 +190,29 @@
 type kindCount struct {
 	requests, inTarget, inDeadline int
 	offeredValue, attainedValue    float64
+	// byWorkspace holds the requests of each workspace and those of them that were served.
+	byWorkspace map[api.WorkspaceName][2]int
+}
+
+// leastWorkspaceRate returns the least ratio of the served share of a workspace to that of the kind.
+func (c kindCount) leastWorkspaceRate() float64 {
+	least := 1.0
+	for _, w := range c.byWorkspace {
+		least = min(least, float64(w[1])/float64(w[0])/c.served())
+	}
+	return least
 }
 
 func (c kindCount) served() float64 { return float64(c.inTarget+c.inDeadline) / float64(c.requests) }
 
+func (c *kindCount) countWorkspace(name api.WorkspaceName, requests, served int) {
+	if c.byWorkspace == nil {
+		c.byWorkspace = map[api.WorkspaceName][2]int{}
+	}
+	w := c.byWorkspace[name]
+	c.byWorkspace[name] = [2]int{w[0] + requests, w[1] + served}
+}
+
 func (c kindCount) share() float64 { return c.attainedValue / c.offeredValue }
 
 type simCall struct {
@@ -311,7 +332,6 @@
 	target, deadline time.Time
 	job              Job
 	retry, returned  bool
-	workspace        string
 }
 
 // arrive submits a new request at a random host.
@@ -323,12 +343,18 @@
 	s.kinds[k].requests++
 	s.kinds[k].offeredValue += kind.value
 	sched := s.plans[random.IntN(len(s.plans))]
-	job := Job{Request: api.RequestID(fmt.Sprint("r", s.requests)), Key: "k", Rank: kind.rank, Stages: slices.Clone(kind.stages)}
+	workspace := 0
+	if sc.workspaces > 0 {
+		// A tenth of the workspaces send more than a quarter of the requests.
+		workspace = int(math.Pow(s.random.Float64(), 2) * float64(sc.workspaces))
+	}
+	job := Job{Workspace: api.WorkspaceName(fmt.Sprint("w", workspace)), Request: api.RequestID(fmt.Sprint("r", s.requests)), Key: "k", Rank: kind.rank, Stages: slices.Clone(kind.stages)}
 	for i := range job.Stages {
 		if random.Float64() >= kind.shares[i] {
 			job.Stages[i].Items = 0
 		}
 	}
+	s.kinds[k].countWorkspace(job.Workspace, 1, 0)
 	s.submitRequest(&simRequest{kind: kind, count: &s.kinds[k], arrived: s.now, target: s.now.Add(kind.target), deadline: s.now.Add(kind.deadline), job: job, retry: sc.retries}, sched, sc.groups)
 }
 
@@ -373,6 +399,9 @@
 	default:
 		s.unserved++
 	}
+	if value > 0 {
+		r.count.countWorkspace(r.job.Workspace, 0, 1)
+	}
 	s.attainedValue += value
 	r.count.attainedValue += value
 	s.attained[int(r.arrived.Sub(s.begin).Seconds())] += value
@@ -610,10 +639,24 @@
 	}
 }
 
+// TestKindsAndWorkspacesGetTheirShare guards against a kind that is served less often than a less urgent
+// one on the same stages, and against a workspace that gets less than a quarter of the rate at which all
+// of its kind are served, in two overlapping bursts. The most urgent kind is left out of the first: its
+// large results are bound by room that the others don't use.
+func TestKindsAndWorkspacesGetTheirShare(t *testing.T) {
+	for seed := range uint64(testSeeds) {
+		run := simulateScenario(productionPolicy, seed, newLargeScenario)
+		assert.Assert(t, run.kinds[1].served() >= run.kinds[2].served())
+		for k, c := range run.kinds {
+			assert.Assert(t, c.leastWorkspaceRate() >= 0.25, "seed %d, kind %d: %.2f", seed, k, c.leastWorkspaceRate())
+		}
+	}
+}
+
 // BenchmarkFleets reports the measures of the production policy in the scenarios of a small and a large
 // fleet, as means over the seeds: the shares of the value that were attained, in all, in the worst two
-// seconds, for the worst kind and for each kind, the share of each kind that was served, items that
-// found no room for their result, results that were not used, callers that returned and those of
+// seconds, for the worst kind and for each kind, the share of each kind that was served, the
+// least served share of a workspace in relation to that of its kind, items that found no room for their result, results that were not used, callers that returned and those of
 // them that were accepted.
 func BenchmarkFleets(b *testing.B) {
 	for _, sc := range []struct {
@@ -643,13 +686,15 @@
 			sums["worst2s"] += run.worstWindow()
 			sums["noroom"] += float64(run.noRoom)
 			sums["unused"] += float64(run.unused)
-			worstKind := 1.0
+			worstKind, leastWorkspace := 1.0, 1.0
 			for i, c := range run.kinds {
+				leastWorkspace = min(leastWorkspace, c.leastWorkspaceRate())
 				worstKind = min(worstKind, c.share())
 				sums[fmt.Sprint("share", i)] += c.share()
 				sums[fmt.Sprint("served", i)] += c.served()
 			}
 			sums["worstkind"] += worstKind
+			sums["workspace"] += leastWorkspace
 			sums["returned"] += float64(run.returned)
 			sums["returnserved"] += float64(run.returnServed)
 		}
--- a/internal/service/stage/dispatch.go
+++ b/internal/service/stage/dispatch.go
@@ -129,7 +129,7 @@
 	}
 	// With more queued items than the next calls carry, an empty slot is lost capacity.
 	saturated := len(queue) > saturatedCalls*limit
-	rest := make([]*item, 0, len(queue))
+	rest := queue[:0]
 	for i, it := range queue {
 		if len(call.items) == limit {
 			rest = append(rest, queue[i:]...)
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -11,40 +11,69 @@
 type decision struct {
 	forecast
 	accepted   bool
+	reason     refusalReason
 	retryAfter time.Duration
 }
 
-// admit decides whether to start a job. It marks the job as late if it can't meet its target.
+// refusalReason is the reason why a job is refused.
+type refusalReason string
+
+// Reasons why a job is refused.
+const (
+	refusedNoUpstream refusalReason = "no_upstream"
+	// refusedTime: the job can't be done in time.
+	refusedTime refusalReason = "time"
+	// refusedShare: its workspace has more than its share, and the job can't be done in time with the
+	// capacity that others leave.
+	refusedShare refusalReason = "share"
+)
+
+// admit decides whether to start a job. It marks the job as late if it can't meet its target, or if
+// its workspace has more than its share while jobs of its rank are refused.
 func (p *plan) admit(job *Job, now time.Time) decision {
 	f := p.forecast(job, now)
 	if !f.served {
-		return decision{forecast: f, retryAfter: minRetryAfter}
+		return decision{forecast: f, reason: refusedNoUpstream, retryAfter: minRetryAfter}
 	}
 	p.addLoad(job, now)
-	job.Late = !f.meetsTarget(job, now)
-	if f.accepts(job, now) {
+	key := shareKey{job.Rank, job.Workspace}
+	p.shares.demand(key, f.work, now)
+	onTime, exceeded := f.meetsTarget(job, now), p.shares.exceeded(key, now)
+	job.Late = !onTime || exceeded
+	if (onTime && !exceeded) || f.acceptsLate(job, now) {
+		p.shares.accept(key, f.work, now)
 		return decision{forecast: f, accepted: true}
 	}
-	return decision{forecast: f, retryAfter: max(p.retryDelay(f, job, now), p.pausedForJob(job, now))}
+	p.shares.refusedAt[job.Rank] = now
+	reason := refusedTime
+	if onTime {
+		reason = refusedShare
+	}
+	return decision{forecast: f, reason: reason, retryAfter: max(p.retryDelay(f, job, exceeded, now), p.pausedForJob(job, now))}
 }
 
 // retryDelay returns the time after which a refused caller may retry: when its job is expected to be
 // accepted, behind the callers that were refused before. Those return at the pace that the offered load
 // leaves, so a caller that retries early or often only gets a later time. A caller does not wait for
-// more than a third of its remaining time, so one that is told to gets no place.
-func (p *plan) retryDelay(f forecast, job *Job, now time.Time) time.Duration {
+// more than a third of its remaining time, so one that is told to gets no place, and neither does one
+// whose workspace has more than its share.
+func (p *plan) retryDelay(f forecast, job *Job, exceeded bool, now time.Time) time.Duration {
 	left := job.Deadline.Sub(now)
 	onTimeWait := f.onTime + firstEventTime - job.Target.Sub(now)
 	// While the caller waits, the time that the late forecast may take shrinks too.
 	lateWait := time.Duration((float64(f.late) - lateDeadlineShare*float64(left)) / (1 - lateDeadlineShare))
-	returnAt := now.Add(max(min(onTimeWait, lateWait), minRetryAfter))
+	wait := min(onTimeWait, lateWait)
+	if exceeded {
+		wait = lateWait
+	}
+	returnAt := now.Add(max(wait, minRetryAfter))
 	for rank, next := range p.nextReturn {
 		if rank <= job.Rank && next.After(returnAt) {
 			returnAt = next
 		}
 	}
 	delay := min(returnAt.Sub(now), maxRetryAfter)
-	if delay <= left/callerWaitShare {
+	if delay <= left/callerWaitShare && !exceeded {
 		p.nextReturn[job.Rank] = returnAt.Add(f.own)
 	}
 	return delay
@@ -58,6 +87,9 @@
 	// own is the time that the work of the job takes of the capacity that more urgent work leaves of
 	// its scarcest service.
 	own time.Duration
+	// work is the time, in seconds, that the work of the job takes of the whole capacity of its
+	// scarcest service.
+	work float64
 	// served is false if a service has no upstream.
 	served bool
 }
@@ -89,6 +121,7 @@
 		late[i] = max(lateStart, paused+timeFor(all[i].items, rate*spareItems), paused+timeFor(all[i].bytes, resultThroughput*spareBytes)) + call
 		work := backlog{}
 		work.add(job.pending(i), spec.ResultBytes)
+		f.work = max(f.work, timeFor(work.items, rate).Seconds(), timeFor(work.bytes, resultThroughput).Seconds())
 		f.own = max(f.own, timeFor(work.items, rate*spareItems), timeFor(work.bytes, resultThroughput*spareBytes))
 		f.onTime, f.late = max(f.onTime, onTime[i]), max(f.late, late[i])
 	}
@@ -103,7 +136,12 @@
 // accepts reports whether to start a new job: it can meet its target, or it can be done well within
 // its deadline with the capacity that on-time jobs leave.
 func (f forecast) accepts(job *Job, now time.Time) bool {
-	return f.meetsTarget(job, now) || float64(f.late) <= lateDeadlineShare*float64(job.Deadline.Sub(now))
+	return f.meetsTarget(job, now) || f.acceptsLate(job, now)
+}
+
+// acceptsLate reports whether the job can be done well within its deadline as a late one.
+func (f forecast) acceptsLate(job *Job, now time.Time) bool {
+	return float64(f.late) <= lateDeadlineShare*float64(job.Deadline.Sub(now))
 }
 
 // load is an exponentially decaying count of the items of a service and of the bytes of their
--- a/internal/service/stage/job.go
+++ b/internal/service/stage/job.go
@@ -23,6 +23,8 @@
 	Deadline time.Time
 	// Rank is the priority; 0 is the highest.
 	Rank int
+	// Workspace is empty for public routes.
+	Workspace api.WorkspaceName
 	// Home is the data centre of the likely consumer; empty if it is unknown.
 	Home   api.DataCentre
 	Stages []Spec
@@ -31,8 +33,8 @@
 	// Pinned jobs are not handed back when another host schedules the group, because their
 	// submitting host can't reach it.
 	Pinned bool
-	// Late is set at admission if the job can't meet its target. It then gets capacity that on-time
-	// jobs leave.
+	// Late is set at admission if the job can't meet its target, or if its workspace has more than its
+	// share. It then gets capacity that on-time jobs leave.
 	Late bool
 }
 
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -84,6 +84,8 @@
 	workers map[fleet.Incarnation]*worker
 	// loads holds the work of the jobs that arrived lately, whether they were accepted or not.
 	loads map[loadKey]load
+	// shares holds the shares of the workspaces.
+	shares *shares
 	// nextReturn is the time, by rank, from which the next refused caller may return.
 	nextReturn map[int]time.Time
 	// callTimes holds the results of callTime; timesVersion changes when they do.
@@ -103,7 +105,7 @@
 
 func newPlan(retry func(api.ServiceName) bool) *plan {
 	return &plan{
-		retry: retry, loads: map[loadKey]load{}, callTimes: map[api.ServiceName]time.Duration{}, nextReturn: map[int]time.Time{}, timesVersion: 1, jobs: map[api.RequestID]*jobState{}, queues: map[api.ServiceName][]*item{}, workers: map[fleet.Incarnation]*worker{},
+		retry: retry, shares: newShares(), loads: map[loadKey]load{}, callTimes: map[api.ServiceName]time.Duration{}, nextReturn: map[int]time.Time{}, timesVersion: 1, jobs: map[api.RequestID]*jobState{}, queues: map[api.ServiceName][]*item{}, workers: map[fleet.Incarnation]*worker{},
 	}
 }
 
