Choose the second group by known forecasts or refuse at once

Cause: a request that one group refused tried another one at random, also if that one was as full. Submissions and replies now carry the last forecast of each group for jobs of the same rank and stages, with its age: one entry for each group, whatever the number of hosts and upstreams. The second group is drawn with weights by these forecasts, so that hosts don't all choose the same one.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -77,6 +77,8 @@
 
 	schedulersMu sync.Mutex
 	schedulers   map[stage.Group]*stage.Scheduler
+	// forecasts holds the known forecasts of the groups of stage upstreams.
+	forecasts stage.GroupForecasts
 
 	// draining is set on the first signal to stop, refusing once new requests are refused.
 	draining atomic.Bool
@@ -156,7 +158,7 @@
 
 func (e *entryHost) newService() *forward.Service {
 	client := &stage.Client{
-		Self: e.settings.Host.ID, View: e.directory.View, HTTP: e.peerClient, Log: e.log, Metrics: e.metrics, Local: e.scheduler,
+		Self: e.settings.Host.ID, View: e.directory.View, HTTP: e.peerClient, Log: e.log, Metrics: e.metrics, Local: e.scheduler, Forecasts: &e.forecasts,
 	}
 	return &forward.Service{
 		View: e.directory.View, Pool: e.pool, Codec: e.codec, Health: e.health, Budget: e.newRetryBudget(e.hostCount), Log: e.log, Metrics: e.metrics,
@@ -183,7 +185,7 @@
 		return existing
 	}
 	created := &stage.Scheduler{
-		Pool: e.pool, Forward: &e.codec, Throttle: e.throttle, Log: e.log, Metrics: e.metrics, View: e.directory.View,
+		Pool: e.pool, Forward: &e.codec, Throttle: e.throttle, Forecasts: &e.forecasts, Log: e.log, Metrics: e.metrics, View: e.directory.View,
 		Budget:    e.newRetryBudget(func() int { return len(stage.Groups(e.directory.View())) }),
 		Upstreams: func(view *directory.View) []*fleet.Upstream { return stage.UpstreamsInGroup(view, group) },
 		Role:      func(view *directory.View) stage.Role { return stage.RoleOf(view, group, e.settings.Host.ID) },
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -13,6 +13,7 @@
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/helper/hashing"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
@@ -31,6 +32,8 @@
 	releaseTimeout = time.Second
 	// engineReserve is the part of the remaining time that is reserved for the engine.
 	engineReserve = 50 * time.Millisecond
+	// drawSteps is the number of values that the hash of a request can take when it chooses a group.
+	drawSteps = 1 << 20
 )
 
 // Paths of the calls between hosts.
@@ -54,6 +57,8 @@
 	// Stored lists the results that were already produced for another scheduling host, as far as the
 	// submitting host knows.
 	Stored []StoredResults `json:"made,omitempty"`
+	// Known holds the forecasts of groups for jobs of this kind that the submitting host knows.
+	Known []GroupForecast `json:"known,omitempty"`
 	// Pinned prevents the job from being handed back, because the submitting host can't reach the
 	// host that should schedule it or has a different host list.
 	Pinned bool `json:"pinned,omitempty"`
@@ -67,6 +72,8 @@
 	Stored   []StoredResults `json:"made,omitempty"`
 	Home     api.DataCentre  `json:"home,omitempty"`
 	Error    *api.Error      `json:"error,omitempty"`
+	// Known holds the forecasts of groups for jobs of this kind.
+	Known []GroupForecast `json:"known,omitempty"`
 	// HandedBack is set if the host stops working on the job, because it was paused or another host
 	// now schedules the group.
 	HandedBack bool `json:"handed_back,omitempty"`
@@ -81,7 +88,7 @@
 // Job converts a message that was received at now to a job.
 func (m *Message) Job(now time.Time) Job {
 	return Job{
-		Request: m.Request, Key: m.Key, Rank: m.Rank, Workspace: m.Workspace, Home: m.Home, Stages: m.Stages, Stored: m.Stored, Pinned: m.Pinned,
+		Request: m.Request, Key: m.Key, Rank: m.Rank, Workspace: m.Workspace, Group: m.Group, Known: m.Known, Home: m.Home, Stages: m.Stages, Stored: m.Stored, Pinned: m.Pinned,
 		Target:   now.Add(time.Duration(m.TargetMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.DeadlineMs) * time.Millisecond),
 	}
@@ -97,6 +104,8 @@
 	Metrics *metric.Set
 	// Local returns this host's scheduler for a group.
 	Local func(group Group) *Scheduler
+	// Forecasts holds the known forecasts of the groups; it may be nil.
+	Forecasts *GroupForecasts
 
 	mu sync.Mutex
 	// avoidUntil maps failed hosts to the time from which they may be used again.
@@ -133,8 +142,15 @@
 	// Another group may have capacity; transferring results between data centres is better than
 	// refusing the request.
 	others := slices.DeleteFunc(groups, func(g Group) bool { return g == group })
+	now := clock.Now()
+	draw := float64(hashing.Of(string(work.Request.ID))%drawSteps) / drawSteps
+	other, found := chooseGroup(others, c.Forecasts.Known(jobKind(work.Rank, specs(work)), now), work.Target.Sub(now), work.Deadline.Sub(now)-engineReserve, draw)
+	if !found {
+		c.Metrics.Counter("stage.no_other_group").Inc(1)
+		return nil, err
+	}
 	c.Metrics.Counter("stage.other_group").Inc(1)
-	return c.prepareInGroup(ctx, work, groupOf(others, "", string(work.Request.ID)), &knownResults{})
+	return c.prepareInGroup(ctx, work, other, &knownResults{})
 }
 
 // prepareInGroup runs the stages of a request in a group. known collects the results that the job
@@ -153,7 +169,12 @@
 			return nil, errDeadlineUnreachable
 		}
 		message.Stored = known.live(clock.Now())
+		kind := jobKind(message.Rank, message.Stages)
+		if group != GroupAll {
+			message.Known = c.Forecasts.Known(kind, clock.Now())
+		}
 		outcome, err := c.submit(ctx, host, message, known)
+		c.Forecasts.Learn(kind, outcome.Known, clock.Now())
 		if err == nil {
 			return c.newPrepared(group, outcome), nil
 		}
@@ -190,12 +211,17 @@
 		DeadlineMs: (work.Deadline.Sub(now) - engineReserve).Milliseconds(),
 		TargetMs:   work.Target.Sub(now).Milliseconds(),
 	}
+	m.Stages = specs(work)
+	return m
+}
+
+// specs returns the stages of a request.
+func specs(work *forward.StageWork) []Spec {
+	list := make([]Spec, len(work.Route.Stages))
 	for i, stage := range work.Route.Stages {
-		m.Stages = append(m.Stages, Spec{
-			Service: stage.Service, After: stage.After, ResultBytes: stage.ResultBytes, Items: work.Request.Items[i],
-		})
+		list[i] = Spec{Service: stage.Service, After: stage.After, ResultBytes: stage.ResultBytes, Items: work.Request.Items[i]}
 	}
-	return m
+	return list
 }
 
 // pickHost returns the host that schedules a group, and whether a higher-ranked one was skipped. A
@@ -247,9 +273,9 @@
 		return Outcome{}, ErrHandedBack
 	}
 	if last.Error != nil {
-		return Outcome{}, fault.FromAPI(last.Error)
+		return Outcome{Known: last.Known}, fault.FromAPI(last.Error)
 	}
-	return Outcome{Stored: last.Stored, Home: last.Home}, nil
+	return Outcome{Stored: last.Stored, Home: last.Home, Known: last.Known}, nil
 }
 
 // newPrepared returns the outcome with the function that releases its results.
--- a/internal/service/stage/compare_test.go
+++ b/internal/service/stage/compare_test.go
@@ -30,6 +30,9 @@
 	engineAnswerTime = 300 * time.Millisecond
 	// maxQueuedCalls is the queue capacity of an upstream.
 	maxQueuedCalls = 2
+	// knowledgeDelay is the age at which hosts learn the forecast of another group. Some tens of
+	// requests a second go from each group's host to the others.
+	knowledgeDelay = 50 * time.Millisecond
 )
 
 // requestKind is a kind of request in the load.
@@ -149,6 +152,8 @@
 	singleItem bool
 	// fifo serves items in order of arrival, ignoring their kind and target.
 	fifo bool
+	// blindGroups chooses the second group without the known forecasts.
+	blindGroups bool
 	// acceptAll accepts every job.
 	acceptAll bool
 }
@@ -238,7 +243,11 @@
 	noRoom, unused int
 	// returned and returnServed count the callers that retried and those of them that were accepted.
 	returned, returnServed int
-	kinds                  []kindCount
+	// otherTries and otherAccepted count the requests that tried a second group and those of them that
+	// were accepted.
+	otherTries, otherAccepted int
+	forecasts                 GroupForecasts
+	kinds                     []kindCount
 	// offered and attained are the values by the second of arrival.
 	offered, attained [60]float64
 	random            *rand.Rand
@@ -364,14 +373,38 @@
 	r.job.Target, r.job.Deadline = s.now.Add(r.kind.target), r.deadline
 	delay, refused := s.try(r, sched)
 	if refused && groups > 1 {
-		others := slices.DeleteFunc(slices.Clone(s.plans), func(p *plan) bool { return p == sched })
-		delay, refused = s.try(r, others[s.random.IntN(len(others))])
+		if other := s.otherGroup(r, sched); other != nil {
+			s.otherTries++
+			if delay, refused = s.try(r, other); !refused {
+				s.otherAccepted++
+			}
+		}
 	}
 	if refused {
 		s.refuse(r, delay, groups)
 	}
 }
 
+// otherGroup returns the group for a second try, or nil if none is known to take the request. Hosts know
+// the forecasts of the other groups after knowledgeDelay.
+func (s *simulation) otherGroup(r *simRequest, sched *plan) *plan {
+	var others []Group
+	var known []GroupForecast
+	for i, p := range s.plans {
+		if p != sched {
+			others = append(others, Group(fmt.Sprint(i)))
+		}
+	}
+	if !s.policy.blindGroups {
+		known = s.forecasts.Known(jobKind(r.job.Rank, r.job.Stages), s.now)
+	}
+	group, found := chooseGroup(others, known, r.job.Target.Sub(s.now), r.job.Deadline.Sub(s.now), s.random.Float64())
+	if !found {
+		return nil
+	}
+	return s.plans[slices.IndexFunc(s.plans, func(p *plan) bool { return fmt.Sprint(slices.Index(s.plans, p)) == string(group) })]
+}
+
 // refuse ends a request, or lets its caller retry.
 func (s *simulation) refuse(r *simRequest, delay time.Duration, groups int) {
 	if delay == 0 {
@@ -411,7 +444,10 @@
 func (s *simulation) try(r *simRequest, sched *plan) (time.Duration, bool) {
 	job := r.job
 	if !s.policy.acceptAll {
-		if d := sched.admit(&job, s.now); !d.accepted {
+		d := sched.admit(&job, s.now)
+		f := []GroupForecast{{Group(fmt.Sprint(slices.Index(s.plans, sched))), d.onTime.Milliseconds(), d.late.Milliseconds(), knowledgeDelay.Milliseconds()}}
+		s.after(knowledgeDelay, func() { s.forecasts.Learn(jobKind(job.Rank, job.Stages), f, s.now) })
+		if !d.accepted {
 			return d.retryAfter, true
 		}
 	}
@@ -664,6 +700,9 @@
 		make func(*rand.Rand) *scenario
 	}{{"small", newScenario}, {"large", newLargeScenario}} {
 		b.Run(sc.name, func(b *testing.B) { measure(b, productionPolicy, sc.make) })
+		p := productionPolicy
+		p.blindGroups = true
+		b.Run(sc.name+"blind", func(b *testing.B) { measure(b, p, sc.make) })
 	}
 }
 
@@ -695,6 +734,8 @@
 			}
 			sums["worstkind"] += worstKind
 			sums["workspace"] += leastWorkspace
+			sums["other"] += float64(run.otherTries)
+			sums["otheraccepted"] += float64(run.otherAccepted)
 			sums["returned"] += float64(run.returned)
 			sums["returnserved"] += float64(run.returnServed)
 		}
--- a/internal/service/stage/job.go
+++ b/internal/service/stage/job.go
@@ -25,6 +25,9 @@
 	Rank int
 	// Workspace is empty for public routes.
 	Workspace api.WorkspaceName
+	// Group is the group that runs the job, Known what the submitting host knows of other groups.
+	Group Group
+	Known []GroupForecast
 	// Home is the data centre of the likely consumer; empty if it is unknown.
 	Home   api.DataCentre
 	Stages []Spec
@@ -49,6 +52,8 @@
 
 // Outcome is the result of a finished job.
 type Outcome struct {
+	// Known holds the forecasts of groups for jobs of this kind, also if the job is refused.
+	Known []GroupForecast
 	// Stored lists the results of the stages that no other stage depends on.
 	Stored []StoredResults
 	// Home is the data centre that holds most of their bytes; empty if there is none.
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -62,8 +62,10 @@
 	Budget  *forward.Budget
 	// Throttle holds the rate limits that upstreams name; it may be nil.
 	Throttle *throttle.Table
-	Log      *log.Logger
-	Metrics  *metric.Set
+	// Forecasts holds the known forecasts of the groups; it may be nil.
+	Forecasts *GroupForecasts
+	Log       *log.Logger
+	Metrics   *metric.Set
 	// Upstreams returns the upstreams that belong to this scheduler.
 	Upstreams func(*directory.View) []*fleet.Upstream
 	// Role returns the role of this host in the group.
@@ -103,7 +105,7 @@
 	if err := s.admit(&job, now); err != nil {
 		s.releaseStored(job.Stored)
 		s.mu.Unlock()
-		return Outcome{}, err
+		return Outcome{Known: s.knownForecasts(&job, now)}, err
 	}
 	if old := s.plan.jobs[job.Request]; old != nil {
 		s.plan.end(old, refSet(job.Stored))
@@ -135,6 +137,7 @@
 				report(end.outcome.Stored)
 			}
 			s.Metrics.Histogram("stage.job").Update(clock.Now().Sub(now).Milliseconds())
+			end.outcome.Known = s.knownForecasts(&job, clock.Now())
 			return end.outcome, end.err
 		case results := <-updates:
 			report(results)
@@ -156,6 +159,11 @@
 // admit refuses a job that can't be done in time. The caller holds mu.
 func (s *Scheduler) admit(job *Job, now time.Time) error {
 	d := s.plan.admit(job, now)
+	if d.served && job.Group != GroupAll {
+		kind := jobKind(job.Rank, job.Stages)
+		s.Forecasts.Learn(kind, job.Known, now)
+		s.Forecasts.Learn(kind, []GroupForecast{{job.Group, d.onTime.Milliseconds(), d.late.Milliseconds(), 0}}, now)
+	}
 	if d.accepted {
 		return nil
 	}
@@ -174,6 +182,14 @@
 	return fault.AddRetryAfter(err, d.retryAfter)
 }
 
+// knownForecasts returns the forecasts that the host of a job gets with the reply.
+func (s *Scheduler) knownForecasts(job *Job, now time.Time) []GroupForecast {
+	if job.Group == GroupAll {
+		return nil
+	}
+	return s.Forecasts.Known(jobKind(job.Rank, job.Stages), now)
+}
+
 // refresh records that the scheduler runs and updates the plan to the newest view. After a long
 // pause it hands all jobs back. The caller holds mu.
 func (s *Scheduler) refresh() {
--- a/internal/web/entry/peers.go
+++ b/internal/web/entry/peers.go
@@ -80,7 +80,7 @@
 	if r.Context().Err() != nil {
 		return
 	}
-	reply := stage.Reply{Stored: outcome.Stored, Home: outcome.Home}
+	reply := stage.Reply{Stored: outcome.Stored, Home: outcome.Home, Known: outcome.Known}
 	switch {
 	case errors.Is(err, stage.ErrHandedBack):
 		reply.HandedBack = true
