Leave room to the future results of more urgent ranks in forecasts

Cause: a job with a far target was begun although more urgent jobs that arrive before its turn take the room for the results of its later stages. It then ended after some seconds with its first stages done for nothing. The forecast now gives on-time jobs only the result throughput that the accepted load of more urgent ranks leaves.

TestForecastLeavesRoomToMoreUrgentWork fails before.

--- a/internal/service/stage/admission_test.go
+++ b/internal/service/stage/admission_test.go
@@ -227,3 +227,26 @@
 		assert.Assert(t, rate > 0.75, "factor %.0f: %.2f of the others are accepted", factor, rate)
 	}
 }
+
+// TestForecastLeavesRoomToMoreUrgentWork guards against jobs that are begun although more urgent ones
+// will take the room for the results of their later stages: what their first stages made is not used.
+func TestForecastLeavesRoomToMoreUrgentWork(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 40))
+	w := b.worker(b.add("s", "a"))
+	w.hold("old", w.limits.ResultCapacity, b.now, b.now)
+	w.completeFree("old", b.now.Add(800*time.Millisecond))
+	spec := Spec{Service: "s", Items: 4, ResultBytes: 1 << 20}
+	for i := range 4 {
+		b.submitJob(b.job(fmt.Sprint("low", i), 2, 4*time.Second, 6*time.Second, spec))
+	}
+	job := b.job("next", 2, 4*time.Second, 6*time.Second, spec)
+	before := b.forecast(&job, b.now)
+	for i := range 10 {
+		urgent := b.job(fmt.Sprint("urgent", i), 0, 4*time.Second, 6*time.Second, spec)
+		assert.Assert(t, b.admit(&urgent, b.now).accepted)
+	}
+	after := b.forecast(&job, b.now)
+	assert.Assert(t, after.onTime > before.onTime, "%s after %s", after.onTime, before.onTime)
+	urgent := b.job("urgent", 0, 4*time.Second, 6*time.Second, spec)
+	assert.Equal(t, b.forecast(&urgent, b.now).onTime, b.callTime("s"))
+}
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -35,12 +35,13 @@
 	if !f.served {
 		return decision{forecast: f, reason: refusedNoUpstream, retryAfter: minRetryAfter}
 	}
-	p.addLoad(job, now)
+	p.addLoad(job, false, now)
 	key := shareKey{job.Rank, job.Workspace}
 	p.shares.demand(key, f.work, now)
 	onTime, exceeded := f.meetsTarget(job, now), p.shares.exceeded(key, now)
 	job.Late = !onTime || exceeded
 	if (onTime && !exceeded) || f.acceptsLate(job, now) {
+		p.addLoad(job, true, now)
 		p.shares.accept(key, f.work, now)
 		return decision{forecast: f, accepted: true}
 	}
@@ -117,7 +118,8 @@
 		}
 		call := p.callTime(spec.Service)
 		spareItems, spareBytes := p.spareShares(spec.Service, job.Rank, rate, resultThroughput, now)
-		onTime[i] = max(start, paused+timeFor(ahead[i].items, rate), paused+timeFor(ahead[i].bytes, resultThroughput)) + call
+		urgentBytes := p.urgentShare(spec.Service, job.Rank, resultThroughput, now)
+		onTime[i] = max(start, paused+timeFor(ahead[i].items, rate), paused+timeFor(ahead[i].bytes, resultThroughput*urgentBytes)) + call
 		late[i] = max(lateStart, paused+timeFor(all[i].items, rate*spareItems), paused+timeFor(all[i].bytes, resultThroughput*spareBytes)) + call
 		work := backlog{}
 		work.add(job.pending(i), spec.ResultBytes)
@@ -144,17 +146,18 @@
 	return float64(f.late) <= lateDeadlineShare*float64(job.Deadline.Sub(now))
 }
 
-// load is an exponentially decaying count of the items of a service and of the bytes of their
-// results.
+// load holds exponentially decaying sums of the items of a service and of the bytes of their results.
 type load struct {
 	items, bytes float64
 	at           time.Time
 }
 
-// loadKey identifies the load of a service by jobs of a rank.
+// loadKey identifies the load of a service by the jobs of a rank: those that arrived, or those of them
+// that were accepted.
 type loadKey struct {
-	service api.ServiceName
-	rank    int
+	service  api.ServiceName
+	rank     int
+	accepted bool
 }
 
 // decayed returns the load decayed to now.
@@ -163,12 +166,11 @@
 	return load{l.items * factor, l.bytes * factor, now}
 }
 
-// addLoad counts the items of a new job. Refused jobs count too: if only accepted ones did, late jobs
-// that take the room of on-time ones would lower the load that keeps them out.
-func (p *plan) addLoad(job *Job, now time.Time) {
+// addLoad counts the items of a job that arrived or was accepted.
+func (p *plan) addLoad(job *Job, accepted bool, now time.Time) {
 	for i, spec := range job.Stages {
 		if pending := job.pending(i); pending > 0 {
-			key := loadKey{spec.Service, job.Rank}
+			key := loadKey{spec.Service, job.Rank, accepted}
 			l := p.loads[key].decayed(now)
 			l.items += float64(pending)
 			l.bytes += float64(pending) * float64(spec.ResultBytes)
@@ -177,19 +179,35 @@
 	}
 }
 
-// spareShares returns the shares of a service's item rate and result throughput that more urgent
-// work leaves to late jobs of a rank.
+// urgentShare returns the share of a service's result throughput that the future work of more urgent
+// ranks leaves to on-time jobs of a rank, if they continue at the rate at which they are accepted.
+func (p *plan) urgentShare(service api.ServiceName, rank int, resultThroughput float64, now time.Time) float64 {
+	used := p.loadOf(now, func(key loadKey) bool { return key.service == service && key.accepted && key.rank < rank })
+	return spareShare(used.bytes, resultThroughput)
+}
+
+// spareShares returns the shares of a service's item rate and result throughput that more urgent work
+// leaves to late jobs of a rank. Refused jobs count too: if only accepted ones did, late jobs that take
+// the room of on-time ones would lower the load that keeps them out.
 func (p *plan) spareShares(service api.ServiceName, rank int, rate, resultThroughput float64, now time.Time) (items, bytes float64) {
-	var used load
 	late := class(rank, true)
+	used := p.loadOf(now, func(key loadKey) bool {
+		return key.service == service && !key.accepted && class(key.rank, false) <= late
+	})
+	return spareShare(used.items, rate), spareShare(used.bytes, resultThroughput)
+}
+
+// loadOf returns the sum of the loads that match.
+func (p *plan) loadOf(now time.Time, match func(loadKey) bool) load {
+	sum := load{at: now}
 	for key, l := range p.loads {
-		if key.service == service && class(key.rank, false) <= late {
+		if match(key) {
 			l = l.decayed(now)
-			used.items += l.items
-			used.bytes += l.bytes
+			sum.items += l.items
+			sum.bytes += l.bytes
 		}
 	}
-	return spareShare(used.items, rate), spareShare(used.bytes, resultThroughput)
+	return sum
 }
 
 // spareShare returns the share of a rate that the used part leaves to late jobs.
