--- a/internal/service/forward/prepare.go
+++ b/internal/service/forward/prepare.go
@@ -39,7 +39,7 @@
 	}
 	defer leave()
 	return c.RunStages(ctx, &StageWork{
-		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Target: target, Deadline: deadline,
+		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Workspace: c.workspace, Target: target, Deadline: deadline,
 		EngineDataCentre: PrefixDataCentre(c.candidates(), c.request, clock.Now()),
 	})
 }
--- a/internal/service/stage/compare_test.go
+++ b/internal/service/stage/compare_test.go
@@ -30,6 +30,9 @@
 	engineAnswerTime = 300 * time.Millisecond
 	// maxQueuedCalls is the queue capacity of an upstream.
 	maxQueuedCalls = 2
+	// knowledgeDelay is the age at which hosts learn the forecast of another group. Some tens of
+	// requests a second go from each group's host to the others.
+	knowledgeDelay = 50 * time.Millisecond
 )
 
 // requestKind is a kind of request in the load.
@@ -76,6 +79,8 @@
 	retries bool
 	// sizeError is the greatest relative error of the known size of a result.
 	sizeError float64
+	// workspaces is the number of workspaces, with different rates.
+	workspaces int
 	// fetchTime is when an engine has fetched its inputs.
 	fetchTime time.Duration
 }
@@ -95,7 +100,7 @@
 	small := Spec{Service: "first", Items: 1, ResultBytes: 8000}
 	second := Spec{Service: "second", After: []int{0}, Items: 6, ResultBytes: 60_000}
 	return &scenario{
-		groups: 3, retries: true, sizeError: 0.1, fetchTime: 300 * time.Millisecond,
+		groups: 3, retries: true, workspaces: 20, sizeError: 0.1, fetchTime: 300 * time.Millisecond,
 		services: []simService{service("first", 18, 20, 8.6, 45), service("second", 15, 58, 2.9, 7.6), service("third", 18, 92, 1.9, 1.2)},
 		kinds: []requestKind{
 			{vary(113), 5.1, 0.3, 0, time.Second, 5 * time.Second, []Spec{draft}, []float64{1}, bursts(burst{3600 * time.Millisecond, 8600 * time.Millisecond, 2.3})},
@@ -147,6 +152,8 @@
 	singleItem bool
 	// fifo serves items in order of arrival, ignoring their kind and target.
 	fifo bool
+	// blindGroups chooses the second group without the known forecasts.
+	blindGroups bool
 	// acceptAll accepts every job.
 	acceptAll bool
 }
@@ -188,10 +195,29 @@
 type kindCount struct {
 	requests, inTarget, inDeadline int
 	offeredValue, attainedValue    float64
+	// byWorkspace holds the requests of each workspace and those of them that were served.
+	byWorkspace map[api.WorkspaceName][2]int
+}
+
+// leastWorkspaceRate returns the least ratio of the served share of a workspace to that of the kind.
+func (c kindCount) leastWorkspaceRate() float64 {
+	least := 1.0
+	for _, w := range c.byWorkspace {
+		least = min(least, float64(w[1])/float64(w[0])/c.served())
+	}
+	return least
 }
 
 func (c kindCount) served() float64 { return float64(c.inTarget+c.inDeadline) / float64(c.requests) }
 
+func (c *kindCount) countWorkspace(name api.WorkspaceName, requests, served int) {
+	if c.byWorkspace == nil {
+		c.byWorkspace = map[api.WorkspaceName][2]int{}
+	}
+	w := c.byWorkspace[name]
+	c.byWorkspace[name] = [2]int{w[0] + requests, w[1] + served}
+}
+
 func (c kindCount) share() float64 { return c.attainedValue / c.offeredValue }
 
 type simCall struct {
@@ -217,7 +243,11 @@
 	noRoom, unused int
 	// returned and returnServed count the callers that retried and those of them that were accepted.
 	returned, returnServed int
-	kinds                  []kindCount
+	// otherTries and otherAccepted count the requests that tried a second group and those of them that
+	// were accepted.
+	otherTries, otherAccepted int
+	forecasts                 GroupForecasts
+	kinds                     []kindCount
 	// offered and attained are the values by the second of arrival.
 	offered, attained [60]float64
 	random            *rand.Rand
@@ -311,7 +341,6 @@
 	target, deadline time.Time
 	job              Job
 	retry, returned  bool
-	workspace        string
 }
 
 // arrive submits a new request at a random host.
@@ -323,12 +352,18 @@
 	s.kinds[k].requests++
 	s.kinds[k].offeredValue += kind.value
 	sched := s.plans[random.IntN(len(s.plans))]
-	job := Job{Request: api.RequestID(fmt.Sprint("r", s.requests)), Key: "k", Rank: kind.rank, Stages: slices.Clone(kind.stages)}
+	workspace := 0
+	if sc.workspaces > 0 {
+		// A tenth of the workspaces send more than a quarter of the requests.
+		workspace = int(math.Pow(s.random.Float64(), 2) * float64(sc.workspaces))
+	}
+	job := Job{Workspace: api.WorkspaceName(fmt.Sprint("w", workspace)), Request: api.RequestID(fmt.Sprint("r", s.requests)), Key: "k", Rank: kind.rank, Stages: slices.Clone(kind.stages)}
 	for i := range job.Stages {
 		if random.Float64() >= kind.shares[i] {
 			job.Stages[i].Items = 0
 		}
 	}
+	s.kinds[k].countWorkspace(job.Workspace, 1, 0)
 	s.submitRequest(&simRequest{kind: kind, count: &s.kinds[k], arrived: s.now, target: s.now.Add(kind.target), deadline: s.now.Add(kind.deadline), job: job, retry: sc.retries}, sched, sc.groups)
 }
 
@@ -338,14 +373,38 @@
 	r.job.Target, r.job.Deadline = s.now.Add(r.kind.target), r.deadline
 	delay, refused := s.try(r, sched)
 	if refused && groups > 1 {
-		others := slices.DeleteFunc(slices.Clone(s.plans), func(p *plan) bool { return p == sched })
-		delay, refused = s.try(r, others[s.random.IntN(len(others))])
+		if other := s.otherGroup(r, sched); other != nil {
+			s.otherTries++
+			if delay, refused = s.try(r, other); !refused {
+				s.otherAccepted++
+			}
+		}
 	}
 	if refused {
 		s.refuse(r, delay, groups)
 	}
 }
 
+// otherGroup returns the group for a second try, or nil if none is known to take the request. Hosts know
+// the forecasts of the other groups after knowledgeDelay.
+func (s *simulation) otherGroup(r *simRequest, sched *plan) *plan {
+	var others []Group
+	var known []GroupForecast
+	for i, p := range s.plans {
+		if p != sched {
+			others = append(others, Group(fmt.Sprint(i)))
+		}
+	}
+	if !s.policy.blindGroups {
+		known = s.forecasts.Known(jobKind(r.job.Rank, r.job.Stages), s.now)
+	}
+	group, found := chooseGroup(others, known, r.job.Target.Sub(s.now), r.job.Deadline.Sub(s.now), s.random.Float64())
+	if !found {
+		return nil
+	}
+	return s.plans[slices.IndexFunc(s.plans, func(p *plan) bool { return fmt.Sprint(slices.Index(s.plans, p)) == string(group) })]
+}
+
 // refuse ends a request, or lets its caller retry.
 func (s *simulation) refuse(r *simRequest, delay time.Duration, groups int) {
 	if delay == 0 {
@@ -373,6 +432,9 @@
 	default:
 		s.unserved++
 	}
+	if value > 0 {
+		r.count.countWorkspace(r.job.Workspace, 0, 1)
+	}
 	s.attainedValue += value
 	r.count.attainedValue += value
 	s.attained[int(r.arrived.Sub(s.begin).Seconds())] += value
@@ -382,7 +444,10 @@
 func (s *simulation) try(r *simRequest, sched *plan) (time.Duration, bool) {
 	job := r.job
 	if !s.policy.acceptAll {
-		if d := sched.admit(&job, s.now); !d.accepted {
+		d := sched.admit(&job, s.now)
+		f := []GroupForecast{{Group(fmt.Sprint(slices.Index(s.plans, sched))), d.onTime.Milliseconds(), d.late.Milliseconds(), knowledgeDelay.Milliseconds()}}
+		s.after(knowledgeDelay, func() { s.forecasts.Learn(jobKind(job.Rank, job.Stages), f, s.now) })
+		if !d.accepted {
 			return d.retryAfter, true
 		}
 	}
@@ -610,10 +675,24 @@
 	}
 }
 
+// TestKindsAndWorkspacesGetTheirShare guards against a kind that is served less often than a less urgent
+// one on the same stages, and against a workspace that gets less than a quarter of the rate at which all
+// of its kind are served, in two overlapping bursts. The most urgent kind is left out of the first: its
+// large results are bound by room that the others don't use.
+func TestKindsAndWorkspacesGetTheirShare(t *testing.T) {
+	for seed := range uint64(testSeeds) {
+		run := simulateScenario(productionPolicy, seed, newLargeScenario)
+		assert.Assert(t, run.kinds[1].served() >= run.kinds[2].served())
+		for k, c := range run.kinds {
+			assert.Assert(t, c.leastWorkspaceRate() >= 0.25, "seed %d, kind %d: %.2f", seed, k, c.leastWorkspaceRate())
+		}
+	}
+}
+
 // BenchmarkFleets reports the measures of the production policy in the scenarios of a small and a large
 // fleet, as means over the seeds: the shares of the value that were attained, in all, in the worst two
-// seconds, for the worst kind and for each kind, the share of each kind that was served, items that
-// found no room for their result, results that were not used, callers that returned and those of
+// seconds, for the worst kind and for each kind, the share of each kind that was served, the
+// least served share of a workspace in relation to that of its kind, items that found no room for their result, results that were not used, callers that returned and those of
 // them that were accepted.
 func BenchmarkFleets(b *testing.B) {
 	for _, sc := range []struct {
@@ -621,6 +700,9 @@
 		make func(*rand.Rand) *scenario
 	}{{"small", newScenario}, {"large", newLargeScenario}} {
 		b.Run(sc.name, func(b *testing.B) { measure(b, productionPolicy, sc.make) })
+		p := productionPolicy
+		p.blindGroups = true
+		b.Run(sc.name+"blind", func(b *testing.B) { measure(b, p, sc.make) })
 	}
 }
 
@@ -643,13 +725,17 @@
 			sums["worst2s"] += run.worstWindow()
 			sums["noroom"] += float64(run.noRoom)
 			sums["unused"] += float64(run.unused)
-			worstKind := 1.0
+			worstKind, leastWorkspace := 1.0, 1.0
 			for i, c := range run.kinds {
+				leastWorkspace = min(leastWorkspace, c.leastWorkspaceRate())
 				worstKind = min(worstKind, c.share())
 				sums[fmt.Sprint("share", i)] += c.share()
 				sums[fmt.Sprint("served", i)] += c.served()
 			}
 			sums["worstkind"] += worstKind
+			sums["workspace"] += leastWorkspace
+			sums["other"] += float64(run.otherTries)
+			sums["otheraccepted"] += float64(run.otherAccepted)
 			sums["returned"] += float64(run.returned)
 			sums["returnserved"] += float64(run.returnServed)
 		}
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -11,40 +11,70 @@
 type decision struct {
 	forecast
 	accepted   bool
+	reason     refusalReason
 	retryAfter time.Duration
 }
 
-// admit decides whether to start a job. It marks the job as late if it can't meet its target.
+// refusalReason is the reason why a job is refused.
+type refusalReason string
+
+// Reasons why a job is refused.
+const (
+	refusedNoUpstream refusalReason = "no_upstream"
+	// refusedTime: the job can't be done in time.
+	refusedTime refusalReason = "time"
+	// refusedShare: its workspace has more than its share, and the job can't be done in time with the
+	// capacity that others leave.
+	refusedShare refusalReason = "share"
+)
+
+// admit decides whether to start a job. It marks the job as late if it can't meet its target, or if
+// its workspace has more than its share while jobs of its rank are refused.
 func (p *plan) admit(job *Job, now time.Time) decision {
 	f := p.forecast(job, now)
 	if !f.served {
-		return decision{forecast: f, retryAfter: minRetryAfter}
+		return decision{forecast: f, reason: refusedNoUpstream, retryAfter: minRetryAfter}
 	}
-	p.addLoad(job, now)
-	job.Late = !f.meetsTarget(job, now)
-	if f.accepts(job, now) {
+	p.addLoad(job, false, now)
+	key := shareKey{job.Rank, job.Workspace}
+	p.shares.demand(key, f.work, now)
+	onTime, exceeded := f.meetsTarget(job, now), p.shares.exceeded(key, now)
+	job.Late = !onTime || exceeded
+	if (onTime && !exceeded) || f.acceptsLate(job, now) {
+		p.addLoad(job, true, now)
+		p.shares.accept(key, f.work, now)
 		return decision{forecast: f, accepted: true}
 	}
-	return decision{forecast: f, retryAfter: max(p.retryDelay(f, job, now), p.pausedForJob(job, now))}
+	p.shares.refusedAt[job.Rank] = now
+	reason := refusedTime
+	if onTime {
+		reason = refusedShare
+	}
+	return decision{forecast: f, reason: reason, retryAfter: max(p.retryDelay(f, job, exceeded, now), p.pausedForJob(job, now))}
 }
 
 // retryDelay returns the time after which a refused caller may retry: when its job is expected to be
 // accepted, behind the callers that were refused before. Those return at the pace that the offered load
 // leaves, so a caller that retries early or often only gets a later time. A caller does not wait for
-// more than a third of its remaining time, so one that is told to gets no place.
-func (p *plan) retryDelay(f forecast, job *Job, now time.Time) time.Duration {
+// more than a third of its remaining time, so one that is told to gets no place, and neither does one
+// whose workspace has more than its share.
+func (p *plan) retryDelay(f forecast, job *Job, exceeded bool, now time.Time) time.Duration {
 	left := job.Deadline.Sub(now)
 	onTimeWait := f.onTime + firstEventTime - job.Target.Sub(now)
 	// While the caller waits, the time that the late forecast may take shrinks too.
 	lateWait := time.Duration((float64(f.late) - lateDeadlineShare*float64(left)) / (1 - lateDeadlineShare))
-	returnAt := now.Add(max(min(onTimeWait, lateWait), minRetryAfter))
+	wait := min(onTimeWait, lateWait)
+	if exceeded {
+		wait = lateWait
+	}
+	returnAt := now.Add(max(wait, minRetryAfter))
 	for rank, next := range p.nextReturn {
 		if rank <= job.Rank && next.After(returnAt) {
 			returnAt = next
 		}
 	}
 	delay := min(returnAt.Sub(now), maxRetryAfter)
-	if delay <= left/callerWaitShare {
+	if delay <= left/callerWaitShare && !exceeded {
 		p.nextReturn[job.Rank] = returnAt.Add(f.own)
 	}
 	return delay
@@ -58,6 +88,9 @@
 	// own is the time that the work of the job takes of the capacity that more urgent work leaves of
 	// its scarcest service.
 	own time.Duration
+	// work is the time, in seconds, that the work of the job takes of the whole capacity of its
+	// scarcest service.
+	work float64
 	// served is false if a service has no upstream.
 	served bool
 }
@@ -85,10 +118,12 @@
 		}
 		call := p.callTime(spec.Service)
 		spareItems, spareBytes := p.spareShares(spec.Service, job.Rank, rate, resultThroughput, now)
-		onTime[i] = max(start, paused+timeFor(ahead[i].items, rate), paused+timeFor(ahead[i].bytes, resultThroughput)) + call
+		urgentBytes := p.urgentShare(spec.Service, job.Rank, resultThroughput, now)
+		onTime[i] = max(start, paused+timeFor(ahead[i].items, rate), paused+timeFor(ahead[i].bytes, resultThroughput*urgentBytes)) + call
 		late[i] = max(lateStart, paused+timeFor(all[i].items, rate*spareItems), paused+timeFor(all[i].bytes, resultThroughput*spareBytes)) + call
 		work := backlog{}
 		work.add(job.pending(i), spec.ResultBytes)
+		f.work = max(f.work, timeFor(work.items, rate).Seconds(), timeFor(work.bytes, resultThroughput).Seconds())
 		f.own = max(f.own, timeFor(work.items, rate*spareItems), timeFor(work.bytes, resultThroughput*spareBytes))
 		f.onTime, f.late = max(f.onTime, onTime[i]), max(f.late, late[i])
 	}
@@ -103,20 +138,26 @@
 // accepts reports whether to start a new job: it can meet its target, or it can be done well within
 // its deadline with the capacity that on-time jobs leave.
 func (f forecast) accepts(job *Job, now time.Time) bool {
-	return f.meetsTarget(job, now) || float64(f.late) <= lateDeadlineShare*float64(job.Deadline.Sub(now))
+	return f.meetsTarget(job, now) || f.acceptsLate(job, now)
+}
+
+// acceptsLate reports whether the job can be done well within its deadline as a late one.
+func (f forecast) acceptsLate(job *Job, now time.Time) bool {
+	return float64(f.late) <= lateDeadlineShare*float64(job.Deadline.Sub(now))
 }
 
-// load is an exponentially decaying count of the items of a service and of the bytes of their
-// results.
+// load holds exponentially decaying sums of the items of a service and of the bytes of their results.
 type load struct {
 	items, bytes float64
 	at           time.Time
 }
 
-// loadKey identifies the load of a service by jobs of a rank.
+// loadKey identifies the load of a service by the jobs of a rank: those that arrived, or those of them
+// that were accepted.
 type loadKey struct {
-	service api.ServiceName
-	rank    int
+	service  api.ServiceName
+	rank     int
+	accepted bool
 }
 
 // decayed returns the load decayed to now.
@@ -125,12 +166,11 @@
 	return load{l.items * factor, l.bytes * factor, now}
 }
 
-// addLoad counts the items of a new job. Refused jobs count too: if only accepted ones did, late jobs
-// that take the room of on-time ones would lower the load that keeps them out.
-func (p *plan) addLoad(job *Job, now time.Time) {
+// addLoad counts the items of a job that arrived or was accepted.
+func (p *plan) addLoad(job *Job, accepted bool, now time.Time) {
 	for i, spec := range job.Stages {
 		if pending := job.pending(i); pending > 0 {
-			key := loadKey{spec.Service, job.Rank}
+			key := loadKey{spec.Service, job.Rank, accepted}
 			l := p.loads[key].decayed(now)
 			l.items += float64(pending)
 			l.bytes += float64(pending) * float64(spec.ResultBytes)
@@ -139,19 +179,35 @@
 	}
 }
 
-// spareShares returns the shares of a service's item rate and result throughput that more urgent
-// work leaves to late jobs of a rank.
+// urgentShare returns the share of a service's result throughput that the future work of more urgent
+// ranks leaves to on-time jobs of a rank, if they continue at the rate at which they are accepted.
+func (p *plan) urgentShare(service api.ServiceName, rank int, resultThroughput float64, now time.Time) float64 {
+	used := p.loadOf(now, func(key loadKey) bool { return key.service == service && key.accepted && key.rank < rank })
+	return spareShare(used.bytes, resultThroughput)
+}
+
+// spareShares returns the shares of a service's item rate and result throughput that more urgent work
+// leaves to late jobs of a rank. Refused jobs count too: if only accepted ones did, late jobs that take
+// the room of on-time ones would lower the load that keeps them out.
 func (p *plan) spareShares(service api.ServiceName, rank int, rate, resultThroughput float64, now time.Time) (items, bytes float64) {
-	var used load
 	late := class(rank, true)
+	used := p.loadOf(now, func(key loadKey) bool {
+		return key.service == service && !key.accepted && class(key.rank, false) <= late
+	})
+	return spareShare(used.items, rate), spareShare(used.bytes, resultThroughput)
+}
+
+// loadOf returns the sum of the loads that match.
+func (p *plan) loadOf(now time.Time, match func(loadKey) bool) load {
+	sum := load{at: now}
 	for key, l := range p.loads {
-		if key.service == service && class(key.rank, false) <= late {
+		if match(key) {
 			l = l.decayed(now)
-			used.items += l.items
-			used.bytes += l.bytes
+			sum.items += l.items
+			sum.bytes += l.bytes
 		}
 	}
-	return spareShare(used.items, rate), spareShare(used.bytes, resultThroughput)
+	return sum
 }
 
 // spareShare returns the share of a rate that the used part leaves to late jobs.
--- a/internal/service/stage/job.go
+++ b/internal/service/stage/job.go
@@ -23,6 +23,11 @@
 	Deadline time.Time
 	// Rank is the priority; 0 is the highest.
 	Rank int
+	// Workspace is empty for public routes.
+	Workspace api.WorkspaceName
+	// Group is the group that runs the job, Known what the submitting host knows of other groups.
+	Group Group
+	Known []GroupForecast
 	// Home is the data centre of the likely consumer; empty if it is unknown.
 	Home   api.DataCentre
 	Stages []Spec
@@ -31,8 +36,8 @@
 	// Pinned jobs are not handed back when another host schedules the group, because their
 	// submitting host can't reach it.
 	Pinned bool
-	// Late is set at admission if the job can't meet its target. It then gets capacity that on-time
-	// jobs leave.
+	// Late is set at admission if the job can't meet its target, or if its workspace has more than its
+	// share. It then gets capacity that on-time jobs leave.
 	Late bool
 }
 
@@ -47,6 +52,8 @@
 
 // Outcome is the result of a finished job.
 type Outcome struct {
+	// Known holds the forecasts of groups for jobs of this kind, also if the job is refused.
+	Known []GroupForecast
 	// Stored lists the results of the stages that no other stage depends on.
 	Stored []StoredResults
 	// Home is the data centre that holds most of their bytes; empty if there is none.
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -63,8 +63,10 @@
 	Budget  *forward.Budget
 	// Throttle holds the rate limits that upstreams name; it may be nil.
 	Throttle *throttle.Table
-	Log      *log.Logger
-	Metrics  *metric.Set
+	// Forecasts holds the known forecasts of the groups; it may be nil.
+	Forecasts *GroupForecasts
+	Log       *log.Logger
+	Metrics   *metric.Set
 	// Upstreams returns the upstreams that belong to this scheduler.
 	Upstreams func(*directory.View) []*fleet.Upstream
 	// Role returns the role of this host in the group.
@@ -104,7 +106,7 @@
 	if err := s.admit(&job, now); err != nil {
 		s.releaseStored(job.Stored)
 		s.mu.Unlock()
-		return Outcome{}, err
+		return Outcome{Known: s.knownForecasts(&job, now)}, err
 	}
 	if old := s.plan.jobs[job.Request]; old != nil {
 		s.plan.end(old, refSet(job.Stored))
@@ -136,6 +138,7 @@
 				report(end.outcome.Stored)
 			}
 			s.Metrics.Histogram("stage.job").Update(clock.Now().Sub(now).Milliseconds())
+			end.outcome.Known = s.knownForecasts(&job, clock.Now())
 			return end.outcome, end.err
 		case results := <-updates:
 			report(results)
@@ -157,6 +160,11 @@
 // admit refuses a job that can't be done in time. The caller holds mu.
 func (s *Scheduler) admit(job *Job, now time.Time) error {
 	d := s.plan.admit(job, now)
+	if d.served && job.Group != GroupAll {
+		kind := jobKind(job.Rank, job.Stages)
+		s.Forecasts.Learn(kind, job.Known, now)
+		s.Forecasts.Learn(kind, []GroupForecast{{job.Group, d.onTime.Milliseconds(), d.late.Milliseconds(), 0}}, now)
+	}
 	if d.accepted {
 		return nil
 	}
@@ -164,13 +172,25 @@
 		return errNotServed
 	}
 	s.Metrics.Counter("stage.refused").Inc(1)
-	s.Log.Info().Str("request", string(job.Request)).Int("rank", job.Rank).Int("jobs", len(s.plan.jobs)).
+	s.Metrics.Counter("stage.refused." + string(d.reason)).Inc(1)
+	s.Log.Info().Str("request", string(job.Request)).Int("rank", job.Rank).Int("jobs", len(s.plan.jobs)).Str("reason", string(d.reason)).Str("workspace", string(job.Workspace)).
 		Int64("on_time_ms", d.onTime.Milliseconds()).Int64("late_ms", d.late.Milliseconds()).
 		Int64("aim_ms", job.Target.Sub(now).Milliseconds()).Int64("left_ms", job.Deadline.Sub(now).Milliseconds()).Msg("job_refused")
 	err := fault.New(api.KindDeadlineUnreachable, "the stages need %s, but only %s remain until the deadline", d.late.Round(time.Millisecond), job.Deadline.Sub(now).Round(time.Millisecond))
+	if d.reason == refusedShare {
+		err = fault.New(api.KindDeadlineUnreachable, "the workspace has more than its share of the stages")
+	}
 	return fault.AddRetryAfter(err, d.retryAfter)
 }
 
+// knownForecasts returns the forecasts that the host of a job gets with the reply.
+func (s *Scheduler) knownForecasts(job *Job, now time.Time) []GroupForecast {
+	if job.Group == GroupAll {
+		return nil
+	}
+	return s.Forecasts.Known(jobKind(job.Rank, job.Stages), now)
+}
+
 // refresh records that the scheduler runs and updates the plan to the newest view. After a long
 // pause it hands all jobs back. The caller holds mu.
 func (s *Scheduler) refresh() {
