--- a/internal/service/stage/compare_test.go
+++ b/internal/service/stage/compare_test.go
@@ -452,7 +452,7 @@
 		}
 	}
 	if s.policy.fifo {
-		job.Rank, job.Target = 0, s.now.Add(time.Hour)
+		job.Rank, job.Late, job.Target = 0, false, s.now.Add(time.Hour)
 		job.Deadline = job.Target
 	}
 	if r.returned {
