Finish jobs that another scheduling host has begun

A job that moved to another scheduling host in a burst was judged like a new one, so that its results so far could be thrown away. It is now taken if it can meet its deadline. TestBegunJobOfOtherHostIsFinished fails without that. The model has no change of the scheduling host.

--- a/internal/service/stage/admission_test.go
+++ b/internal/service/stage/admission_test.go
@@ -250,3 +250,23 @@
 	urgent := b.job("urgent", 0, 4*time.Second, 6*time.Second, spec)
 	assert.Equal(t, b.forecast(&urgent, b.now).onTime, b.callTime("s"))
 }
+
+// TestBegunJobOfOtherHostIsFinished guards against the refusal of jobs that move to another scheduling
+// host in a burst: what they have got so far would be thrown away.
+func TestBegunJobOfOtherHostIsFinished(t *testing.T) {
+	b := newBatchHarness(batchedService("s", 8), batchedService("t", 8))
+	u := b.add("s", "a")
+	b.add("t", "a")
+	stages := []Spec{{Service: "s", Items: 2, ResultBytes: 1000}, {Service: "t", After: []int{0}, Items: 4}}
+	for i := range 20 {
+		job := b.job(fmt.Sprint("queued", i), 0, 6*time.Second, 6*time.Second, stages...)
+		b.admit(&job, b.now)
+		b.submitJob(job)
+	}
+	job := b.job("moved", 0, time.Second, 6*time.Second, stages...)
+	assert.Assert(t, !b.admit(&job, b.now).accepted)
+	job.Stored = []StoredResults{{Upstream: u.ID, RemainingMs: 3000, Items: []StoredResult{{0, 0, "x"}, {0, 1, "y"}}}}
+	assert.Assert(t, b.admit(&job, b.now).accepted)
+	job.Deadline = b.now.Add(time.Second)
+	assert.Assert(t, !b.admit(&job, b.now).accepted)
+}
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -40,7 +40,7 @@
 	p.shares.demand(key, f.work, now)
 	onTime, exceeded := f.meetsTarget(job, now), p.shares.exceeded(key, now)
 	job.Late = !onTime || exceeded
-	if (onTime && !exceeded) || f.acceptsLate(job, now) {
+	if (onTime && !exceeded) || f.acceptsLate(job, now) || f.finishes(job, now) {
 		p.addLoad(job, true, now)
 		p.shares.accept(key, f.work, now)
 		return decision{forecast: f, accepted: true}
@@ -146,6 +146,11 @@
 	return float64(f.late) <= lateDeadlineShare*float64(job.Deadline.Sub(now))
 }
 
+// finishes reports whether a job that another scheduling host has begun can be done by its deadline.
+func (f forecast) finishes(job *Job, now time.Time) bool {
+	return len(job.Stored) > 0 && !now.Add(f.onTime+firstEventTime).After(job.Deadline)
+}
+
 // load holds exponentially decaying sums of the items of a service and of the bytes of their results.
 type load struct {
 	items, bytes float64
