Tell hosts that start which evacuations have just ended

A host that read the store just after the key was deleted saw entries from before the deletion and took their upstreams for warm until the next entry, a second later. TestHostThatStartsKnowsReturns guards against the fault. Hosts that read the store themselves are not told.

Requests that are refused while a data centre is evacuated and no upstream is ready are told to return after a second instead of 60 ms.

--- a/internal/service/directory/cold_test.go
+++ b/internal/service/directory/cold_test.go
@@ -66,6 +66,33 @@
 	assert.Equal(t, coldLeft(s, "a", start), coldTime, "a read does not show when the evacuation ended")
 }
 
+// TestHostThatStartsKnowsReturns guards against full traffic from a host that has read the store just after
+// an evacuation ended, and so before the entries were written again, and against a return that counts twice.
+func TestHostThatStartsKnowsReturns(t *testing.T) {
+	now := start
+	sources, follower, poll := followPair(&now)
+	document := store.Entry{Key: "document", Value: fmt.Appendf(nil, `{"Revision":2,"Services":[{"Name":"s","ColdTime":%d}]}`, coldTime), Version: 2}
+	sources[0].recordWatch([]store.Event{{Entry: document}, {Entry: coldEntry("a", 0, 3)}, {Entry: coldEntry("b", 0, 4)}, evacuation("a", 5), evacuation("b", 6)}, now, 0)
+	sources[0].recordWatch([]store.Event{returned("a", 7), returned("b", 8), {Entry: coldEntry("b", 0, 9)}}, now, 0)
+	follower.replace([]store.Entry{document, coldEntry("a", 0, 3), coldEntry("b", 0, 9)}, 9, now)
+	now = now.Add(time.Second)
+	assert.Equal(t, coldLeft(&follower.state, "a", now), time.Duration(0))
+	for range 2 {
+		poll(t, sources[0])
+		assert.Equal(t, coldLeft(&follower.state, "a", now), coldTime-time.Second)
+		assert.Equal(t, coldLeft(&follower.state, "b", now), time.Duration(0), "its entry was written since")
+	}
+	sources[0].recordWatch([]store.Event{{Entry: coldEntry("a", 0, 10)}}, now, 0)
+	for range 2 {
+		poll(t, sources[0])
+		assert.Equal(t, coldLeft(&follower.state, "a", now), time.Duration(0))
+	}
+	now = now.Add(returnTTL)
+	update, sent := sources[0].newUpdate(0, now)
+	sent()
+	assert.Equal(t, len(update.Returned), 0)
+}
+
 // TestInvalidColdTimeIsReportedOnce guards against a log line for each entry of an upstream that writes
 // an invalid cold time, and against an upstream that is not used because of it.
 func TestInvalidColdTimeIsReportedOnce(t *testing.T) {
--- a/internal/service/directory/feed.go
+++ b/internal/service/directory/feed.go
@@ -72,6 +72,8 @@
 	Revision fleet.Revision `json:"revision,omitempty"`
 	// GraceMs is the time in milliseconds for which entries that are missing are still kept.
 	GraceMs int64 `json:"grace_ms,omitempty"`
+	// Returned holds the evacuations that have ended in the last seconds.
+	Returned []Return `json:"returned,omitempty"`
 	// Disconnected is true if the sender itself knows of no path to the store.
 	Disconnected bool `json:"disconnected,omitempty"`
 }
@@ -122,7 +124,7 @@
 	now := s.now()
 	update, sent = &Update{
 		Version: s.state.Version(), Revision: s.state.documentRevision(), AgeMs: -1, HeldMs: now.Sub(received).Milliseconds(),
-		GraceMs: max(s.graceUntil.Sub(now).Milliseconds(), 0), Disconnected: !s.disconnectedAt.IsZero(),
+		GraceMs: max(s.graceUntil.Sub(now).Milliseconds(), 0), Returned: s.state.recentReturns(now), Disconnected: !s.disconnectedAt.IsZero(),
 	}, func() {}
 	if !s.confirmedAt.IsZero() {
 		update.AgeMs = (now.Sub(s.confirmedAt) + time.Millisecond - 1).Milliseconds()
@@ -373,6 +375,10 @@
 	}
 	s.lacksDocument = !update.Full && update.Version == known && update.Revision > s.state.documentRevision()
 	if update.Version < known || update.Version == known && !update.Full {
+		if update.Version == known && s.state.recordReturns(update.Returned, now) {
+			s.publish()
+			return judgement
+		}
 		s.mu.Unlock()
 		return judgement
 	}
@@ -388,6 +394,7 @@
 			s.recordGap(known)
 		}
 	}
+	s.state.recordReturns(update.Returned, now)
 	entered()
 	s.publish()
 	return judgement
--- a/internal/service/directory/restore.go
+++ b/internal/service/directory/restore.go
@@ -89,7 +89,7 @@
 	centre := s.records[key].evacuated
 	delete(s.records, key)
 	if centre != "" {
-		s.chill(centre, now)
+		s.recordReturn(Return{DataCentre: centre, Version: version}, now)
 	}
 }
 
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -129,6 +129,8 @@
 	drainedIncarnations map[fleet.Incarnation]time.Time
 	// removed holds the last removals by key, those of entries that were written again excepted.
 	removed map[string]removal
+	// returns holds the last ends of evacuations.
+	returns map[api.DataCentre]knownReturn
 	// restoring is true while the first entries are applied after the store came back from an
 	// older copy.
 	restoring bool
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -235,7 +235,11 @@
 func (c *call) noCandidateError() error {
 	ready := c.View().Ready(c.service)
 	if len(ready) == 0 {
-		return fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the service has no ready upstream"), busyRetryAfter)
+		wait := busyRetryAfter
+		if len(c.View().Evacuated) > 0 {
+			wait = evacuatedRetryAfter
+		}
+		return fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the service has no ready upstream"), wait)
 	}
 	c.Metrics.Counter("throttle.refused." + string(c.service)).Inc(1)
 	return fault.AddRetryAfter(fault.New(api.KindOverloaded, "all %d upstreams get as many requests as they accept", len(ready)), c.retryDelay(ready))
@@ -344,6 +348,9 @@
 	// busyRetryAfter is the Retry-After time if all upstreams are busy: about the time in
 	// which a non-streaming request frees its slot.
 	busyRetryAfter = 60 * time.Millisecond
+	// evacuatedRetryAfter is the Retry-After time while data centres are evacuated, which lasts seconds
+	// at least.
+	evacuatedRetryAfter = time.Second
 )
 
 // afterAttempts returns the error for a refusal that may follow attempts. A request that may have
