--- a/internal/web/entry/entry_test.go
+++ b/internal/web/entry/entry_test.go
@@ -45,7 +45,7 @@
 	return state.View()
 }
 
-func startCallers(t *testing.T, limit int64, handle func(*bufio.Writer, platform.Request) bool) (*platform.Upstream, *CallerHandler, *httptest.Server) {
+func startCallers(t testing.TB, limit int64, handle func(*bufio.Writer, platform.Request) bool) (*platform.Upstream, *CallerHandler, *httptest.Server) {
 	t.Helper()
 	upstream := &platform.Upstream{Handle: handle, Entry: fleet.Upstream{ID: "u", Service: "s", State: fleet.StateReady, Slots: 1}}
 	assert.NilError(t, upstream.Start())
