Read bodies in segments and take response buffers from the account

A chunked body was read into a buffer that doubles and is copied, so up to three times its size was held for a while, and a body with a length was allocated whole before its first byte arrived: 64 bodies of 4 MB took 288 to 335 MB (test/clients). Bodies of requests and responses are now read in segments of 4 to 64 KB that grow with what has arrived. They are written to the upstream from these, without a copy.

forward.Pool reserves responses in the memory account in place of its own BufferLimit, with the same meaning.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -23,6 +23,7 @@
 	"redwingloft/internal/helper/timer"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
+	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/outlier"
 	"redwingloft/internal/service/quarantine"
 	"redwingloft/internal/service/stage"
@@ -42,8 +43,10 @@
 	// response-time objective at another one.
 	peerDialTimeout = 300 * time.Millisecond
 	peerPingTimeout = stage.MaxSchedulerPause / 2
-	// bufferMemoryRatio is the part of the host's memory limit that response bodies may hold.
-	bufferMemoryRatio = 0.25
+	// accountRatio is the part of the host's memory limit that may be held on behalf of callers. The
+	// heap grows to 1.5 times what is live before it is collected, and connections, code and the
+	// directory need the rest.
+	accountRatio = 0.4
 	// sweepInterval is the interval at which idle connections and unused state are removed.
 	sweepInterval = time.Second
 	// serverCloseTimeout bounds the shutdown of each listener. exitMargin is long enough
@@ -61,6 +64,7 @@
 	timer         *timer.Service
 	metrics       *metric.Set
 	directory     *directory.Service
+	memory        *memory.Account
 	pool          *forward.Pool
 	health        *forward.HealthTable
 	prompts       *quarantine.Tracker
@@ -101,10 +105,11 @@
 	e.directory = e.newDirectory(kv)
 	e.prompts = &quarantine.Tracker{Stored: e.quarantinedParts}
 	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, Log: logger, Metrics: e.metrics}
+	e.memory = &memory.Account{Limit: int64(accountRatio * s.Host.MemoryLimit * megabyte)}
 	e.pool = &forward.Pool{
 		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
-		BufferLimit: int64(bufferMemoryRatio * s.Host.MemoryLimit * megabyte),
-		OnLeaving:   func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
+		Memory:    e.memory,
+		OnLeaving: func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
 	}
 	e.callerHandler = &web.CallerHandler{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
--- a/internal/data/fleet/request.go
+++ b/internal/data/fleet/request.go
@@ -17,7 +17,7 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// Path is the path component of Target.
 	Path string
 	// Credential is the bearer token, or empty.
--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -5,7 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 
 	"redwingloft/internal/data/fleet"
@@ -109,14 +111,16 @@
 }
 
 // send writes the header and the body. A long body is written in the background.
-func (x *exchange) send(writeHeader func(*bufio.Writer) error, body []byte) error {
+func (x *exchange) send(writeHeader func(*bufio.Writer) error, body fleet.Body) error {
 	w := bufio.NewWriterSize(x.conn, bufferSize)
 	if err := writeHeader(w); err != nil {
 		return err
 	}
-	if len(body) <= maxInlineBodyBytes {
-		if _, err := w.Write(body); err != nil {
-			return err
+	if body.Len() <= maxInlineBodyBytes {
+		for _, segment := range body {
+			if _, err := w.Write(segment); err != nil {
+				return err
+			}
 		}
 		if err := w.Flush(); err != nil {
 			return err
@@ -127,8 +131,10 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	// Writing consumes the list of segments, which a further attempt needs too.
+	segments := net.Buffers(slices.Clone(body))
 	go func() {
-		if _, err := x.conn.Write(body); err == nil {
+		if _, err := segments.WriteTo(x.conn.Conn); err == nil {
 			x.written.Store(true)
 		}
 		// A write error is ignored: reading the response fails too, unless it came early.
@@ -167,9 +173,9 @@
 // readAll reads the whole body of at most limit bytes. A response without a length is
 // complete only if its connection was closed, not reset. The memory of the body is reserved
 // until release is called.
-func (x *exchange) readAll(limit int64) ([]byte, error) {
+func (x *exchange) readAll(limit int64) (fleet.Body, error) {
 	x.conn.bounded.limit(limitBody, wireRatio*limit+maxHeadBytes)
-	data, reserved, err := x.pool.readBody(x.response.Body, limit)
+	data, reserved, err := x.pool.readBody(x.response.Body, x.response.ContentLength, limit)
 	x.conn.bounded.unlimit()
 	x.reserved += reserved
 	return data, err
@@ -239,7 +245,7 @@
 		x.written.Store(true)
 		x.finish()
 	}
-	return &CallResponse{Status: x.response.StatusCode, Reply: x.reply, Body: data}, nil
+	return &CallResponse{Status: x.response.StatusCode, Reply: x.reply, Body: data.Bytes()}, nil
 }
 
 // CallResponse is the response to an internal request.
--- a/internal/service/forward/limit.go
+++ b/internal/service/forward/limit.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 
+	"redwingloft/internal/data/fleet"
+	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/metric"
 )
 
@@ -101,42 +103,38 @@
 	return n, err
 }
 
-// minBodyBuffer is the initial size of the buffer of a body, which doubles as needed.
-const minBodyBuffer = 1 << 10
-
-// reserve reserves memory for a response body and reports whether it is within BufferLimit.
+// reserve reserves memory for a response and reports whether there is room in the account.
 func (p *Pool) reserve(size int64) bool {
-	if used := p.buffered.Add(size); p.BufferLimit > 0 && used > p.BufferLimit {
-		p.buffered.Add(-size)
+	if p.Memory != nil && !p.Memory.Reserve(size, clock.Now()) {
 		return false
 	}
+	p.buffered.Add(size)
 	return true
 }
 
 // release returns reserved memory.
-func (p *Pool) release(size int64) { p.buffered.Add(-size) }
+func (p *Pool) release(size int64) {
+	p.buffered.Add(-size)
+	if p.Memory != nil {
+		p.Memory.Return(size)
+	}
+}
+
+// bufferLimit is the error of a response for which there is no memory.
+func (p *Pool) bufferLimit() error { return &limitError{limitBuffer, p.Memory.Limit} }
 
 // readBody reads a body of at most limit bytes. It returns the size of the memory that it has
 // reserved, which the caller releases once it no longer needs the body.
-func (p *Pool) readBody(body io.Reader, limit int64) (data []byte, reserved int64, err error) {
-	for {
-		if len(data) == cap(data) {
-			size := max(2*int64(cap(data)), minBodyBuffer)
-			if !p.reserve(size - reserved) {
-				return nil, reserved, &limitError{limitBuffer, p.BufferLimit}
-			}
-			reserved = size
-			data = append(make([]byte, 0, size), data...)
-		}
-		n, err := body.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		switch {
-		case int64(len(data)) > limit:
-			return nil, reserved, &limitError{limitBody, limit}
-		case err == io.EOF:
-			return data, reserved, nil
-		case err != nil:
-			return nil, reserved, err
+func (p *Pool) readBody(body io.Reader, length, limit int64) (data fleet.Body, reserved int64, err error) {
+	data, err = fleet.ReadBody(body, length, limit, func(size int64) error {
+		if !p.reserve(size) {
+			return p.bufferLimit()
 		}
+		reserved += size
+		return nil
+	})
+	if errors.Is(err, fleet.ErrBodyTooLarge) {
+		err = &limitError{limitBody, limit}
 	}
+	return data, reserved, err
 }
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -70,7 +70,7 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   fleet.Body
 	// release returns the memory of the body.
 	release func()
 }
@@ -174,12 +174,17 @@
 	c.Codec.CopyResponseHeader(header, response.header)
 	disableContentTypeSniffing(header)
 	if c.request.Method != http.MethodHead && response.status != http.StatusNoContent && response.status != http.StatusNotModified {
-		header.Set("Content-Length", strconv.Itoa(len(response.body)))
+		header.Set("Content-Length", strconv.FormatInt(response.body.Len(), 10))
 	}
 	c.started, c.status = true, response.status
 	c.writer.WriteHeader(response.status)
-	if _, err := c.writer.Write(response.body); err != nil && c.request.Method != http.MethodHead {
-		return errAborted
+	if c.request.Method == http.MethodHead {
+		return nil
+	}
+	for _, segment := range response.body {
+		if _, err := c.writer.Write(segment); err != nil {
+			return errAborted
+		}
 	}
 	return nil
 }
--- a/internal/service/forward/pool.go
+++ b/internal/service/forward/pool.go
@@ -16,6 +16,7 @@
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/dial"
 	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/throttle"
 	"redwingloft/pkg/api"
 )
@@ -39,9 +40,8 @@
 	// IdleLimit returns how many idle connections to an upstream this host may keep; nil
 	// means maxIdleConns.
 	IdleLimit func(upstream *fleet.Upstream) int
-	// BufferLimit bounds the response bodies that are held in memory at the same time, in
-	// bytes over all requests; 0 means no limit.
-	BufferLimit int64
+	// Memory accounts for the responses that are held in memory; nil means no limit.
+	Memory *memory.Account
 	// Metrics counts the responses that exceed a limit, by limit; it may be nil.
 	Metrics *metric.Set
 	// Throttle holds the rate limits that upstreams name; it may be nil.
--- a/internal/web/entry/callers.go
+++ b/internal/web/entry/callers.go
@@ -4,14 +4,13 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
@@ -66,7 +65,7 @@
 // errIncompleteBody means that the body did not arrive completely, so no response can be sent.
 var errIncompleteBody = errors.New("incomplete request body")
 
-func (h *CallerHandler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+func (h *CallerHandler) readBody(w http.ResponseWriter, r *http.Request) (fleet.Body, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -82,12 +81,12 @@
 	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, fault.Wrap(api.KindInternal, err, "set the read timeout of the body")
 	}
-	body, err := readLimited(r, limit)
+	body, err := fleet.ReadBody(r.Body, r.ContentLength, limit, func(int64) error { return nil })
 	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, errIncompleteBody
+	case errors.Is(err, fleet.ErrBodyTooLarge):
+		return nil, fault.New(api.KindTooLarge, "the body has more than %d bytes", limit)
 	case err != nil:
-		return nil, err
+		return nil, errors.Join(errIncompleteBody, err)
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return nil, fault.Wrap(api.KindInternal, err, "clear the read timeout of the body")
@@ -95,24 +94,6 @@
 	return body, nil
 }
 
-func readLimited(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, errors.Join(errIncompleteBody, err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, errors.Join(errIncompleteBody, err)
-	}
-	if int64(len(body)) > limit {
-		return nil, fault.New(api.KindTooLarge, "the body has more than %d bytes", limit)
-	}
-	return body, nil
-}
-
 // writeError writes an error that was not returned by an upstream.
 func (h *CallerHandler) writeError(w http.ResponseWriter, r *http.Request, err error) {
 	kind := fault.KindOf(err)
