Account for request bodies and refuse those that do not fit

Callers saw a host end for its memory: each body was read whole, without a bound over all callers, and bodies that stop one byte short stayed for 10 s. Bodies now reserve memory in the account as they arrive. If it is full, stalled ones lose theirs (408), large ones are refused (503 with the time in which as much becomes free, before they are read if their announced length can't fit), and small ones are admitted. No byte of such a request has been sent, so both are truthful. A body that is not complete within body_timeout now gets 408 instead of a closed connection.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -105,14 +105,17 @@
 	e.directory = e.newDirectory(kv)
 	e.prompts = &quarantine.Tracker{Stored: e.quarantinedParts}
 	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, Log: logger, Metrics: e.metrics}
-	e.memory = &memory.Account{Limit: int64(accountRatio * s.Host.MemoryLimit * megabyte)}
+	e.memory = &memory.Account{Limit: accountLimit(s), StallTime: s.Clients.Stall}
+	e.metrics.GaugeFunc("clients.memory_bytes", e.memory.Used)
 	e.pool = &forward.Pool{
 		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
 		Memory:    e.memory,
 		OnLeaving: func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
 	}
+	refusals := &web.RefusalLog{Log: logger}
 	e.callerHandler = &web.CallerHandler{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
+		Memory: e.memory, BodyTimeout: s.Clients.BodyTimeout, Refusals: refusals,
 	}
 	e.outliers = &outlier.Exchanger{
 		Self: s.Host.ID, View: e.directory.View, HTTP: e.peerClient, Health: e.health, Prompts: e.prompts, Throttle: e.throttle, Collector: &outlier.Collector{}, Log: logger, Metrics: e.metrics,
@@ -130,6 +133,14 @@
 	return e, nil
 }
 
+// accountLimit returns the bytes that may be held on behalf of callers; 0 means no limit.
+func accountLimit(s *settings.Settings) int64 {
+	if s.Clients.Memory > 0 {
+		return int64(s.Clients.Memory * megabyte)
+	}
+	return int64(accountRatio * s.Host.MemoryLimit * megabyte)
+}
+
 func (e *entryHost) newDirectory(kv store.Store) *directory.Service {
 	s := e.settings
 	return &directory.Service{
--- a/internal/web/entry/callers.go
+++ b/internal/web/entry/callers.go
@@ -10,29 +10,28 @@
 
 	"github.com/phuslu/log"
 
-	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
+	"redwingloft/internal/service/memory"
 	"redwingloft/pkg/api"
 	"redwingloft/platform"
 )
 
-const (
-	// defaultMaxBodyBytes limits a request body until a routing document sets the limit.
-	defaultMaxBodyBytes = 4 << 20
-	// bodyTimeout limits the time for receiving a request body.
-	bodyTimeout = 10 * time.Second
-)
-
 // CallerHandler is the HTTP handler of callers' requests.
 type CallerHandler struct {
 	Service *forward.Service
 	View    func() *directory.View
 	Log     *log.Logger
 	Metrics *metric.Set
+	// Memory accounts for the bodies of requests.
+	Memory *memory.Account
+	// BodyTimeout limits the time for receiving a request body.
+	BodyTimeout time.Duration
+	// Refusals logs callers that are refused because of what they send or don't read.
+	Refusals *RefusalLog
 	// Closing reports whether connections are closed after the response.
 	Closing func() bool
 	// InProgress is the number of requests in progress.
@@ -47,51 +46,32 @@
 	if h.Closing() {
 		w.Header().Set("Connection", "close")
 	}
-	body, err := h.readBody(w, r)
+	body, holder, err := h.readBody(w, r)
 	if err != nil {
+		if holder != nil {
+			holder.Release()
+		}
 		h.writeError(w, r, err)
+		discardBody(w, r)
 		return
 	}
+	if holder != nil {
+		defer holder.Release()
+	}
 	request, err := platform.DecodeRequest(r, body, received)
 	if err != nil {
 		h.writeError(w, r, fault.Wrap(api.KindBadRequest, err, "invalid request"))
 		return
 	}
-	if err := h.Service.Serve(r.Context(), request, w); err != nil {
+	release, err := h.reserveItems(request)
+	if err != nil {
 		h.writeError(w, r, err)
+		return
 	}
-}
-
-// errIncompleteBody means that the body did not arrive completely, so no response can be sent.
-var errIncompleteBody = errors.New("incomplete request body")
-
-func (h *CallerHandler) readBody(w http.ResponseWriter, r *http.Request) (fleet.Body, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	limit := int64(defaultMaxBodyBytes)
-	if snapshot := h.View().Snapshot; snapshot != nil && snapshot.Limits.MaxBodyBytes > 0 {
-		limit = snapshot.Limits.MaxBodyBytes
-	}
-	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
-		return nil, fault.New(api.KindTooLarge, "the body has more than %d bytes", limit)
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, fault.Wrap(api.KindInternal, err, "set the read timeout of the body")
-	}
-	body, err := fleet.ReadBody(r.Body, r.ContentLength, limit, func(int64) error { return nil })
-	switch {
-	case errors.Is(err, fleet.ErrBodyTooLarge):
-		return nil, fault.New(api.KindTooLarge, "the body has more than %d bytes", limit)
-	case err != nil:
-		return nil, errors.Join(errIncompleteBody, err)
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return nil, fault.Wrap(api.KindInternal, err, "clear the read timeout of the body")
+	defer release()
+	if err := h.Service.Serve(r.Context(), request, w); err != nil {
+		h.writeError(w, r, err)
 	}
-	return body, nil
 }
 
 // writeError writes an error that was not returned by an upstream.
@@ -105,6 +85,9 @@
 		// Abort the connection, so that the caller does not take the response as complete.
 		panic(http.ErrAbortHandler)
 	}
+	if refusesClient(kind) {
+		h.Refusals.report(r.RemoteAddr, string(kind), err)
+	}
 	info := api.Kinds[kind]
 	h.Metrics.Counter(info.Counter).Inc(1)
 	if wait := fault.RetryDelay(err); wait > 0 {
--- a/internal/web/entry/entry_test.go
+++ b/internal/web/entry/entry_test.go
@@ -21,6 +21,7 @@
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
+	"redwingloft/internal/service/memory"
 	"redwingloft/pkg/api"
 	wire "redwingloft/platform"
 	"redwingloft/standin/platform"
@@ -53,7 +54,7 @@
 	view := newView(upstream.Entry, limit)
 	get := func() *directory.View { return view }
 	callers := &CallerHandler{
-		View: get, Log: logging.Discard(), Metrics: metric.New(), Closing: func() bool { return false },
+		View: get, Log: logging.Discard(), Metrics: metric.New(), Memory: &memory.Account{}, Closing: func() bool { return false },
 		Service: &forward.Service{
 			View: get, Pool: &forward.Pool{Dial: dial.New(time.Second)}, Health: &forward.HealthTable{}, Log: logging.Discard(), Metrics: metric.New(),
 			Codec:  forward.Codec{WriteRequestHeader: wire.WriteRequestHeader, DecodeReply: wire.DecodeReply, CopyResponseHeader: wire.CopyResponseHeader, WriteInternalRequest: wire.WriteInternalRequest},
