Bound callers' connections and account for long request heads

Connections without a request, or with a part of one, stayed for 10 s and idle ones for the idle timeout, without a bound of their number: 400 of them used 419 descriptors of a host that has 256, and connections to upstreams, the store and other hosts would have failed. Callers' connections are now limited to two fifths of the descriptors (and to a quarter of the memory at 32 KB each). The oldest one without a complete request head gives way while there are many of these, else the oldest idle one, and then one whose body has stalled. Connections on which a request is served are kept; if all are, a new one gets 503 and is closed. Heads over 8 KB are reserved in the memory account. The address list has a bound of its own.

Closing is by the read deadline, as for idle connections, so that a request head that is complete is served. IdleCloser becomes ConnTracker.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -47,6 +47,16 @@
 	// heap grows to 1.5 times what is live before it is collected, and connections, code and the
 	// directory need the rest.
 	accountRatio = 0.4
+	// connDescriptorRatio is the part of the descriptors that callers' connections may use. A request
+	// in progress needs another one to its upstream, and the store and other hosts need some.
+	connDescriptorRatio = 0.4
+	// connMemoryRatio is the part of the memory limit that callers' connections may use at connBytes
+	// each: the buffers of net/http, the stacks of two goroutines and the head of a request.
+	connMemoryRatio = 0.25
+	connBytes       = 32 << 10
+	// directoryConnShare is the part of the callers' connections, 1/directoryConnShare, that the
+	// address list may have besides. Callers fetch it once in a few seconds.
+	directoryConnShare = 8
 	// sweepInterval is the interval at which idle connections and unused state are removed.
 	sweepInterval = time.Second
 	// serverCloseTimeout bounds the shutdown of each listener. exitMargin is long enough
@@ -77,7 +87,9 @@
 	callerServer  *http.Server
 	peerHandler   *web.PeerHandler
 	outliers      *outlier.Exchanger
-	idleTracker   *web.IdleCloser
+	idleTracker   *web.ConnTracker
+	// directoryTracker tracks the connections of the address list.
+	directoryTracker *web.ConnTracker
 
 	schedulersMu sync.Mutex
 	schedulers   map[stage.Group]*stage.Scheduler
@@ -129,7 +141,9 @@
 		Log:    logger, Metrics: e.metrics,
 	}
 	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
-	e.idleTracker = &web.IdleCloser{Timeout: e.callerIdleTimeout, Metrics: e.metrics}
+	e.idleTracker = e.newConnTracker(e.maxCallerConns(), refusals)
+	e.directoryTracker = e.newConnTracker(e.maxCallerConns()/directoryConnShare, refusals)
+	e.metrics.GaugeFunc("clients.connections", func() int64 { return int64(e.idleTracker.Open()) })
 	return e, nil
 }
 
@@ -141,6 +155,30 @@
 	return int64(accountRatio * s.Host.MemoryLimit * megabyte)
 }
 
+func (e *entryHost) newConnTracker(limit int, refusals *web.RefusalLog) *web.ConnTracker {
+	return &web.ConnTracker{
+		Timeout: e.callerIdleTimeout, Metrics: e.metrics, MaxConns: limit, Stall: e.settings.Clients.Stall, Memory: e.memory, Refusals: refusals,
+	}
+}
+
+// maxCallerConns returns the largest number of callers' connections; 0 means no limit.
+func (e *entryHost) maxCallerConns() int {
+	s := e.settings
+	if s.Clients.Connections > 0 {
+		return s.Clients.Connections
+	}
+	limit := 0
+	if s.Host.DescriptorLimit > 0 {
+		limit = int(connDescriptorRatio * s.Host.DescriptorLimit)
+	}
+	if s.Host.MemoryLimit > 0 {
+		if fit := int(connMemoryRatio * s.Host.MemoryLimit * megabyte / connBytes); limit == 0 || fit < limit {
+			limit = fit
+		}
+	}
+	return limit
+}
+
 func (e *entryHost) newDirectory(kv store.Store) *directory.Service {
 	s := e.settings
 	return &directory.Service{
@@ -297,7 +335,7 @@
 	directory := &web.DirectoryHandler{
 		View: e.directory.View, Self: e.settings.Caller.Advertise, AddressValidity: e.settings.Caller.AddressValidity, Ready: e.checkReady,
 	}
-	e.addListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)))
+	e.addListenerFor(group, e.settings.Directory.Listen, trackConns(e.newServer(http.HandlerFunc(directory.Addresses)), e.directoryTracker), e.directoryTracker.Listener)
 	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)))
 	handler := &admin.Handler{Metrics: e.metrics, Ready: e.checkReady}
 	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()))
@@ -311,6 +349,7 @@
 		Str("version", version).Msg("host_started")
 	e.timer.Every(sweepInterval, e.pool.Sweep)
 	e.timer.Every(sweepInterval, e.idleTracker.Sweep)
+	e.timer.Every(sweepInterval, e.directoryTracker.Sweep)
 	e.timer.Every(sweepInterval, func(time.Time) { e.health.Sweep(clock.Now()) })
 	e.timer.Every(sweepInterval, e.sweepThrottle)
 	e.timer.Every(outlier.ExchangeInterval, e.outliers.Run)
@@ -321,8 +360,12 @@
 }
 
 func (e *entryHost) newCallerServer() *http.Server {
-	server := e.newServer(e.callerHandler)
-	server.ConnState = e.idleTracker.Track
+	return trackConns(e.newServer(e.callerHandler), e.idleTracker)
+}
+
+// trackConns sets the callbacks of a server whose listener is tracked.
+func trackConns(server *http.Server, tracker *web.ConnTracker) *http.Server {
+	server.ConnState, server.ConnContext = tracker.Track, web.ConnContext
 	return server
 }
 
--- a/internal/web/entry/body.go
+++ b/internal/web/entry/body.go
@@ -55,6 +55,8 @@
 	if err := control.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, nil, fault.Wrap(api.KindInternal, err, "set the read timeout of the body")
 	}
+	conn := connOf(r)
+	conn.beginBody()
 	holder := h.Memory.Open(owner, clock.Now(), func() { _ = control.SetReadDeadline(pastDeadline) })
 	reserved := int64(0)
 	body, err := fleet.ReadBody(r.Body, r.ContentLength, limit, func(size int64) error {
@@ -64,6 +66,7 @@
 	if lost := holder.Complete(); lost != nil {
 		err = lost
 	}
+	conn.endBody()
 	if err != nil {
 		return nil, holder, h.bodyError(w, err, limit, reserved)
 	}
--- /dev/null
+++ b/internal/web/entry/conn.go
@@ -0,0 +1,260 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"redwingloft/internal/helper/clock"
+	"redwingloft/internal/service/memory"
+)
+
+// callerConn is a connection that expires by its read deadline. A read either returns bytes of a
+// request or fails at the deadline, so that no request is read from a connection that is closed.
+type callerConn struct {
+	net.Conn
+	memory *memory.Account
+
+	mu sync.Mutex
+	// serving is true from the time at which the header of a request is complete until its response is.
+	serving bool
+	// betweenRequests is true from the end of a request until the header of the next one is complete.
+	betweenRequests bool
+	// idleSince is the end of the last request; zero once bytes of the next one were read.
+	idleSince time.Time
+	// timeout is the idle timeout at idleSince.
+	timeout time.Duration
+	// expired is set while the read deadline lies in the past; readDeadline is then the one that the
+	// server has set.
+	expired      bool
+	readDeadline time.Time
+	// evicted is set if the connection is closed although a request head may have begun to arrive.
+	// Bytes that arrive later are not read.
+	evicted bool
+	// headSince is when the connection was accepted, or the first byte of the next request was read.
+	headSince time.Time
+	// headBytes is the number of bytes read of the present request head, head holds those in excess
+	// of freeHeadBytes.
+	headBytes int64
+	head      *memory.Holder
+	// readingBody is set while a request body is read, lastRead is when bytes of it were read.
+	readingBody bool
+	lastRead    time.Time
+}
+
+const (
+	// freeHeadBytes is the part of a request head that counts as part of its connection.
+	freeHeadBytes = 8 << 10
+	// headRatio is the memory that is reserved for each further byte: a line is collected in a buffer
+	// and then copied.
+	headRatio = 2
+)
+
+type connKey struct{}
+
+// ConnContext is the ConnContext callback of a server whose listener is tracked.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connOf returns the tracked connection of a request, or nil.
+func connOf(r *http.Request) *callerConn {
+	c, _ := r.Context().Value(connKey{}).(*callerConn)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.received(int64(n)) {
+		// The server closes the connection without a response, as no request has arrived.
+		return 0, os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// received records that bytes of a request were read. They may have been read just before the
+// connection expired. It returns false if the connection gives way to others.
+func (c *callerConn) received(n int64) bool {
+	c.mu.Lock()
+	now := time.Now()
+	c.lastRead = now
+	if c.serving {
+		c.mu.Unlock()
+		return true
+	}
+	if c.evicted {
+		c.mu.Unlock()
+		return false
+	}
+	if !c.idleSince.IsZero() {
+		c.headSince, c.idleSince = now, time.Time{}
+	}
+	c.revive()
+	before := max(c.headBytes-freeHeadBytes, 0)
+	c.headBytes += n
+	size := headRatio * (max(c.headBytes-freeHeadBytes, 0) - before)
+	c.mu.Unlock()
+	return size == 0 || c.memory == nil || c.growHead(size)
+}
+
+// growHead reserves memory for a long request head.
+func (c *callerConn) growHead(size int64) bool {
+	now := clock.Now()
+	if c.head == nil {
+		c.head = c.memory.Open("", now, c.evictHead)
+	}
+	return c.head.Grow(size, now) == nil
+}
+
+// releaseHead returns the memory of the request head. It is called between two requests.
+func (c *callerConn) releaseHead() {
+	if c.head != nil {
+		c.head.Release()
+		c.head = nil
+	}
+}
+
+// evictHead closes a connection whose request head is not complete.
+func (c *callerConn) evictHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.serving {
+		c.evicted = true
+		_ = c.Conn.SetReadDeadline(pastDeadline)
+	}
+}
+
+// revive restores the read deadline of an expired connection. The caller holds mu.
+func (c *callerConn) revive() {
+	if !c.expired && !c.evicted {
+		return
+	}
+	c.expired, c.evicted = false, false
+	// An error means that the connection is closed, which the next read reports.
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.expired || c.evicted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *callerConn) becomeIdle(timeout time.Duration) {
+	c.releaseHead()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.serving, c.betweenRequests, c.idleSince, c.timeout = false, true, now, timeout
+	c.headSince, c.headBytes = now, 0
+}
+
+func (c *callerConn) becomeActive() {
+	if c.head != nil {
+		// If the head was evicted, it was complete before, and its memory is in use a little longer.
+		_ = c.head.Complete()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.betweenRequests, c.idleSince = true, false, time.Time{}
+	// The whole header may have been read together with the request before.
+	c.revive()
+}
+
+func (c *callerConn) isBetweenRequests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.betweenRequests
+}
+
+// beginBody and endBody enclose the reading of a request body. The connection may be nil.
+func (c *callerConn) beginBody() { c.setReadingBody(true) }
+
+func (c *callerConn) endBody() { c.setReadingBody(false) }
+
+func (c *callerConn) setReadingBody(reading bool) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingBody, c.lastRead = reading, time.Now()
+}
+
+// expire ends the reading of an idle connection that due selects, upon which the server closes it.
+// It reports whether it did.
+func (c *callerConn) expire(due func(idleSince time.Time, timeout time.Duration) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() || c.expired || c.evicted || !due(c.idleSince, c.timeout) {
+		return false
+	}
+	c.expired = true
+	// An error means that the connection is closed already.
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+	return true
+}
+
+// standing is what a connection is used for.
+type standing string
+
+const (
+	// standingBusy: a request is being served.
+	standingBusy standing = "busy"
+	// standingUnfinished: no request head is complete yet.
+	standingUnfinished standing = "unfinished_head"
+	standingIdle       standing = "idle"
+	// standingBody: a request body arrives.
+	standingBody standing = "stalled_body"
+	// standingLeaving: the connection is about to be closed.
+	standingLeaving standing = "leaving"
+)
+
+// state returns the standing of a connection and since when it has it, or since when no bytes of a
+// body have arrived.
+func (c *callerConn) state() (standing, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.expired || c.evicted:
+		return standingLeaving, time.Time{}
+	case c.serving && c.readingBody:
+		return standingBody, c.lastRead
+	case c.serving:
+		return standingBusy, time.Time{}
+	case !c.idleSince.IsZero():
+		return standingIdle, c.idleSince
+	default:
+		return standingUnfinished, c.headSince
+	}
+}
+
+// giveWay closes a connection if it still has a standing. It reports whether it did.
+func (c *callerConn) giveWay(as standing, since time.Time) bool {
+	if as == standingIdle {
+		return c.expire(func(idleSince time.Time, _ time.Duration) bool { return idleSince.Equal(since) })
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.expired || c.evicted:
+		return false
+	case as == standingUnfinished && !c.serving && c.idleSince.IsZero():
+		c.evicted = true
+	case as == standingBody && c.serving && c.readingBody && c.lastRead.Equal(since):
+		// The read fails, and its request is refused.
+	default:
+		return false
+	}
+	_ = c.Conn.SetReadDeadline(pastDeadline)
+	return true
+}
--- a/internal/web/entry/idle.go
+++ b/internal/web/entry/idle.go
@@ -8,48 +8,34 @@
 	"time"
 
 	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/service/memory"
 )
 
-// IdleCloser closes callers' connections that exceed the idle timeout of the routing document,
-// which may change while connections are open. It closes none on which a request has begun to
-// arrive. Set the exported fields before use.
-type IdleCloser struct {
+// ConnTracker closes callers' connections that exceed the idle timeout of the routing document,
+// which may change while connections are open, and bounds their number. It closes none on which a
+// request is being served. Set the exported fields before use.
+type ConnTracker struct {
 	// Timeout returns the idle timeout; 0 means no timeout.
 	Timeout func() time.Duration
 	Metrics *metric.Set
+	// MaxConns bounds the open connections; 0 means no limit.
+	MaxConns int
+	// Stall is how long a body may not arrive until its connection is closed if there are too many.
+	Stall time.Duration
+	// Memory accounts for long request heads; it may be nil.
+	Memory *memory.Account
+	// Refusals logs the connections that are closed because there are too many.
+	Refusals *RefusalLog
 
 	mu sync.Mutex
 	// open holds the connections of Listener that are not closed.
 	open map[*callerConn]struct{}
-}
-
-// Listener returns a listener whose connections are tracked. Track must be the ConnState callback
-// of its server.
-func (i *IdleCloser) Listener(l net.Listener) net.Listener { return &trackedListener{l, i} }
-
-type trackedListener struct {
-	net.Listener
-	closer *IdleCloser
-}
-
-// Accept implements net.Listener.
-func (l *trackedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	tracked := &callerConn{Conn: c}
-	l.closer.mu.Lock()
-	defer l.closer.mu.Unlock()
-	if l.closer.open == nil {
-		l.closer.open = map[*callerConn]struct{}{}
-	}
-	l.closer.open[tracked] = struct{}{}
-	return tracked, nil
+	// refused counts the connections that are open only until their callers have read a refusal.
+	refused int
 }
 
 // Track records a connection's state.
-func (i *IdleCloser) Track(c net.Conn, state http.ConnState) {
+func (i *ConnTracker) Track(c net.Conn, state http.ConnState) {
 	tracked, ok := c.(*callerConn)
 	if !ok {
 		return
@@ -60,6 +46,7 @@
 	case http.StateActive:
 		tracked.becomeActive()
 	case http.StateClosed, http.StateHijacked:
+		tracked.releaseHead()
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		delete(i.open, tracked)
@@ -68,7 +55,7 @@
 
 // Sweep closes the connections that have exceeded the idle timeout. A shorter timeout applies to
 // connections that become idle after the change: callers may still rely on the one before.
-func (i *IdleCloser) Sweep(now time.Time) {
+func (i *ConnTracker) Sweep(now time.Time) {
 	limit := i.Timeout()
 	if limit <= 0 {
 		return
@@ -91,7 +78,7 @@
 
 // CloseIdle closes all idle connections and waits, but not longer than ctx, until the requests that
 // are being read are in progress. It is used once responses no longer keep their connections open.
-func (i *IdleCloser) CloseIdle(ctx context.Context) {
+func (i *ConnTracker) CloseIdle(ctx context.Context) {
 	ticker := time.NewTicker(closeIdlePollInterval)
 	defer ticker.Stop()
 	for {
@@ -111,7 +98,7 @@
 	}
 }
 
-func (i *IdleCloser) connections() []*callerConn {
+func (i *ConnTracker) connections() []*callerConn {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	list := make([]*callerConn, 0, len(i.open))
@@ -120,94 +107,3 @@
 	}
 	return list
 }
-
-// callerConn is a connection that expires by its read deadline. A read either returns bytes of a
-// request or fails at the deadline, so that no request is read from a connection that is closed.
-type callerConn struct {
-	net.Conn
-
-	mu sync.Mutex
-	// betweenRequests is true from the end of a request until the header of the next one is complete.
-	betweenRequests bool
-	// idleSince is the end of the last request; zero once bytes of the next one were read.
-	idleSince time.Time
-	// timeout is the idle timeout at idleSince.
-	timeout time.Duration
-	// expired is set while the read deadline lies in the past; readDeadline is then the one that the
-	// server has set.
-	expired      bool
-	readDeadline time.Time
-}
-
-// Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.received()
-	}
-	return n, err
-}
-
-// received records that bytes of a request were read. They may have been read just before the
-// connection expired.
-func (c *callerConn) received() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idleSince = time.Time{}
-	c.revive()
-}
-
-// revive restores the read deadline of an expired connection. The caller holds mu.
-func (c *callerConn) revive() {
-	if !c.expired {
-		return
-	}
-	c.expired = false
-	// An error means that the connection is closed, which the next read reports.
-	_ = c.Conn.SetReadDeadline(c.readDeadline)
-}
-
-// SetReadDeadline implements net.Conn.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readDeadline = t
-	if c.expired {
-		return nil
-	}
-	return c.Conn.SetReadDeadline(t)
-}
-
-func (c *callerConn) becomeIdle(timeout time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.betweenRequests, c.idleSince, c.timeout = true, time.Now(), timeout
-}
-
-func (c *callerConn) becomeActive() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.betweenRequests, c.idleSince = false, time.Time{}
-	// The whole header may have been read together with the request before.
-	c.revive()
-}
-
-func (c *callerConn) isBetweenRequests() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.betweenRequests
-}
-
-// expire ends the reading of an idle connection that due selects, upon which the server closes it.
-// It reports whether it did.
-func (c *callerConn) expire(due func(idleSince time.Time, timeout time.Duration) bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idleSince.IsZero() || c.expired || !due(c.idleSince, c.timeout) {
-		return false
-	}
-	c.expired = true
-	// An error means that the connection is closed already.
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-	return true
-}
--- /dev/null
+++ b/internal/web/entry/limit.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"redwingloft/internal/helper/fault"
+	"redwingloft/pkg/api"
+	"redwingloft/platform"
+)
+
+const (
+	// unfinishedShare is the part of all connections, 1/unfinishedShare, that may wait for a request
+	// head before idle connections give way to them. Ordinary callers send it at once.
+	unfinishedShare = 4
+	// refusedShare is the part of all connections, 1/refusedShare, that may wait for the caller to read
+	// a refusal. Further ones are closed without a response.
+	refusedShare = 16
+	// refusalTime is how long a refused connection stays open, so that its caller gets the response.
+	refusalTime = 500 * time.Millisecond
+	// connRetryDelay is the time to retry of a refused connection. Most requests take less than a second.
+	connRetryDelay = time.Second
+)
+
+// Listener returns a listener whose connections are tracked and bounded. Track must be the ConnState
+// callback of its server, and ConnContext its callback of that name.
+func (i *ConnTracker) Listener(l net.Listener) net.Listener { return &trackedListener{l, i} }
+
+type trackedListener struct {
+	net.Listener
+	tracker *ConnTracker
+}
+
+// Accept implements net.Listener.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tracked := &callerConn{Conn: c, memory: l.tracker.Memory, headSince: time.Now()}
+		if l.tracker.admit(tracked) {
+			return tracked, nil
+		}
+		l.tracker.refuse(c)
+	}
+}
+
+// Open returns the number of open connections.
+func (i *ConnTracker) Open() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.open) + i.refused
+}
+
+// admit adds a connection. If there are too many, another one gives way to it; if none can, admit
+// returns false.
+func (i *ConnTracker) admit(c *callerConn) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.open == nil {
+		i.open = map[*callerConn]struct{}{}
+	}
+	if i.MaxConns > 0 && len(i.open)+i.refused >= i.MaxConns && !i.makeRoom() {
+		return false
+	}
+	i.open[c] = struct{}{}
+	return true
+}
+
+// makeRoom closes a connection, unless enough are about to be closed. The caller holds mu.
+func (i *ConnTracker) makeRoom() bool {
+	type candidate struct {
+		conn  *callerConn
+		since time.Time
+	}
+	oldest := map[standing]candidate{}
+	leaving, unfinished := 0, 0
+	for c := range i.open {
+		as, since := c.state()
+		switch as {
+		case standingLeaving:
+			leaving++
+			continue
+		case standingUnfinished:
+			unfinished++
+		case standingBody:
+			if time.Now().Sub(since) < i.Stall {
+				continue
+			}
+		case standingBusy:
+			continue
+		}
+		if found, ok := oldest[as]; !ok || since.Before(found.since) {
+			oldest[as] = candidate{c, since}
+		}
+	}
+	if len(i.open)+i.refused-leaving < i.MaxConns {
+		return true
+	}
+	order := []standing{standingIdle, standingUnfinished, standingBody}
+	if unfinished > i.MaxConns/unfinishedShare {
+		order[0], order[1] = standingUnfinished, standingIdle
+	}
+	for _, as := range order {
+		if found, ok := oldest[as]; ok && found.conn.giveWay(as, found.since) {
+			i.Metrics.Counter("clients.closed_" + string(as)).Inc(1)
+			i.Refusals.report(found.conn.RemoteAddr().String(), "connection_"+string(as), nil)
+			return true
+		}
+	}
+	return false
+}
+
+// refuse responds to a connection for which there is no room and closes it.
+func (i *ConnTracker) refuse(c net.Conn) {
+	err := fault.AddRetryAfter(fault.New(api.KindConnectionsFull, "the host serves as many connections as it may"), connRetryDelay)
+	info := api.Kinds[api.KindConnectionsFull]
+	i.Metrics.Counter(info.Counter).Inc(1)
+	i.Refusals.report(c.RemoteAddr().String(), string(api.KindConnectionsFull), nil)
+	i.mu.Lock()
+	if i.refused >= i.MaxConns/refusedShare {
+		i.mu.Unlock()
+		_ = c.Close()
+		return
+	}
+	i.refused++
+	i.mu.Unlock()
+	_, _ = c.Write(refusal(info.Status, err))
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+	time.AfterFunc(refusalTime, func() {
+		_ = c.Close()
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.refused--
+	})
+}
+
+// refusal returns a whole response with an error.
+func refusal(status int, err error) []byte {
+	// The error has no values that can't be encoded.
+	body, _ := json.Marshal(fault.ToAPI(err, ""))
+	header := http.Header{}
+	platform.SetRetryAfter(header, fault.RetryDelay(err))
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nConnection: close\r\nRetry-After: %s\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), header.Get("Retry-After"), len(body), body)
+}
--- /dev/null
+++ b/internal/web/entry/limit_test.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"redwingloft/internal/helper/metric"
+	"redwingloft/internal/service/memory"
+)
+
+// startTracked starts a server with a bound of its connections. Requests to /wait are answered once
+// release is closed.
+func startTracked(t *testing.T, tracker *ConnTracker) (address string, release chan struct{}) {
+	t.Helper()
+	tracker.Timeout, tracker.Metrics = func() time.Duration { return time.Hour }, metric.New()
+	release = make(chan struct{})
+	server := &http.Server{
+		ConnState: tracker.Track, ConnContext: ConnContext, ReadHeaderTimeout: 10 * time.Second,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			conn := connOf(r)
+			conn.beginBody()
+			_, err := io.Copy(io.Discard, r.Body)
+			conn.endBody()
+			if err != nil {
+				w.WriteHeader(http.StatusRequestTimeout)
+				return
+			}
+			if r.URL.Path == "/wait" {
+				<-release
+			}
+			fmt.Fprint(w, "answer")
+		}),
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(tracker.Listener(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String(), release
+}
+
+func dialTracked(t *testing.T, address, text string) *keptConnection {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	kept := &keptConnection{c, bufio.NewReader(c)}
+	kept.write(t, text)
+	return kept
+}
+
+// isClosed waits a little and reports whether the server has closed a connection without a response.
+func (k *keptConnection) isClosed(t *testing.T) bool {
+	t.Helper()
+	assert.NilError(t, k.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err := k.reader.ReadByte()
+	assert.Assert(t, err != nil, "the connection has a response")
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+const (
+	plainRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	waitRequest  = "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n"
+)
+
+// TestUnfinishedConnectionsGiveWay guards against connections without a request, or with a part of one,
+// that use up the descriptors, and against the close of one on which a request is served.
+func TestUnfinishedConnectionsGiveWay(t *testing.T) {
+	tracker := &ConnTracker{MaxConns: 4}
+	address, release := startTracked(t, tracker)
+	busy := dialTracked(t, address, waitRequest)
+	silent := dialTracked(t, address, "")
+	partial := dialTracked(t, address, plainRequest[:20])
+	idle := dialTracked(t, address, plainRequest)
+	assert.Equal(t, idle.get(t), "answer")
+	for range 3 {
+		ordinary := dialTracked(t, address, plainRequest)
+		assert.Equal(t, ordinary.get(t), "answer")
+		_ = ordinary.Close()
+		time.Sleep(20 * time.Millisecond)
+		assert.Assert(t, tracker.Open() <= 4)
+	}
+	assert.Assert(t, silent.isClosed(t))
+	assert.Assert(t, !partial.isClosed(t) && !idle.isClosed(t), "more connections were closed than needed")
+	close(release)
+	assert.Equal(t, busy.get(t), "answer")
+}
+
+// TestIdleConnectionsGiveWay guards against idle connections, of which one request each was sent, that
+// keep others out, and against the latest of them being closed first.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	address, _ := startTracked(t, &ConnTracker{MaxConns: 3})
+	var list []*keptConnection
+	for range 5 {
+		c := dialTracked(t, address, plainRequest)
+		assert.Equal(t, c.get(t), "answer")
+		time.Sleep(20 * time.Millisecond)
+		list = append(list, c)
+	}
+	for i, c := range list {
+		assert.Equal(t, c.isClosed(t), i < 2, "connection %d", i)
+	}
+}
+
+// TestBusyConnectionsAreKept guards against a request that is lost because there are too many
+// connections, and against a refusal without a time to retry.
+func TestBusyConnectionsAreKept(t *testing.T) {
+	address, release := startTracked(t, &ConnTracker{MaxConns: 16})
+	var list []*keptConnection
+	for range 16 {
+		list = append(list, dialTracked(t, address, waitRequest))
+	}
+	refused := dialTracked(t, address, plainRequest)
+	response, err := http.ReadResponse(refused.reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, response.Header.Get("Retry-After"), "1.000")
+	close(release)
+	for _, c := range list {
+		assert.Equal(t, c.get(t), "answer")
+	}
+}
+
+// TestStalledBodyGivesWay guards against bodies that never end and occupy all connections.
+func TestStalledBodyGivesWay(t *testing.T) {
+	address, _ := startTracked(t, &ConnTracker{MaxConns: 1, Stall: 50 * time.Millisecond})
+	stalled := dialTracked(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, dialTracked(t, address, plainRequest).get(t), "answer")
+	response, err := http.ReadResponse(stalled.reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
+}
+
+// TestLongHeadsAreAccounted guards against unfinished request heads that exceed the memory of a host.
+func TestLongHeadsAreAccounted(t *testing.T) {
+	account := &memory.Account{Limit: 256 << 10, StallTime: time.Hour}
+	address, _ := startTracked(t, &ConnTracker{Memory: account})
+	head := "GET / HTTP/1.1\r\nHost: h\r\nPadding: " + strings.Repeat("x", 40<<10)
+	first, second := dialTracked(t, address, head), dialTracked(t, address, head)
+	assert.Assert(t, second.isClosed(t) && !first.isClosed(t))
+	first.write(t, "\r\n\r\n")
+	assert.Equal(t, first.get(t), "answer")
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, account.Used(), int64(0))
+}
