Set the grace period of a host before it starts in a test

TestLateRequestsOfPlannedStop wrote the grace period into the settings of a running host, which reads it in another goroutine when it is told to stop. The settings file now has the value; the test checks the same.

--- a/cmd/entry_stop_test.go
+++ b/cmd/entry_stop_test.go
@@ -142,8 +142,7 @@
 	const orderTime = 1500 * time.Millisecond
 	for _, grace := range []time.Duration{2500 * time.Millisecond, 4 * time.Second, 8 * time.Second} {
 		t.Run(grace.String(), func(t *testing.T) {
-			s := startSite(t)
-			s.host.settings.Host.ShutdownTimeout = grace
+			s := startSiteWithGrace(t, grace)
 			orders := s.startUpstreamAs(t, "orders", "orders", func(w *bufio.Writer, run platform.Request) bool {
 				time.Sleep(orderTime)
 				platform.WriteResponse(w, run.Header.Get(wire.HeaderRequestID), 200, "done")
--- a/cmd/entry_test.go
+++ b/cmd/entry_test.go
@@ -43,6 +43,8 @@
 	engine   *platform.Upstream
 	plain    *platform.Upstream
 	stopped  chan error
+	// grace is the grace period of hosts.
+	grace time.Duration
 	// log holds what the host has logged.
 	log logBuffer
 }
@@ -106,7 +108,13 @@
 
 func startSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{store: platform.NewStore(), stopped: make(chan error, 1)}
+	return startSiteWithGrace(t, 8*time.Second)
+}
+
+// startSiteWithGrace starts a site whose host has the given grace period.
+func startSiteWithGrace(t *testing.T, grace time.Duration) *site {
+	t.Helper()
+	s := &site{store: platform.NewStore(), stopped: make(chan error, 1), grace: grace}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
 	s.plain = s.startUpstream(t, "plain", func(w *bufio.Writer, run platform.Request) bool {
@@ -153,7 +161,7 @@
 func (s *site) startHost(t *testing.T, id string, stopped chan<- error) (*entryHost, *settings.Settings) {
 	t.Helper()
 	values := map[string]string{
-		"node": id, "zone": "a", "bounds.graceS": "8", "bounds.configMs": "2000", "limits.memoryMb": "284", "listen.front": freeAddress(t), "listen.control": freeAddress(t),
+		"node": id, "zone": "a", "bounds.graceS": fmt.Sprint(s.grace.Seconds()), "bounds.configMs": "2000", "limits.memoryMb": "284", "listen.front": freeAddress(t), "listen.control": freeAddress(t),
 		"seeds": "", "ip": "127.0.0.1", "portRange.0": strings.TrimPrefix(freeAddress(t), "127.0.0.1:"), "listen.directory": freeAddress(t),
 		"listen.ready": freeAddress(t), "platform.address": s.address, "bounds.retryRatio": "0.2",
 		"bounds.retrySlack": "54", "bounds.retryWindowS": "10",
