Cut off responses that callers do not read, and tell them from broken ones

A caller that reads nothing of a response held it until the deadline of its request and 3 s more. It now has write_stall for each piece of 64 KB. An upstream cuts off a stream that stays unread for some seconds; the host took that for a fault of the upstream: it counted against its health and, for engines, against the prompt, and the stream was sent to another engine. If the caller has blocked the stream for a second or more, the attempt now has no effect on health, is not repeated, and is logged with the cause unread and the address of the caller.

The kernel's buffers of callers' connections and of connections to upstreams are bounded: they grow to megabytes and the memory of a machine includes bytes that are received and not read. Long events are reserved in the memory account.

Evidence: go test -race ./internal/service/forward; TestUnreadStreamIsNoFault fails without the change of outcome (the stream is not reported as unread).

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -51,9 +51,10 @@
 	// in progress needs another one to its upstream, and the store and other hosts need some.
 	connDescriptorRatio = 0.4
 	// connMemoryRatio is the part of the memory limit that callers' connections may use at connBytes
-	// each: the buffers of net/http, the stacks of two goroutines and the head of a request.
-	connMemoryRatio = 0.25
-	connBytes       = 32 << 10
+	// each: 32 KB for the buffers of net/http, the stacks of two goroutines and the head of a request,
+	// and 64 KB that the kernel has received.
+	connMemoryRatio = 0.4
+	connBytes       = 96 << 10
 	// directoryConnShare is the part of the callers' connections, 1/directoryConnShare, that the
 	// address list may have besides. Callers fetch it once in a few seconds.
 	directoryConnShare = 8
@@ -120,7 +121,7 @@
 	e.memory = &memory.Account{Limit: accountLimit(s), StallTime: s.Clients.Stall}
 	e.metrics.GaugeFunc("clients.memory_bytes", e.memory.Used)
 	e.pool = &forward.Pool{
-		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
+		Dial: dial.NewBounded(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
 		Memory:    e.memory,
 		OnLeaving: func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
 	}
@@ -214,6 +215,7 @@
 	}
 	return &forward.Service{
 		View: e.directory.View, Pool: e.pool, Codec: e.codec, Health: e.health, Budget: e.newRetryBudget(e.hostCount), Log: e.log, Metrics: e.metrics,
+		WriteStall: e.settings.Clients.WriteStall,
 		DataCentre: e.settings.Host.DataCentre, RunStages: client.Prepare, RefusalError: e.refusalError, Prompts: e.prompts,
 	}
 }
@@ -329,13 +331,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return e.timer.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return e.runDirectory(ctx) }, func(error) { cancel() })
-	e.callerServer = e.newCallerServer()
-	e.addListenerFor(group, e.settings.Caller.Listen, e.callerServer, e.idleTracker.Listener)
+	e.callerServer = e.newServer(e.callerHandler)
+	e.addTrackedListener(group, e.settings.Caller.Listen, e.callerServer, e.idleTracker)
 	e.addListener(group, e.settings.Peer.Listen, e.newPeerServer())
 	directory := &web.DirectoryHandler{
 		View: e.directory.View, Self: e.settings.Caller.Advertise, AddressValidity: e.settings.Caller.AddressValidity, Ready: e.checkReady,
 	}
-	e.addListenerFor(group, e.settings.Directory.Listen, trackConns(e.newServer(http.HandlerFunc(directory.Addresses)), e.directoryTracker), e.directoryTracker.Listener)
+	e.addTrackedListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)), e.directoryTracker)
 	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)))
 	handler := &admin.Handler{Metrics: e.metrics, Ready: e.checkReady}
 	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()))
@@ -359,16 +361,6 @@
 	return e.directory.Run(ctx)
 }
 
-func (e *entryHost) newCallerServer() *http.Server {
-	return trackConns(e.newServer(e.callerHandler), e.idleTracker)
-}
-
-// trackConns sets the callbacks of a server whose listener is tracked.
-func trackConns(server *http.Server, tracker *web.ConnTracker) *http.Server {
-	server.ConnState, server.ConnContext = tracker.Track, web.ConnContext
-	return server
-}
-
 func (e *entryHost) newPeerServer() *http.Server {
 	server := e.newServer(e.peerHandler.Routes())
 	server.Protocols = &http.Protocols{}
@@ -383,21 +375,33 @@
 
 // addListener adds a server to the group; an empty address disables it.
 func (e *entryHost) addListener(group *run.Group, address string, server *http.Server) {
-	e.addListenerFor(group, address, server, func(l net.Listener) net.Listener { return l })
+	e.addListenerFor(group, address, server, dial.Listen)
+}
+
+// addTrackedListener adds a server whose connections are tracked and bounded.
+func (e *entryHost) addTrackedListener(group *run.Group, address string, server *http.Server, tracker *web.ConnTracker) {
+	server.ConnState, server.ConnContext = tracker.Track, web.ConnContext
+	e.addListenerFor(group, address, server, func(ctx context.Context, address string) (net.Listener, error) {
+		listener, err := dial.ListenBounded(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return tracker.Listener(listener), nil
+	})
 }
 
-// addListenerFor adds a server whose listener is wrapped.
-func (e *entryHost) addListenerFor(group *run.Group, address string, server *http.Server, wrap func(net.Listener) net.Listener) {
+// addListenerFor adds a server to the group, whose listener is opened by listen.
+func (e *entryHost) addListenerFor(group *run.Group, address string, server *http.Server, listen func(context.Context, string) (net.Listener, error)) {
 	if address == "" {
 		return
 	}
 	interrupted := make(chan struct{})
 	group.Add(func() error {
-		listener, err := dial.Listen(context.Background(), address)
+		listener, err := listen(context.Background(), address)
 		if err != nil {
 			return fmt.Errorf("listener %s: %w", address, err)
 		}
-		err = server.Serve(wrap(listener))
+		err = server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
 			// A drain closes the listener before the process ends.
 			<-interrupted
--- a/internal/helper/dial/dial.go
+++ b/internal/helper/dial/dial.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -27,18 +28,42 @@
 // before it, and that of a request. The default of net/http is 10 MB for responses.
 const MaxHeaderBytes = 64 << 10
 
+// The sizes of the kernel's buffers of bounded connections; the kernel doubles them. Without them, a buffer
+// grows to some megabytes while the other end is fast, and remains so when data is not read any more. The
+// memory of a machine includes bytes that are received and not read. Over a round trip of 10 ms, which
+// is the longest within a region, callerBuffer allows for 50 Mbit/s on a connection.
+const (
+	callerBuffer   = 64 << 10
+	upstreamBuffer = 128 << 10
+)
+
 // Func opens a connection, like net.Dialer.DialContext.
 type Func = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // New returns a Func with the given connect timeout.
 func New(timeout time.Duration) Func {
-	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout)}
 	return dialer.DialContext
 }
 
 // Listen opens a TCP listener whose connections use the same timeouts.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setUserTimeout}
+	config := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout)}
+	return config.Listen(ctx, "tcp", address)
+}
+
+// NewBounded returns a Func like New, whose connections hold a bounded number of received bytes.
+func NewBounded(timeout time.Duration) Func {
+	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, option{unix.SOL_SOCKET, unix.SO_RCVBUF, upstreamBuffer})}
+	return dialer.DialContext
+}
+
+// ListenBounded opens a listener like Listen, whose connections hold a bounded number of bytes that are
+// received or to be sent.
+func ListenBounded(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(
+		userTimeout, option{unix.SOL_SOCKET, unix.SO_RCVBUF, callerBuffer}, option{unix.SOL_SOCKET, unix.SO_SNDBUF, callerBuffer},
+	)}
 	return config.Listen(ctx, "tcp", address)
 }
 
@@ -47,13 +72,21 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var optionErr error
-	err := raw.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// option is an integer option of a socket.
+type option struct{ level, name, value int }
+
+var userTimeout = option{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds())}
+
+// setOptions returns a function that sets options before a socket is connected or listens.
+// Connections that a listener accepts inherit its options.
+func setOptions(options ...option) func(_, _ string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			for _, o := range options {
+				optionErr = errors.Join(optionErr, unix.SetsockoptInt(int(fd), o.level, o.name, o.value))
+			}
+		})
+		return errors.Join(err, optionErr)
 	}
-	return optionErr
 }
--- a/internal/service/forward/event.go
+++ b/internal/service/forward/event.go
@@ -30,15 +30,49 @@
 // eventReader splits a stream into complete events.
 type eventReader struct {
 	reader *bufio.Reader
+	// pool reserves the memory of long events; it may be nil. reserved is what the present one has.
+	pool     *Pool
+	reserved int64
+}
+
+const (
+	// uncountedEventBytes is the size up to which an event counts as part of its connection.
+	uncountedEventBytes = 16 << 10
+	// eventRatio is the memory that is reserved for each byte of a longer one, whose buffer grows by copies.
+	eventRatio = 2
+	// eventStep is the unit in which memory is reserved.
+	eventStep = 64 << 10
+)
+
+// reserve reserves memory for an event of the given size.
+func (r *eventReader) reserve(size int64) error {
+	if r.pool == nil || size <= uncountedEventBytes || eventRatio*size <= r.reserved {
+		return nil
+	}
+	more := (eventRatio*size - r.reserved + eventStep - 1) / eventStep * eventStep
+	if !r.pool.reserve(more) {
+		return r.pool.bufferLimit()
+	}
+	r.reserved += more
+	return nil
+}
+
+// release returns the memory of the last event.
+func (r *eventReader) release() {
+	if r.reserved > 0 {
+		r.pool.release(r.reserved)
+		r.reserved = 0
+	}
 }
 
 func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{bufio.NewReaderSize(body, bufferSize)}
+	return &eventReader{reader: bufio.NewReaderSize(body, bufferSize)}
 }
 
-// next returns the next complete event. It returns io.EOF at the end of the stream and
+// next returns the next complete event, upon which the last one must not be used any more. It returns io.EOF at the end of the stream and
 // errTruncatedEvent if the stream ended within an event.
 func (r *eventReader) next() (event, error) {
+	r.release()
 	var e event
 	for {
 		line, err := r.readLine(&e)
@@ -68,6 +102,9 @@
 		if len(e.raw)+len(part) > maxEventBytes {
 			return nil, &limitError{limitEvent, maxEventBytes}
 		}
+		if err := r.reserve(int64(len(e.raw) + len(part))); err != nil {
+			return nil, err
+		}
 		e.raw = append(e.raw, part...)
 		if err != bufio.ErrBufferFull {
 			return e.raw[start:], err
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -182,7 +182,7 @@
 		return nil
 	}
 	for _, segment := range response.body {
-		if _, err := c.writer.Write(segment); err != nil {
+		if err := c.writeCaller(segment); err != nil {
 			return errAborted
 		}
 	}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -59,6 +59,8 @@
 	// RefusalError returns the error with which a new request with the given deadline is refused, or
 	// nil. It may be nil.
 	RefusalError func(route *fleet.Route, deadline time.Time) error
+	// WriteStall is how long a caller may read nothing of a response; 0 means until its request times out.
+	WriteStall time.Duration
 }
 
 // call is the state of one request while it is served.
@@ -86,6 +88,10 @@
 	// replacement is the attempt that follows the last one, which was cancelled for it; nil if the
 	// last attempt ended by itself.
 	replacement *replacement
+	// writeEnd is the time until which the response may be written.
+	writeEnd time.Time
+	// unread is set if the response was lost because its caller did not read it.
+	unread bool
 }
 
 // eventDeadline returns when the caller of a stream is expected to give up if it gets no event
@@ -134,9 +140,8 @@
 	defer cancel()
 	// A caller that reads slowly must not hold the response for ever. Writers in tests have no
 	// deadline.
-	control := http.NewResponseController(w)
-	_ = control.SetWriteDeadline(time.Now().Add(c.left() + deliveryGrace))
-	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	c.writeEnd = time.Now().Add(c.left() + deliveryGrace)
+	defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 	if c.route.Kind == fleet.KindStreaming {
 		err = c.serveStream(ctx)
 	} else {
@@ -149,6 +154,10 @@
 			err = errors.Join(errAborted, err)
 		}
 	}
+	if c.unread {
+		c.Metrics.Counter("clients.unread_responses").Inc(1)
+		err = errors.Join(errUnread, err)
+	}
 	c.logDone(err)
 	return err
 }
@@ -300,6 +309,9 @@
 		outcome = string(fault.KindOf(err))
 		if IsAborted(err) {
 			outcome, cause = "aborted", outcome
+			if c.unread {
+				cause = "unread"
+			}
 			c.Metrics.Counter("aborted." + cause).Inc(1)
 		}
 	}
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -61,7 +61,7 @@
 		}
 		c.exclude[upstream.ID] = true
 		action := NextAction(c.route, c.history, result, c.left())
-		if action == ActionRetry && (ctx.Err() != nil || s.unplaced.Load() || errors.Is(err, errCallerWrite)) {
+		if action == ActionRetry && (ctx.Err() != nil || s.unplaced.Load() || errors.Is(err, errCallerWrite) || c.unread) {
 			action = finalAction(c.history)
 		}
 		s.logFailedAttempt(upstream, result, action, err)
@@ -103,6 +103,9 @@
 	// unplaced is true if the last forwarded event has no number, so that no other attempt can
 	// continue after it.
 	unplaced atomic.Bool
+	// blocked is set if the caller has not read the stream for unreadTime in the current attempt, during
+	// which the engine was not read either.
+	blocked bool
 }
 
 // logFailedAttempt logs a failed attempt with the events that it produced. If the response was
@@ -162,7 +165,7 @@
 func (s *streamCall) tryUpstream(ctx context.Context, upstream *fleet.Upstream) (Result, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.events, s.continues = 0, s.forwarded > 0
+	s.events, s.continues, s.blocked = 0, s.forwarded > 0, false
 	tokens := s.request.PromptTokens
 	s.Health.Begin(upstream, tokens)
 	prepared := s.prepared
@@ -173,7 +176,10 @@
 	sent := clock.Now()
 	result, first, err := s.exchange(ctx, upstream, stall)
 	s.replacement = stall.stop()
-	if errors.Is(err, errCallerWrite) {
+	if result == ResultLost && s.blocked && !errors.Is(context.Cause(ctx), errStalled) {
+		s.unread = true
+	}
+	if errors.Is(err, errCallerWrite) || s.unread {
 		// The error is not one of the engine.
 		cancel(errCallerWrite)
 	}
@@ -269,6 +275,8 @@
 // before the first complete event, so that another engine can be tried until then.
 func (s *streamCall) forwardEvents(x *exchange, stall *stallTimer, startTime time.Time, upstream *fleet.Upstream) (time.Duration, error) {
 	reader := newEventReader(x.response.Body)
+	reader.pool = s.Pool
+	defer reader.release()
 	var first time.Duration
 	// withheld holds bytes without progress that arrived before the first event.
 	var withheld []byte
@@ -377,20 +385,3 @@
 	}
 	return nil
 }
-
-// errCallerWrite is returned if the connection to the caller failed.
-var errCallerWrite = errors.New("write to the caller")
-
-// write sends bytes to the caller at once.
-func (s *streamCall) write(data []byte) error {
-	if len(data) == 0 {
-		return nil
-	}
-	if _, err := s.writer.Write(data); err != nil {
-		return errors.Join(errCallerWrite, err)
-	}
-	if err := http.NewResponseController(s.writer).Flush(); err != nil {
-		return errors.Join(errCallerWrite, err)
-	}
-	return nil
-}
--- a/internal/web/entry/callers.go
+++ b/internal/web/entry/callers.go
@@ -81,6 +81,9 @@
 		h.Metrics.Counter("request.body_lost").Inc(1)
 		panic(http.ErrAbortHandler)
 	}
+	if forward.IsUnread(err) {
+		h.Refusals.report(r.RemoteAddr, "unread_response", err)
+	}
 	if forward.IsAborted(err) || kind == api.KindCallerGone {
 		// Abort the connection, so that the caller does not take the response as complete.
 		panic(http.ErrAbortHandler)
