--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,11 @@
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\) .*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
 KNOWN_RED_FOLDERS := $(shell sed -n 's/^Test[A-Za-z0-9_]* //p' KNOWN-RED.txt 2>/dev/null | sort -u)
 
-.PHONY: help build fmt lint test known-red demo bench
+# The fuzz targets of what reads from callers, as NAME:FOLDER.
+FUZZ := FuzzDecodeRequest:./platform FuzzReadBody:./internal/data/fleet FuzzConnection:./internal/web/entry FuzzRun:./internal/web/caller
+FUZZ_TIME := 5s
+
+.PHONY: help build fmt lint test fuzz known-red demo bench
 
 help: ## list the targets
 	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed 's/:.*##/ -/'
@@ -35,6 +39,10 @@
 	go test -count=1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(VIRTUAL_TIME)
 	go test -count=1 -p 1 $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$') $(ALONE)
 
+fuzz: ## fuzz what reads from callers for some seconds each
+	@for target in $(FUZZ); do \
+		echo "$${target%%:*}"; go test -run XXX -fuzz "^$${target%%:*}$$" -fuzztime $(FUZZ_TIME) -parallel 2 "$${target#*:}" || exit 1; done
+
 known-red: ## print KNOWN-RED.txt and run its tests, whose failure is no error
 	@if [ -n "$(KNOWN_RED)" ]; then cat KNOWN-RED.txt; \
 		go test -race -count=1 -p 1 -run '^($(KNOWN_RED))$$' $(KNOWN_RED_FOLDERS) || echo "known to be red"; fi
--- a/internal/data/fleet/body_test.go
+++ b/internal/data/fleet/body_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http/httputil"
 	"testing"
 	"testing/iotest"
 
@@ -49,3 +50,30 @@
 	})
 	assert.ErrorIs(t, err, errCut)
 }
+
+// FuzzReadBody guards against a chunked body that is read otherwise than by the standard library, or that
+// counts as complete although its framing is not.
+func FuzzReadBody(f *testing.F) {
+	f.Add([]byte("5\r\nhello\r\n0\r\n\r\n"), int64(100))
+	f.Add([]byte("1\r\nh\r\n1\r\ne\r\n0\r\n\r\n"), int64(1))
+	f.Add([]byte("1000\r\n"), int64(5000))
+	f.Fuzz(func(t *testing.T, data []byte, limit int64) {
+		if limit < 0 || limit > 1<<20 {
+			return
+		}
+		want, wantErr := io.ReadAll(httputil.NewChunkedReader(bytes.NewReader(data)))
+		reserved := int64(0)
+		body, err := ReadBody(httputil.NewChunkedReader(bytes.NewReader(data)), -1, limit, func(size int64) error {
+			reserved += size
+			return nil
+		})
+		switch {
+		case err == nil && (wantErr != nil || !bytes.Equal(body.Bytes(), want)):
+			t.Fatalf("%q, want %q, %v", body.Bytes(), want, wantErr)
+		case err != nil && wantErr == nil && !(errors.Is(err, ErrBodyTooLarge) && int64(len(want)) > limit):
+			t.Fatalf("%v for a body of %d bytes with limit %d", err, len(want), limit)
+		case reserved > max(2*minSegmentBytes, int64(len(want))*2):
+			t.Fatalf("%d bytes for %d", reserved, len(want))
+		}
+	})
+}
