--- a/internal/web/entry/entry_test.go
+++ b/internal/web/entry/entry_test.go
@@ -54,7 +54,7 @@
 	view := newView(upstream.Entry, limit)
 	get := func() *directory.View { return view }
 	callers := &CallerHandler{
-		View: get, Log: logging.Discard(), Metrics: metric.New(), Memory: &memory.Account{}, Closing: func() bool { return false },
+		View: get, Log: logging.Discard(), Metrics: metric.New(), Memory: &memory.Account{Limit: 64 << 20, StallTime: time.Second}, Closing: func() bool { return false },
 		Service: &forward.Service{
 			View: get, Pool: &forward.Pool{Dial: dial.New(time.Second)}, Health: &forward.HealthTable{}, Log: logging.Discard(), Metrics: metric.New(),
 			Codec:  forward.Codec{WriteRequestHeader: wire.WriteRequestHeader, DecodeReply: wire.DecodeReply, CopyResponseHeader: wire.CopyResponseHeader, WriteInternalRequest: wire.WriteInternalRequest},
