Make the account cheaper for ordinary requests

The clock that counts suspended time is a system call, and the account asked it several times a request; it now uses the monotonic clock, by which a body does not look stalled after a suspension either. A body with a length is read into segments of at least 16 KB, which is fewer for ordinary ones.

--- a/internal/data/fleet/body.go
+++ b/internal/data/fleet/body.go
@@ -35,13 +35,15 @@
 const (
 	minSegmentBytes = 4 << 10
 	maxSegmentBytes = 64 << 10
+	// minKnownBytes is the smallest segment of a body whose size is announced, unless it needs less.
+	minKnownBytes = 16 << 10
 )
 
 // segmentSize returns the size of the next segment of a body of which total bytes have arrived.
 // length is the announced size; it is negative if there is none.
 func segmentSize(total, length int64) int64 {
 	if length >= 0 {
-		return min(max(total, minSegmentBytes), maxSegmentBytes, length-total)
+		return min(max(total, minKnownBytes), maxSegmentBytes, length-total)
 	}
 	return min(max(total/2, minSegmentBytes), maxSegmentBytes)
 }
--- a/internal/data/fleet/body_test.go
+++ b/internal/data/fleet/body_test.go
@@ -43,7 +43,7 @@
 		}
 	}
 	_, err := ReadBody(bytes.NewReader(data), int64(len(data)), int64(len(data)), func(n int64) error {
-		if n > minSegmentBytes {
+		if n > minKnownBytes {
 			return errCut
 		}
 		return nil
--- a/internal/service/forward/limit.go
+++ b/internal/service/forward/limit.go
@@ -4,9 +4,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"redwingloft/internal/data/fleet"
-	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/metric"
 )
 
@@ -105,7 +105,7 @@
 
 // reserve reserves memory for a response and reports whether there is room in the account.
 func (p *Pool) reserve(size int64) bool {
-	if p.Memory != nil && !p.Memory.Reserve(size, clock.Now()) {
+	if p.Memory != nil && !p.Memory.Reserve(size, time.Now()) {
 		return false
 	}
 	p.buffered.Add(size)
--- a/internal/service/memory/account.go
+++ b/internal/service/memory/account.go
@@ -6,8 +6,6 @@
 	"errors"
 	"sync"
 	"time"
-
-	"redwingloft/internal/helper/clock"
 )
 
 // The parts of the limit that holders of a kind may use. Responses and holders that are complete
@@ -174,7 +172,7 @@
 	}
 	h.closed = true
 	delete(a.open, h)
-	a.freed.add(h.size, clock.Now())
+	a.freed.add(h.size, time.Now())
 	a.add(h, -h.size)
 	owner := a.owners[h.owner]
 	if owner.holders--; owner.holders == 0 {
--- a/internal/web/entry/body.go
+++ b/internal/web/entry/body.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"redwingloft/internal/data/fleet"
-	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/service/memory"
 	"redwingloft/pkg/api"
@@ -57,11 +56,11 @@
 	}
 	conn := connOf(r)
 	conn.beginBody()
-	holder := h.Memory.Open(owner, clock.Now(), func() { _ = control.SetReadDeadline(pastDeadline) })
+	holder := h.Memory.Open(owner, time.Now(), func() { _ = control.SetReadDeadline(pastDeadline) })
 	reserved := int64(0)
 	body, err := fleet.ReadBody(r.Body, r.ContentLength, limit, func(size int64) error {
 		reserved += size
-		return holder.Grow(size, clock.Now())
+		return holder.Grow(size, time.Now())
 	})
 	if lost := holder.Complete(); lost != nil {
 		err = lost
@@ -110,7 +109,7 @@
 }
 
 func (h *CallerHandler) memoryFullError(cause error, size int64) error {
-	return fault.AddRetryAfter(fault.Wrap(api.KindMemoryFull, cause, "the host has no memory for the body"), h.Memory.RetryDelay(size, clock.Now()))
+	return fault.AddRetryAfter(fault.Wrap(api.KindMemoryFull, cause, "the host has no memory for the body"), h.Memory.RetryDelay(size, time.Now()))
 }
 
 // reserveItems reserves what the items of a request take in its stages, if they are many.
@@ -123,8 +122,8 @@
 		return func() {}, nil
 	}
 	size := int64(items * itemBytes)
-	holder := h.Memory.Open(h.ownerOf(request), clock.Now(), nil)
-	err = holder.Grow(size, clock.Now())
+	holder := h.Memory.Open(h.ownerOf(request), time.Now(), nil)
+	err = holder.Grow(size, time.Now())
 	if err == nil {
 		err = holder.Complete()
 	}
--- a/internal/web/entry/conn.go
+++ b/internal/web/entry/conn.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/service/memory"
 )
 
@@ -103,7 +102,7 @@
 
 // growHead reserves memory for a long request head.
 func (c *callerConn) growHead(size int64) bool {
-	now := clock.Now()
+	now := time.Now()
 	if c.head == nil {
 		c.head = c.memory.Open("", now, c.evictHead)
 	}
