--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -23,6 +23,7 @@
 	"redwingloft/internal/helper/timer"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
+	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/outlier"
 	"redwingloft/internal/service/quarantine"
 	"redwingloft/internal/service/stage"
@@ -42,8 +43,21 @@
 	// response-time objective at another one.
 	peerDialTimeout = 300 * time.Millisecond
 	peerPingTimeout = stage.MaxSchedulerPause / 2
-	// bufferMemoryRatio is the part of the host's memory limit that response bodies may hold.
-	bufferMemoryRatio = 0.25
+	// accountRatio is the part of the host's memory limit that may be held on behalf of callers. The
+	// heap grows to 1.5 times what is live before it is collected, and connections, code and the
+	// directory need the rest.
+	accountRatio = 0.4
+	// connDescriptorRatio is the part of the descriptors that callers' connections may use. A request
+	// in progress needs another one to its upstream, and the store and other hosts need some.
+	connDescriptorRatio = 0.4
+	// connMemoryRatio is the part of the memory limit that callers' connections may use at connBytes
+	// each: 32 KB for the buffers of net/http, the stacks of two goroutines and the head of a request,
+	// and 64 KB that the kernel has received.
+	connMemoryRatio = 0.4
+	connBytes       = 96 << 10
+	// directoryConnShare is the part of the callers' connections, 1/directoryConnShare, that the
+	// address list may have besides. Callers fetch it once in a few seconds.
+	directoryConnShare = 8
 	// sweepInterval is the interval at which idle connections and unused state are removed.
 	sweepInterval = time.Second
 	// slowLogInterval is the least interval between two log lines on slow upstreams, whose number may
@@ -64,6 +78,7 @@
 	timer        *timer.Service
 	metrics      *metric.Set
 	directory    *directory.Service
+	memory       *memory.Account
 	pool         *forward.Pool
 	health       *forward.HealthTable
 	// slowLogged is the number of slow upstreams in the last line about them, at slowLoggedAt.
@@ -79,7 +94,9 @@
 	callerServer  *http.Server
 	peerHandler   *web.PeerHandler
 	outliers      *outlier.Exchanger
-	idleTracker   *web.IdleCloser
+	idleTracker   *web.ConnTracker
+	// directoryTracker tracks the connections of the address list.
+	directoryTracker *web.ConnTracker
 
 	schedulersMu sync.Mutex
 	schedulers   map[stage.Group]*stage.Scheduler
@@ -109,14 +126,17 @@
 	e.directory = e.newDirectory(kv)
 	e.prompts = &quarantine.Tracker{Stored: e.quarantinedParts}
 	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, ColdBound: e.coldBound, ListAge: s.Store.MaxAge, Log: logger, Metrics: e.metrics}
+	e.memory = &memory.Account{Limit: accountLimit(s), StallTime: s.Clients.Stall}
+	e.metrics.GaugeFunc("clients.memory_bytes", e.memory.Used)
 	e.pool = &forward.Pool{
-		Dial: dial.New(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
-		Health: e.health, Log: logger,
-		BufferLimit: int64(bufferMemoryRatio * s.Host.MemoryLimit * megabyte),
-		OnLeaving:   func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
+		Dial: dial.NewBounded(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
+		Health: e.health, Log: logger, Memory: e.memory,
+		OnLeaving: func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
 	}
+	refusals := &web.RefusalLog{Log: logger}
 	e.callerHandler = &web.CallerHandler{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
+		Memory: e.memory, BodyTimeout: s.Clients.BodyTimeout, Refusals: refusals,
 	}
 	e.outliers = &outlier.Exchanger{
 		Self: s.Host.ID, View: e.directory.View, HTTP: e.peerClient, Health: e.health, Prompts: e.prompts, Throttle: e.throttle, Collector: &outlier.Collector{}, Log: logger, Metrics: e.metrics,
@@ -130,10 +150,44 @@
 		Log:    logger, Metrics: e.metrics,
 	}
 	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
-	e.idleTracker = &web.IdleCloser{Timeout: e.callerIdleTimeout, Metrics: e.metrics}
+	e.idleTracker = e.newConnTracker(e.maxCallerConns(), refusals)
+	e.directoryTracker = e.newConnTracker(e.maxCallerConns()/directoryConnShare, refusals)
+	e.metrics.GaugeFunc("clients.connections", func() int64 { return int64(e.idleTracker.Open()) })
 	return e, nil
 }
 
+// accountLimit returns the bytes that may be held on behalf of callers; 0 means no limit.
+func accountLimit(s *settings.Settings) int64 {
+	if s.Clients.Memory > 0 {
+		return int64(s.Clients.Memory * megabyte)
+	}
+	return int64(accountRatio * s.Host.MemoryLimit * megabyte)
+}
+
+func (e *entryHost) newConnTracker(limit int, refusals *web.RefusalLog) *web.ConnTracker {
+	return &web.ConnTracker{
+		Timeout: e.callerIdleTimeout, Metrics: e.metrics, MaxConns: limit, Stall: e.settings.Clients.Stall, Memory: e.memory, Refusals: refusals,
+	}
+}
+
+// maxCallerConns returns the largest number of callers' connections; 0 means no limit.
+func (e *entryHost) maxCallerConns() int {
+	s := e.settings
+	if s.Clients.Connections > 0 {
+		return s.Clients.Connections
+	}
+	limit := 0
+	if s.Host.DescriptorLimit > 0 {
+		limit = int(connDescriptorRatio * s.Host.DescriptorLimit)
+	}
+	if s.Host.MemoryLimit > 0 {
+		if fit := int(connMemoryRatio * s.Host.MemoryLimit * megabyte / connBytes); limit == 0 || fit < limit {
+			limit = fit
+		}
+	}
+	return limit
+}
+
 func (e *entryHost) newDirectory(kv store.Store) *directory.Service {
 	s := e.settings
 	return &directory.Service{
@@ -170,6 +224,7 @@
 	}
 	return &forward.Service{
 		View: e.directory.View, Pool: e.pool, Codec: e.codec, Health: e.health, Budget: e.newRetryBudget(e.hostCount), Log: e.log, Metrics: e.metrics,
+		WriteStall: e.settings.Clients.WriteStall,
 		DataCentre: e.settings.Host.DataCentre, RunStages: client.Prepare, RefusalError: e.refusalError, Prompts: e.prompts,
 	}
 }
@@ -312,13 +367,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	group.Add(func() error { return e.timer.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return e.runDirectory(ctx) }, func(error) { cancel() })
-	e.callerServer = e.newCallerServer()
-	e.addListenerFor(group, e.settings.Caller.Listen, e.callerServer, e.idleTracker.Listener)
+	e.callerServer = e.newServer(e.callerHandler)
+	e.addTrackedListener(group, e.settings.Caller.Listen, e.callerServer, e.idleTracker)
 	e.addListener(group, e.settings.Peer.Listen, e.newPeerServer())
 	directory := &web.DirectoryHandler{
 		View: e.directory.View, Self: e.settings.Caller.Advertise, AddressValidity: e.settings.Caller.AddressValidity, Ready: e.checkReady,
 	}
-	e.addListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)))
+	e.addTrackedListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)), e.directoryTracker)
 	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)))
 	handler := &admin.Handler{Metrics: e.metrics, Ready: e.checkReady}
 	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()))
@@ -332,6 +387,7 @@
 		Str("version", version).Msg("host_started")
 	e.timer.Every(sweepInterval, e.pool.Sweep)
 	e.timer.Every(sweepInterval, e.idleTracker.Sweep)
+	e.timer.Every(sweepInterval, e.directoryTracker.Sweep)
 	e.timer.Every(sweepInterval, e.sweepHealth)
 	e.timer.Every(sweepInterval, e.sweepThrottle)
 	e.timer.Every(outlier.ExchangeInterval, e.outliers.Run)
@@ -341,12 +397,6 @@
 	return e.directory.Run(ctx)
 }
 
-func (e *entryHost) newCallerServer() *http.Server {
-	server := e.newServer(e.callerHandler)
-	server.ConnState = e.idleTracker.Track
-	return server
-}
-
 func (e *entryHost) newPeerServer() *http.Server {
 	server := e.newServer(e.peerHandler.Routes())
 	server.Protocols = &http.Protocols{}
@@ -361,21 +411,33 @@
 
 // addListener adds a server to the group; an empty address disables it.
 func (e *entryHost) addListener(group *run.Group, address string, server *http.Server) {
-	e.addListenerFor(group, address, server, func(l net.Listener) net.Listener { return l })
+	e.addListenerFor(group, address, server, dial.Listen)
+}
+
+// addTrackedListener adds a server whose connections are tracked and bounded.
+func (e *entryHost) addTrackedListener(group *run.Group, address string, server *http.Server, tracker *web.ConnTracker) {
+	server.ConnState, server.ConnContext = tracker.Track, web.ConnContext
+	e.addListenerFor(group, address, server, func(ctx context.Context, address string) (net.Listener, error) {
+		listener, err := dial.ListenBounded(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return tracker.Listener(listener), nil
+	})
 }
 
-// addListenerFor adds a server whose listener is wrapped.
-func (e *entryHost) addListenerFor(group *run.Group, address string, server *http.Server, wrap func(net.Listener) net.Listener) {
+// addListenerFor adds a server to the group, whose listener is opened by listen.
+func (e *entryHost) addListenerFor(group *run.Group, address string, server *http.Server, listen func(context.Context, string) (net.Listener, error)) {
 	if address == "" {
 		return
 	}
 	interrupted := make(chan struct{})
 	group.Add(func() error {
-		listener, err := dial.Listen(context.Background(), address)
+		listener, err := listen(context.Background(), address)
 		if err != nil {
 			return fmt.Errorf("listener %s: %w", address, err)
 		}
-		err = server.Serve(wrap(listener))
+		err = server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
 			// A drain closes the listener before the process ends.
 			<-interrupted
--- a/internal/data/settings/settings.go
+++ b/internal/data/settings/settings.go
@@ -20,10 +20,11 @@
 	Document Document
 	Log      Log
 	Trace    Trace
-	// Directory, Retry and Cold are only used by the entry command.
+	// Directory, Retry, Cold and Clients are only used by the entry command.
 	Directory Directory
 	Retry     Retry
 	Cold      Cold
+	Clients   Clients
 }
 
 // Load reads and validates the file at path. A FaultsError lists all errors in the file.
@@ -69,5 +70,6 @@
 		Directory: loadDirectory(l.section("directory")),
 		Retry:     loadRetry(l.section("retry")),
 		Cold:      loadCold(l.section("cold")),
+		Clients:   loadClients(l.section("clients")),
 	}
 }
