Let callers whose body was evicted read the refusal

A body that loses its memory to an older one is interrupted by its read deadline. The test fails without it.

--- a/internal/web/entry/body.go
+++ b/internal/web/entry/body.go
@@ -147,9 +147,10 @@
 var pastDeadline = time.Unix(1, 0)
 
 // The rest of a refused body that is read and discarded, so that a caller that reads the response only
-// after it has written its request gets it. A caller on a link of 40 Mbit/s writes 4 MB in a second.
+// after it has written its request gets it. They are more than maxBodyBytes of the deployments; a
+// caller on a link of 40 Mbit/s writes 4 MB in a second.
 const (
-	maxDiscardedBytes = 4 << 20
+	maxDiscardedBytes = 5 << 20
 	discardTime       = time.Second
 )
 
@@ -162,9 +163,14 @@
 	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
 		return
 	}
-	if _, err := io.CopyN(io.Discard, r.Body, maxDiscardedBytes); err == io.EOF {
+	discarded, err := io.CopyN(io.Discard, r.Body, maxDiscardedBytes)
+	if err == io.EOF {
 		return
 	}
+	if c := connOf(r); c != nil && err != nil {
+		// A body can't be read any more once its reading was interrupted, as is done to take its memory.
+		_, _ = io.CopyN(io.Discard, c.Conn, maxDiscardedBytes-discarded)
+	}
 	// At its limit, MaxBytesReader tells the server to close the sending side first, and to wait before
 	// it closes the connection. There is no other way to request this.
 	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
--- a/internal/web/entry/body_test.go
+++ b/internal/web/entry/body_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,8 +15,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"redwingloft/internal/helper/dial"
 	"redwingloft/internal/helper/logging"
 	"redwingloft/internal/service/memory"
+	"redwingloft/pkg/api"
 	wire "redwingloft/platform"
 )
 
@@ -102,3 +105,38 @@
 		assert.Equal(t, finish(t, begin(t, server, "a", 3<<20)).StatusCode, http.StatusRequestEntityTooLarge)
 	}
 }
+
+// TestEvictedBodyGetsRefusal guards against a body that loses its memory to an older one while it arrives,
+// and whose caller finds its connection reset instead of the refusal.
+func TestEvictedBodyGetsRefusal(t *testing.T) {
+	_, callers, _ := startCallers(t, 0, echo)
+	callers.Memory = &memory.Account{Limit: 2 << 20, StallTime: time.Hour}
+	tracker := &ConnTracker{Timeout: func() time.Duration { return time.Hour }, Metrics: callers.Metrics}
+	server := httptest.NewUnstartedServer(callers)
+	bounded, err := dial.ListenBounded(context.Background(), "127.0.0.1:0")
+	assert.NilError(t, err)
+	_ = server.Listener.Close()
+	server.Listener = tracker.Listener(bounded)
+	server.Config.ConnState, server.Config.ConnContext = tracker.Track, ConnContext
+	server.Start()
+	t.Cleanup(server.Close)
+	older := begin(t, server, "older", 200<<10)
+	for callers.Memory.Used() < 200<<10 {
+		time.Sleep(time.Millisecond)
+	}
+	younger := begin(t, server, "younger", 300<<10)
+	// The rest of the body must not fit into the buffers of the kernel.
+	assert.NilError(t, younger.(*net.TCPConn).SetWriteBuffer(32<<10))
+	for callers.Memory.Used() < 500<<10 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = fmt.Fprintf(older, "%x\r\n%s\r\n", 300<<10, strings.Repeat("x", 300<<10))
+	assert.NilError(t, err)
+	for callers.Metrics.Counter(api.Kinds[api.KindMemoryFull].Counter).Count() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err = fmt.Fprintf(younger, "%x\r\n%s\r\n0\r\n\r\n", 3<<20, strings.Repeat("x", 3<<20))
+	assert.NilError(t, err)
+	assert.Equal(t, finish(t, younger).StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, end(t, older).StatusCode, http.StatusOK)
+}
