Bound the bodies of redwingloft serve and set its memory limit

The serve command read each body whole into a buffer that doubles, without a bound over all callers, and did not tell Go its memory limit. It now uses the memory account and memory_limit as the entry command does. Its connections are not bounded yet; they end by their time-outs.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -44,9 +44,7 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
-	if s.Host.MemoryLimit > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * s.Host.MemoryLimit * megabyte))
-	}
+	setMemoryLimit(s)
 	out := logging.NewQueue(os.Stdout, logQueueLines)
 	e, err := newEntryHost(s, path, logging.New(out, s.Log.Level, string(s.Host.ID)))
 	if err != nil {
@@ -63,6 +61,13 @@
 	return errors.Join(err, closeLog(out))
 }
 
+// setMemoryLimit sets Go's soft memory limit from the settings, if they have one.
+func setMemoryLimit(s *settings.Settings) {
+	if s.Host.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitRatio * s.Host.MemoryLimit * megabyte))
+	}
+}
+
 func closeLog(out *logging.Queue) error {
 	if err := out.Close(); err != nil {
 		return fmt.Errorf("write the log: %w", err)
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -26,6 +26,7 @@
 	"redwingloft/internal/service/admission"
 	"redwingloft/internal/service/configuration"
 	"redwingloft/internal/service/member"
+	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/order"
 	"redwingloft/internal/service/pipeline"
 	"redwingloft/internal/service/request"
@@ -223,6 +224,7 @@
 
 func (h *host) newCallerHandler() *caller.Handler {
 	handler := &caller.Handler{
+		Memory:  &memory.Account{Limit: accountLimit(h.settings), StallTime: h.settings.Clients.Stall},
 		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.maxBodyBytes, Metrics: h.metrics, Log: h.log, Timer: h.timer,
 	}
 	if h.recorder != nil {
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return err
 	}
+	setMemoryLimit(s)
 	host, err := newHost(s, logging.New(os.Stderr, s.Log.Level, string(s.Host.ID)))
 	if err != nil {
 		return err
--- a/internal/data/settings/settings.go
+++ b/internal/data/settings/settings.go
@@ -20,7 +20,7 @@
 	Document Document
 	Log      Log
 	Trace    Trace
-	// Directory, Retry and Clients are only used by the entry command.
+	// Directory and Retry are only used by the entry command.
 	Directory Directory
 	Retry     Retry
 	Clients   Clients
--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -14,12 +14,14 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
+	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/data/trace"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/logging"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/helper/timer"
 	"redwingloft/internal/helper/tracing"
+	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/request"
 	"redwingloft/pkg/api"
 )
@@ -31,8 +33,10 @@
 	Addresses func(api.DataCentre) api.AddressList
 	// BodyBytes returns the maximum size of a request body.
 	BodyBytes func() int64
-	Metrics   *metric.Set
-	Log       *log.Logger
+	// Memory accounts for the bodies of requests; nil means no limit.
+	Memory  *memory.Account
+	Metrics *metric.Set
+	Log     *log.Logger
 	// Timer triggers the keepalives; no keepalives are sent if it is nil.
 	Timer *timer.Service
 	// Record is called when a well-formed request has ended; nil disables recording.
@@ -68,7 +72,9 @@
 		return
 	}
 	var body api.RunRequest
-	if err := h.readJSON(w, r, &body); err != nil {
+	holder := h.holder(w, caller)
+	defer holder.Release()
+	if err := h.readJSON(w, r, holder, &body); err != nil {
 		h.writeError(w, r, caller, err)
 		return
 	}
@@ -96,7 +102,9 @@
 		h.writeError(w, r, caller, err)
 		return
 	}
-	body, err := h.readBody(w, r)
+	holder := h.holder(w, caller)
+	defer holder.Release()
+	body, err := h.readBody(w, r, holder)
 	if err != nil {
 		h.writeError(w, r, caller, err)
 		return
@@ -148,20 +156,39 @@
 	return caller, nil
 }
 
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.BodyBytes()))
+// holder returns an empty holder for the body of a request. A workspace is counted as it is named,
+// before its credential is checked.
+func (h *Handler) holder(w http.ResponseWriter, caller request.Caller) *memory.Holder {
+	account := h.Memory
+	if account == nil {
+		account = &memory.Account{}
+	}
+	control := http.NewResponseController(w)
+	return account.Open(string(caller.Workspace), time.Now(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+}
+
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, holder *memory.Holder) ([]byte, error) {
+	limit := h.BodyBytes()
+	body, err := fleet.ReadBody(http.MaxBytesReader(w, r.Body, limit), -1, limit, func(size int64) error { return holder.Grow(size, time.Now()) })
+	if lost := holder.Complete(); lost != nil {
+		err = lost
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, fault.New(api.KindTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, memory.ErrStalled):
+		return nil, fault.Wrap(api.KindBodyStalled, err, "the body did not arrive in time")
+	case errors.Is(err, memory.ErrFull), errors.Is(err, memory.ErrEvicted):
+		return nil, fault.AddRetryAfter(fault.Wrap(api.KindMemoryFull, err, "the host has no memory for the body"), h.Memory.RetryDelay(limit, time.Now()))
 	case err != nil:
 		return nil, fault.Wrap(api.KindBadRequest, err, "the body can't be read")
 	}
-	return body, nil
+	return body.Bytes(), nil
 }
 
-func (h *Handler) readJSON(w http.ResponseWriter, r *http.Request, target any) error {
-	body, err := h.readBody(w, r)
+func (h *Handler) readJSON(w http.ResponseWriter, r *http.Request, holder *memory.Holder, target any) error {
+	body, err := h.readBody(w, r, holder)
 	if err != nil {
 		return err
 	}
--- a/internal/web/caller/caller_test.go
+++ b/internal/web/caller/caller_test.go
@@ -19,6 +19,7 @@
 	"redwingloft/internal/helper/logging"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/helper/timer"
+	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/request"
 	"redwingloft/pkg/api"
 )
@@ -186,6 +187,28 @@
 	assert.Equal(t, body(), ": alive\n\n")
 }
 
+// TestBodiesAreAccounted guards against bodies that together exceed the memory of a host, and against a
+// refusal that leaves memory reserved.
+func TestBodiesAreAccounted(t *testing.T) {
+	h := newHandler()
+	h.BodyBytes = func() int64 { return 1 << 20 }
+	h.Memory = &memory.Account{Limit: 1 << 20, StallTime: time.Second}
+	kept := h.Memory.Open("w", time.Now(), nil)
+	assert.NilError(t, kept.Grow(200<<10, time.Now()))
+	assert.NilError(t, kept.Complete())
+	run := func(size int) (*httptest.ResponseRecorder, api.Error) {
+		r := httptest.NewRequest("POST", api.PathPipelines+"p/run", strings.NewReader(`{"input":"`+strings.Repeat("x", size)+`"}`))
+		r.Header.Set(api.HeaderWorkspace, "w")
+		return serve(t, h, r)
+	}
+	w, refused := run(400 << 10)
+	assert.Equal(t, refused.Kind, api.KindMemoryFull)
+	assert.Assert(t, w.Header().Get("Retry-After") != "" && refused.Run == api.RunNo)
+	_, served := run(40 << 10)
+	assert.Equal(t, served.Kind, api.KindHostIsolated)
+	assert.Equal(t, h.Memory.Used(), int64(200<<10))
+}
+
 func FuzzRun(f *testing.F) {
 	f.Add([]byte(`{"input":"x","stream":true}`), "1000", "high")
 	f.Add([]byte(`{"resume":{"token":"a.b","last_event":1,"text":""}}`), "", "")
