--- a/internal/data/settings/settings.go
+++ b/internal/data/settings/settings.go
@@ -20,7 +20,7 @@
 	Document Document
 	Log      Log
 	Trace    Trace
-	// Directory, Retry, Cold and Clients are only used by the entry command.
+	// Directory, Retry and Cold are only used by the entry command.
 	Directory Directory
 	Retry     Retry
 	Cold      Cold
--- a/internal/web/entry/body_test.go
+++ b/internal/web/entry/body_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"redwingloft/internal/helper/dial"
 	"redwingloft/internal/helper/logging"
 	"redwingloft/internal/service/memory"
 	"redwingloft/pkg/api"
@@ -111,7 +113,10 @@
 	callers.Memory = &memory.Account{Limit: 2 << 20, StallTime: time.Hour}
 	tracker := &ConnTracker{Timeout: func() time.Duration { return time.Hour }, Metrics: callers.Metrics}
 	server := httptest.NewUnstartedServer(callers)
-	server.Listener = tracker.Listener(server.Listener)
+	bounded, err := dial.ListenBounded(context.Background(), "127.0.0.1:0")
+	assert.NilError(t, err)
+	_ = server.Listener.Close()
+	server.Listener = tracker.Listener(bounded)
 	server.Config.ConnState, server.Config.ConnContext = tracker.Track, ConnContext
 	server.Start()
 	t.Cleanup(server.Close)
@@ -120,10 +125,12 @@
 		time.Sleep(time.Millisecond)
 	}
 	younger := begin(t, server, "younger", 300<<10)
+	// The rest of the body must not fit into the buffers of the kernel.
+	assert.NilError(t, younger.(*net.TCPConn).SetWriteBuffer(32<<10))
 	for callers.Memory.Used() < 500<<10 {
 		time.Sleep(time.Millisecond)
 	}
-	_, err := fmt.Fprintf(older, "%x\r\n%s\r\n", 300<<10, strings.Repeat("x", 300<<10))
+	_, err = fmt.Fprintf(older, "%x\r\n%s\r\n", 300<<10, strings.Repeat("x", 300<<10))
 	assert.NilError(t, err)
 	for callers.Metrics.Counter(api.Kinds[api.KindMemoryFull].Counter).Count() == 0 {
 		time.Sleep(time.Millisecond)
