Spread requests with a popular prompt prefix over several engines

A session of which many callers ask at once went to the one engine that the hash of its prefix selects until each host saw the backlog in its own requests, which for 70 hosts takes seconds. Each host now estimates the rate of all hosts from its own arrivals and spreads the prefix over as many of the first engines in rendezvous order as its load needs.

--- a/internal/service/forward/engine.go
+++ b/internal/service/forward/engine.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/hashing"
+	"redwingloft/internal/service/prefix"
 	"redwingloft/pkg/api"
 )
 
@@ -17,6 +19,9 @@
 	requestCost = 8 * time.Millisecond
 	// remoteCost is the cost of transferring inputs and responses between data centres.
 	remoteCost = 3 * time.Millisecond
+	// ownerSwitchCost is added to the other owners of a popular prefix, so that hosts without load of
+	// their own spread requests evenly and do not all prefer the nearest owner.
+	ownerSwitchCost = 5 * time.Millisecond
 )
 
 // SelectEngine returns the engine for a generation. All hosts send requests with a
@@ -25,21 +30,57 @@
 // suits long shared prompts. An engine with a rate limit costs no repeated prefill: it has time
 // for it, and the requests that it accepts would be lost to engines that get all others.
 func SelectEngine(candidates []Candidate, request *fleet.Request, preferred api.DataCentre, exclude map[api.UpstreamID]bool, now time.Time) *fleet.Upstream {
-	upstream, _ := selectEngine(candidates, request, preferred, exclude, now)
-	return upstream
+	return selectEngine(candidates, request, 0, preferred, exclude, now).Upstream
 }
 
-// selectEngine is like SelectEngine and also returns the prompt tokens that the engine presumably keeps.
-func selectEngine(candidates []Candidate, request *fleet.Request, preferred api.DataCentre, exclude map[api.UpstreamID]bool, now time.Time) (*fleet.Upstream, int) {
-	prefix, shared := sharedPrefix(request)
-	owner := rendezvousOwner(candidates, prefix)
-	chosen := best(candidates, request.ID, exclude, now, func(c *Candidate) float64 {
+// EngineChoice is the choice of an engine with its reason.
+type EngineChoice struct {
+	Upstream *fleet.Upstream
+	// Preferred is the engine that the hash of the shared parts selects for the request.
+	Preferred *fleet.Upstream
+	// Owners is the number of engines among which requests with the same shared parts are spread.
+	Owners int
+	// Kept is the number of prompt tokens that the engine presumably keeps.
+	Kept int
+}
+
+// setOwners sets Preferred and Owners for requests with the same shared parts, which all hosts
+// send at the given rate per second, and returns the owners if there are several. A popular prefix has as many owners as its
+// load needs, over which requests are spread by their hash. They are the first engines in rendezvous
+// order, so that the owners of hosts with different estimates overlap.
+func (e *EngineChoice) setOwners(candidates []Candidate, request *fleet.Request, rate float64, owners []*fleet.Upstream) []*fleet.Upstream {
+	key, shared := sharedPrefix(request)
+	e.Owners = 1
+	if rate > 0 && shared > 0 && len(candidates) > 0 {
+		work := candidates[0].Health.serviceCosts().Token * float64(max(request.PromptTokens-shared, 0))
+		e.Owners = prefix.Owners(rate, work, len(candidates))
+	}
+	if e.Owners == 1 {
+		e.Preferred = rendezvousOwner(candidates, key)
+		return nil
+	}
+	owners = owners[:rendezvousOwners(candidates, key, owners[:e.Owners])]
+	e.Preferred = owners[hashing.Of(string(request.ID))%uint64(len(owners))]
+	return owners
+}
+
+// selectEngine is like SelectEngine, with the rate per second at which all hosts send requests with the
+// same shared parts.
+func selectEngine(candidates []Candidate, request *fleet.Request, rate float64, preferred api.DataCentre, exclude map[api.UpstreamID]bool, now time.Time) EngineChoice {
+	var choice EngineChoice
+	var array [prefix.MaxOwners]*fleet.Upstream
+	owners := choice.setOwners(candidates, request, rate, array[:])
+	_, shared := sharedPrefix(request)
+	choice.Upstream = best(candidates, request.ID, exclude, now, func(c *Candidate) float64 {
 		costs := c.Health.engineCosts()
 		tokens := c.Health.PendingTokens
-		if c.Upstream != owner && !c.Limited {
+		if c.Upstream != choice.Preferred && !c.Limited && !slices.Contains(owners, c.Upstream) {
 			tokens += shared
 		}
 		cost := costs.Token*float64(tokens) + costs.Request*float64(c.Health.Running+1)
+		if c.Upstream != choice.Preferred && len(owners) > 0 {
+			cost += ownerSwitchCost.Seconds()
+		}
 		if c.Upstream.DataCentre != preferred && preferred != "" {
 			cost += remoteCost.Seconds()
 		}
@@ -51,17 +92,20 @@
 		}
 		return cost * (1 + failurePenalty*c.Health.failureRate(now))
 	})
-	if chosen == nil || chosen != owner {
-		shared = 0
+	if choice.Upstream != nil && (choice.Upstream == choice.Preferred || slices.Contains(owners, choice.Upstream)) {
+		choice.Kept = shared
 	}
-	return chosen, shared
+	return choice
 }
 
-// PrefixDataCentre returns the data centre of the engine that the hash of a request's prefix
-// selects. Returns "" if there is no such engine or it is in cooldown.
-func PrefixDataCentre(candidates []Candidate, request *fleet.Request, now time.Time) api.DataCentre {
-	prefix, _ := sharedPrefix(request)
-	owner := rendezvousOwner(candidates, prefix)
+// PrefixDataCentre returns the data centre of the engine that the hash of a request's prefix selects,
+// where all hosts send requests with the prefix at the given rate per second. Returns "" if there is no
+// such engine or it is in cooldown.
+func PrefixDataCentre(candidates []Candidate, request *fleet.Request, rate float64, now time.Time) api.DataCentre {
+	var choice EngineChoice
+	var array [prefix.MaxOwners]*fleet.Upstream
+	choice.setOwners(candidates, request, rate, array[:])
+	owner := choice.Preferred
 	if owner == nil {
 		return ""
 	}
@@ -100,3 +144,23 @@
 	}
 	return owner
 }
+
+// rendezvousOwners sets owners to the upstreams that rendezvous hashing orders first for key, and
+// returns their number.
+func rendezvousOwners(candidates []Candidate, key string, owners []*fleet.Upstream) int {
+	var scores [prefix.MaxOwners]uint64
+	hash, count := hashing.Of(key), 0
+	for i := range candidates {
+		score := hashing.Score(hash, hashing.Of(string(candidates[i].Upstream.ID)))
+		if count == len(owners) && score <= scores[count-1] {
+			continue
+		}
+		count = min(count+1, len(owners))
+		k := count - 1
+		for ; k > 0 && scores[k-1] < score; k-- {
+			scores[k], owners[k] = scores[k-1], owners[k-1]
+		}
+		scores[k], owners[k] = score, candidates[i].Upstream
+	}
+	return count
+}
--- a/internal/service/forward/engine_cost.go
+++ b/internal/service/forward/engine_cost.go
@@ -213,3 +213,11 @@
 	}
 	return assumedCosts
 }
+
+// serviceCosts returns the costs of work at the engines of a service, or the assumed ones.
+func (h *Health) serviceCosts() EngineCosts {
+	if h.Service != nil && h.Service.Costs.Token > 0 {
+		return h.Service.Costs
+	}
+	return assumedCosts
+}
--- a/internal/service/forward/prepare.go
+++ b/internal/service/forward/prepare.go
@@ -38,9 +38,10 @@
 		return nil, err
 	}
 	defer leave()
+	now := clock.Now()
 	return c.RunStages(ctx, &StageWork{
 		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Workspace: c.workspace, Target: target, Deadline: deadline,
-		EngineDataCentre: PrefixDataCentre(c.candidates(), c.request, clock.Now()),
+		EngineDataCentre: PrefixDataCentre(c.candidates(), c.request, c.prefixRate(now), now),
 	})
 }
 
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -14,6 +14,7 @@
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/prefix"
 	"redwingloft/internal/service/quarantine"
 	"redwingloft/pkg/api"
 )
@@ -63,6 +64,8 @@
 	RefusalError func(route *fleet.Route, deadline time.Time) error
 
 	preparing preparing
+	// prefixes counts the shared parts of prompts that were sent to engines.
+	prefixes prefix.Table
 }
 
 // call is the state of one request while it is served.
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -40,6 +40,9 @@
 	if err := c.checkEngines(); err != nil {
 		return err
 	}
+	if parts := c.request.SharedParts(); len(parts) > 0 {
+		c.prefixes.Add(parts[len(parts)-1].ID, c.request.Received)
+	}
 	prepared, err := c.runStages(ctx, c.request.Received.Add(c.route.Objective), c.eventDeadline(c.request.Received))
 	c.prepareTime = clock.Now().Sub(c.request.Received)
 	if err != nil {
@@ -77,10 +80,39 @@
 // selectEngine returns the choice of an engine for a request with the given results of its stages.
 func (c *call) selectEngine(prepared *StageResults) func([]Candidate) *fleet.Upstream {
 	return func(candidates []Candidate) *fleet.Upstream {
-		upstream, kept := selectEngine(candidates, c.request, prepared.DataCentre, c.exclude, clock.Now())
-		c.keptTokens.Store(int64(kept))
-		return upstream
+		now := clock.Now()
+		choice := selectEngine(candidates, c.request, c.prefixRate(now), prepared.DataCentre, c.exclude, now)
+		c.keptTokens.Store(int64(choice.Kept))
+		c.recordChoice(&choice)
+		return choice.Upstream
+	}
+}
+
+// prefixRate returns the estimated rate per second at which all hosts send prompts with the shared parts
+// of the request.
+func (c *call) prefixRate(now time.Time) float64 {
+	parts := c.request.SharedParts()
+	if len(parts) == 0 || c.Budget == nil || c.Budget.Hosts == nil {
+		return 0
+	}
+	return c.prefixes.Rate(parts[len(parts)-1].ID, c.request.Received, now) * float64(c.Budget.Hosts())
+}
+
+// recordChoice counts a choice of an engine.
+func (c *call) recordChoice(choice *EngineChoice) {
+	if choice.Upstream == nil || len(c.request.SharedParts()) == 0 {
+		return
+	}
+	c.Metrics.Counter("prefix.expected_tokens").Inc(int64(choice.Kept))
+	if choice.Owners > 1 {
+		c.Metrics.Counter("prefix.spread").Inc(1)
+	}
+	if choice.Upstream == choice.Preferred {
+		return
 	}
+	c.Metrics.Counter("prefix.left_owner").Inc(1)
+	c.Log.Debug().Str("request", string(c.request.ID)).Str("upstream", string(choice.Upstream.ID)).Str("preferred", string(choice.Preferred.ID)).
+		Int("owners", choice.Owners).Int("expected_tokens", choice.Kept).Msg("preferred_engine_left")
 }
 
 // streamCall is the state of a streaming request while it is served.
