Explain where an entry host would send a request

The command explain asks a host over its admin listener. The host runs the code that serves requests on copies of its limits, health and stage plan, so that nothing is reserved or counted. The choices return the terms of their costs; their results do not change.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -75,6 +75,7 @@
 	limitPresence throttle.Presence
 	codec         forward.Codec
 	peerClient    *http.Client
+	stages        *stage.Client
 	callerHandler *web.CallerHandler
 	callerServer  *http.Server
 	peerHandler   *web.PeerHandler
@@ -165,12 +166,12 @@
 }
 
 func (e *entryHost) newService() *forward.Service {
-	client := &stage.Client{
+	e.stages = &stage.Client{
 		Self: e.settings.Host.ID, View: e.directory.View, HTTP: e.peerClient, Log: e.log, Metrics: e.metrics, Local: e.scheduler, Forecasts: &e.forecasts,
 	}
 	return &forward.Service{
 		View: e.directory.View, Pool: e.pool, Codec: e.codec, Health: e.health, Budget: e.newRetryBudget(e.hostCount), Log: e.log, Metrics: e.metrics,
-		DataCentre: e.settings.Host.DataCentre, RunStages: client.Prepare, RefusalError: e.refusalError, Prompts: e.prompts,
+		DataCentre: e.settings.Host.DataCentre, RunStages: e.stages.Prepare, RefusalError: e.refusalError, Prompts: e.prompts,
 	}
 }
 
@@ -192,7 +193,13 @@
 	if existing := e.schedulers[group]; existing != nil {
 		return existing
 	}
-	created := &stage.Scheduler{
+	created := e.newScheduler(group)
+	e.schedulers[group] = created
+	return created
+}
+
+func (e *entryHost) newScheduler(group stage.Group) *stage.Scheduler {
+	return &stage.Scheduler{
 		Pool: e.pool, Forward: &e.codec, Throttle: e.throttle, Forecasts: &e.forecasts, Log: e.log, Metrics: e.metrics, View: e.directory.View,
 		Budget:    e.newRetryBudget(func() int { return len(stage.Groups(e.directory.View())) }),
 		Upstreams: func(view *directory.View) []*fleet.Upstream { return stage.UpstreamsInGroup(view, group) },
@@ -202,8 +209,6 @@
 			EncodeItems: platform.EncodeItems, DecodeResults: platform.DecodeResults, EncodeFree: platform.EncodeFree,
 		},
 	}
-	e.schedulers[group] = created
-	return created
 }
 
 // coldBound returns the number of requests that a cold upstream of a service may get in any one second.
@@ -320,7 +325,7 @@
 	}
 	e.addListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)))
 	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)))
-	handler := &admin.Handler{Metrics: e.metrics, Ready: e.checkReady}
+	handler := &admin.Handler{Metrics: e.metrics, Ready: e.checkReady, Explain: e.explain}
 	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()))
 	group.Add(e.signalActor(ctx))
 }
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -30,6 +30,7 @@
 			configCommand(),
 			hostsCommand(),
 			quarantineCommand(),
+			explainCommand(),
 			callCommand(),
 			replayCommand(),
 			versionCommand(),
--- a/internal/data/fleet/snapshot.go
+++ b/internal/data/fleet/snapshot.go
@@ -78,6 +78,16 @@
 	return s.workspaces[sha256.Sum256([]byte(key))]
 }
 
+// WorkspaceNamed returns the workspace with the given name that has a key, or nil.
+func (s *Snapshot) WorkspaceNamed(name api.WorkspaceName) *Workspace {
+	for _, workspace := range s.workspaces {
+		if workspace.Name == name {
+			return workspace
+		}
+	}
+	return nil
+}
+
 // StageServices returns the services that run stages, sorted by name.
 func (s *Snapshot) StageServices() []api.ServiceName {
 	names := make([]api.ServiceName, 0, len(s.stageServices))
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -72,7 +72,8 @@
 	Evacuated map[api.DataCentre]bool
 
 	// unconfirmed is the same view without ready upstreams.
-	unconfirmed *View
+	unconfirmed   *View
+	isUnconfirmed bool
 
 	ready     map[api.ServiceName][]*fleet.Upstream
 	upstreams map[api.UpstreamID]*fleet.Upstream
@@ -88,6 +89,22 @@
 	return v.ready[service]
 }
 
+// Registered returns the registered upstreams of a service, also those that accept no new work, sorted
+// by ID.
+func (v *View) Registered(service api.ServiceName) []*fleet.Upstream {
+	var list []*fleet.Upstream
+	for _, upstream := range v.upstreams {
+		if upstream.Service == service {
+			list = append(list, upstream)
+		}
+	}
+	slices.SortFunc(list, func(a, b *fleet.Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// IsUnconfirmed reports whether the host was suspended and has not confirmed the view since.
+func (v *View) IsUnconfirmed() bool { return v.isUnconfirmed }
+
 // Has reports whether an incarnation of an upstream is registered.
 func (v *View) Has(incarnation fleet.Incarnation) bool {
 	upstream := v.upstreams[incarnation.ID]
@@ -420,7 +437,7 @@
 	}
 	sort.Slice(v.Hosts, func(i, j int) bool { return v.Hosts[i].ID < v.Hosts[j].ID })
 	unconfirmed := *v
-	unconfirmed.ready = nil
+	unconfirmed.ready, unconfirmed.isUnconfirmed = nil, true
 	v.unconfirmed = &unconfirmed
 	return v
 }
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -38,9 +38,7 @@
 func LeastLoaded(candidates []Candidate, request api.RequestID, exclude map[api.UpstreamID]bool, now time.Time) *fleet.Upstream {
 	hash := hashing.Of(string(request))
 	return best(candidates, request, exclude, now, func(c *Candidate) float64 {
-		// The lowest of -ln(u)/weight, with u uniform in (0, 1), is a weighted random choice.
-		u := (float64(hashing.Score(hash, hashing.Of(string(c.Upstream.ID)))>>11) + 0.5) / (1 << 53)
-		return -math.Log(u) * math.Pow(expectedTime(c, now), timeExponent)
+		return drawCost(drawOf(hash, c.Upstream.ID), expectedTime(c, now))
 	})
 }
 
@@ -48,6 +46,11 @@
 // has recently lost requests is chosen only if all have, since an order that is lost can't be repeated
 // and one that is refused can.
 func LeastLoadedForOrder(candidates []Candidate, request api.RequestID, exclude map[api.UpstreamID]bool, now time.Time) *fleet.Upstream {
+	return LeastLoaded(soundForOrder(candidates, now), request, exclude, now)
+}
+
+// soundForOrder returns the candidates that have not lost requests recently, or all if there are none.
+func soundForOrder(candidates []Candidate, now time.Time) []Candidate {
 	sound := make([]Candidate, 0, len(candidates))
 	for i := range candidates {
 		if candidates[i].Health.lossRate(now) < riskyLossRate {
@@ -55,21 +58,51 @@
 		}
 	}
 	if len(sound) == 0 {
-		sound = candidates
+		return candidates
 	}
-	return LeastLoaded(sound, request, exclude, now)
+	return sound
+}
+
+// LoadTerms are the terms of the expected response time of an upstream.
+type LoadTerms struct {
+	// Pace is the last known pace, or the time without a response if that is longer, relative to the
+	// usual time.
+	Pace float64
+	// Open is the number of requests that are expected at the upstream, and Slots its slots.
+	Open  float64
+	Slots int
+	// Failures is the factor for failed requests.
+	Failures float64
+}
+
+// loadTerms returns the terms of a candidate's expected response time.
+func loadTerms(c *Candidate, now time.Time) LoadTerms {
+	t := LoadTerms{
+		Pace: max(c.Health.pace(now), c.Health.silence(now)), Open: c.Health.open(now), Slots: c.Upstream.Slots,
+		Failures: 1 + failurePenalty*c.Health.failureRate(now),
+	}
+	if !c.Health.reportedAt().IsZero() {
+		t.Slots = c.Health.Measured.Load.Slots
+	}
+	return t
 }
 
 // expectedTime returns the expected response time of a candidate, relative to that of an idle one at
 // the usual pace.
 func expectedTime(c *Candidate, now time.Time) float64 {
-	slots := c.Upstream.Slots
-	if !c.Health.reportedAt().IsZero() {
-		slots = c.Health.Measured.Load.Slots
-	}
-	open := c.Health.open(now) / float64(max(slots, 1))
-	pace := max(c.Health.pace(now), c.Health.silence(now))
-	return pace * (1 + open) * (1 + failurePenalty*c.Health.failureRate(now))
+	t := loadTerms(c, now)
+	return t.Pace * (1 + t.Open/float64(max(t.Slots, 1))) * t.Failures
+}
+
+// drawOf returns the random number, between 0 and 1, of a request with the given hash for an upstream.
+func drawOf(hash uint64, id api.UpstreamID) float64 {
+	return (float64(hashing.Score(hash, hashing.Of(string(id)))>>11) + 0.5) / (1 << 53)
+}
+
+// drawCost returns the cost of an upstream with the given draw. The lowest of -ln(u)/weight, with u
+// uniform in (0, 1), is a weighted random choice.
+func drawCost(draw, expectedTime float64) float64 {
+	return -math.Log(draw) * math.Pow(expectedTime, timeExponent)
 }
 
 // best returns the candidate with the lowest cost. Ties are broken by the hash of the request.
--- a/internal/service/forward/engine.go
+++ b/internal/service/forward/engine.go
@@ -34,22 +34,8 @@
 	prefix, shared := sharedPrefix(request)
 	owner := rendezvousOwner(candidates, prefix)
 	chosen := best(candidates, request.ID, exclude, now, func(c *Candidate) float64 {
-		costs := c.Health.engineCosts()
-		tokens := c.Health.PendingTokens
-		if c.Upstream != owner && !c.Limited {
-			tokens += shared
-		}
-		cost := costs.Token*float64(tokens) + costs.Request*float64(c.Health.Running+1)
-		if c.Upstream.DataCentre != preferred && preferred != "" {
-			cost += remoteCost.Seconds()
-		}
-		if c.Upstream.WarmUp > 0 {
-			cost += costs.Request
-		}
-		if c.Health.Measured != nil && c.Health.Measured.Pace.Reported {
-			cost *= c.Health.pace(now)
-		}
-		return cost * (1 + failurePenalty*c.Health.failureRate(now))
+		terms := engineTerms(c, owner, shared, preferred, now)
+		return terms.cost()
 	})
 	if chosen == nil || chosen != owner {
 		shared = 0
@@ -57,6 +43,45 @@
 	return chosen, shared
 }
 
+// EngineTerms are the terms of the cost of an engine for a request.
+type EngineTerms struct {
+	// Tokens is the number of prompt tokens that the engine would read before those of the request that
+	// no engine keeps, and Rate the time for each, in seconds.
+	Tokens int
+	Rate   float64
+	// Read, Running, Remote and WarmUp are times in seconds: to read the tokens, the delay by running
+	// requests, the transfer between data centres, and the delay of an engine that is slow after its start.
+	Read, Running, Remote, WarmUp float64
+	// Pace and Failures are the factors by which the sum of the times is multiplied.
+	Pace, Failures float64
+}
+
+// engineTerms returns the terms of a candidate's cost. owner is the engine that presumably keeps the
+// shared tokens.
+func engineTerms(c *Candidate, owner *fleet.Upstream, shared int, preferred api.DataCentre, now time.Time) EngineTerms {
+	costs := c.Health.engineCosts()
+	t := EngineTerms{Tokens: c.Health.PendingTokens, Rate: costs.Token, Pace: 1, Failures: 1 + failurePenalty*c.Health.failureRate(now)}
+	if c.Upstream != owner && !c.Limited {
+		t.Tokens += shared
+	}
+	t.Read, t.Running = costs.Token*float64(t.Tokens), costs.Request*float64(c.Health.Running+1)
+	if c.Upstream.DataCentre != preferred && preferred != "" {
+		t.Remote = remoteCost.Seconds()
+	}
+	if c.Upstream.WarmUp > 0 {
+		t.WarmUp = costs.Request
+	}
+	if c.Health.Measured != nil && c.Health.Measured.Pace.Reported {
+		t.Pace = c.Health.pace(now)
+	}
+	return t
+}
+
+// cost returns the cost of an engine.
+func (t *EngineTerms) cost() float64 {
+	return (t.Read + t.Running + t.Remote + t.WarmUp) * t.Pace * t.Failures
+}
+
 // PrefixDataCentre returns the data centre of the engine that the hash of a request's prefix
 // selects. Returns "" if there is no such engine or it is in cooldown.
 func PrefixDataCentre(candidates []Candidate, request *fleet.Request, now time.Time) api.DataCentre {
--- a/internal/service/forward/forecast.go
+++ b/internal/service/forward/forecast.go
@@ -181,6 +181,15 @@
 	return append([]FirstEventSample(nil), m.samples...), m.costs.measured()
 }
 
+// forecastRequest returns what a forecast needs to know of the request.
+func (c *call) forecastRequest(costs EngineCosts, now time.Time) ForecastRequest {
+	own := c.request.PromptTokens
+	for _, part := range c.request.SharedParts() {
+		own -= part.Tokens
+	}
+	return ForecastRequest{c.route.Name, c.rank.ForEngine(), readTime(costs, max(own, 0)), c.eventDeadline(c.request.Received).Sub(now)}
+}
+
 // checkEngines returns the error with which a request is refused before its stages run, because no
 // engine can produce its first event before the caller gives up.
 func (c *call) checkEngines() error {
@@ -188,13 +197,9 @@
 	if len(samples) < minForecastSamples {
 		return nil
 	}
-	own := c.request.PromptTokens
-	for _, part := range c.request.SharedParts() {
-		own -= part.Tokens
-	}
 	now := clock.Now()
-	left := c.eventDeadline(c.request.Received).Sub(now)
-	request := ForecastRequest{c.route.Name, c.rank.ForEngine(), readTime(costs, max(own, 0)), left}
+	request := c.forecastRequest(costs, now)
+	left := request.Left
 	if late, _ := lateSamples(samples, request, now); len(late) < minForecastSamples {
 		return nil
 	}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -161,6 +161,18 @@
 
 // admit checks a request against the routing document and sets its deadline.
 func (s *Service) admit(request *fleet.Request, w http.ResponseWriter) (*call, error) {
+	c, err := s.newCall(request, w, func(snapshot *fleet.Snapshot) *fleet.Workspace { return snapshot.Workspace(request.Credential) })
+	if err != nil {
+		return nil, err
+	}
+	if err := c.checkAdmission(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// newCall returns the call for a request. workspaceOf returns the workspace of the request, or nil.
+func (s *Service) newCall(request *fleet.Request, w http.ResponseWriter, workspaceOf func(*fleet.Snapshot) *fleet.Workspace) (*call, error) {
 	view := s.View()
 	if view.Snapshot == nil {
 		return nil, fault.AddRetryAfter(fault.New(api.KindNoUpstream, "the host has no routing document yet"), notReadyRetryAfter)
@@ -174,7 +186,7 @@
 		exclude: map[api.UpstreamID]bool{}, writer: w,
 	}
 	if view.Snapshot.RequiresCredential() && !route.Public {
-		workspace := view.Snapshot.Workspace(request.Credential)
+		workspace := workspaceOf(view.Snapshot)
 		if workspace == nil {
 			return nil, fault.New(api.KindUnauthorized, "unknown credential")
 		}
@@ -188,18 +200,20 @@
 			c.deadline = request.Received.Add(bound)
 		}
 	}
-	if s.RefusalError != nil {
-		if err := s.RefusalError(route, c.deadline); err != nil {
-			return nil, err
+	return c, nil
+}
+
+// checkAdmission returns the error with which a request is refused before anything else is known of it.
+func (c *call) checkAdmission() error {
+	if c.RefusalError != nil {
+		if err := c.RefusalError(c.route, c.deadline); err != nil {
+			return err
 		}
 	}
 	if c.left() <= 0 {
-		return nil, fault.New(api.KindDeadlineUnreachable, "the deadline had passed when the request arrived")
+		return fault.New(api.KindDeadlineUnreachable, "the deadline had passed when the request arrived")
 	}
-	if err := c.checkPrompt(); err != nil {
-		return nil, err
-	}
-	return c, nil
+	return c.checkPrompt()
 }
 
 // left returns the time until the deadline. Time in which the machine was suspended counts.
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -143,8 +143,7 @@
 	// refusing the request.
 	others := slices.DeleteFunc(groups, func(g Group) bool { return g == group })
 	now := clock.Now()
-	draw := float64(hashing.Of(string(work.Request.ID))%drawSteps) / drawSteps
-	other, found := chooseGroup(others, c.Forecasts.Known(jobKind(int(work.Rank), specs(work)), now), work.Target.Sub(now), work.Deadline.Sub(now)-engineReserve, draw)
+	other, found := otherGroup(others, c.Forecasts.Known(jobKind(int(work.Rank), specs(work)), now), work, now)
 	if !found {
 		c.Metrics.Counter("stage.no_other_group").Inc(1)
 		return nil, err
@@ -153,6 +152,12 @@
 	return c.prepareInGroup(ctx, work, other, &knownResults{})
 }
 
+// otherGroup chooses the group that runs a job after another one has refused it.
+func otherGroup(others []Group, known []GroupForecast, work *forward.StageWork, now time.Time) (Group, bool) {
+	draw := float64(hashing.Of(string(work.Request.ID))%drawSteps) / drawSteps
+	return chooseGroup(others, known, work.Target.Sub(now), work.Deadline.Sub(now)-engineReserve, draw)
+}
+
 // prepareInGroup runs the stages of a request in a group. known collects the results that the job
 // already has. Returns ErrHandedBack if the group no longer exists.
 func (c *Client) prepareInGroup(ctx context.Context, work *forward.StageWork, group Group, known *knownResults) (*forward.StageResults, error) {
--- a/internal/service/stage/groupload.go
+++ b/internal/service/stage/groupload.go
@@ -78,18 +78,35 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var list []GroupForecast
 	for group, f := range g.byKind[kind] {
-		age := now.Sub(f.at)
-		if age > forecastKept {
+		if now.Sub(f.at) > forecastKept {
 			delete(g.byKind[kind], group)
-			continue
 		}
-		list = append(list, GroupForecast{group, f.onTimeMs, f.lateMs, age.Milliseconds()})
+	}
+	return g.known(kind, now)
+}
+
+// known is like Known and changes nothing. The caller holds mu.
+func (g *GroupForecasts) known(kind string, now time.Time) []GroupForecast {
+	var list []GroupForecast
+	for group, f := range g.byKind[kind] {
+		if age := now.Sub(f.at); age <= forecastKept {
+			list = append(list, GroupForecast{group, f.onTimeMs, f.lateMs, age.Milliseconds()})
+		}
 	}
 	return list
 }
 
+// peek is like Known and changes nothing.
+func (g *GroupForecasts) peek(kind string, now time.Time) []GroupForecast {
+	if g == nil {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.known(kind, now)
+}
+
 // refuses reports whether a group is known to refuse a job with the given time to its target and its
 // deadline.
 func (f *GroupForecast) refuses(target, left time.Duration) bool {
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -176,6 +176,14 @@
 	s.Log.Info().Str("request", string(job.Request)).Int("rank", job.Rank).Int("jobs", len(s.plan.jobs)).Str("reason", string(d.reason)).Str("workspace", string(job.Workspace)).
 		Int64("on_time_ms", d.onTime.Milliseconds()).Int64("late_ms", d.late.Milliseconds()).
 		Int64("aim_ms", job.Target.Sub(now).Milliseconds()).Int64("left_ms", job.Deadline.Sub(now).Milliseconds()).Msg("job_refused")
+	return d.refusal(job, now)
+}
+
+// refusal returns the error for a refused job.
+func (d *decision) refusal(job *Job, now time.Time) error {
+	if !d.served {
+		return errNotServed
+	}
 	err := fault.New(api.KindDeadlineUnreachable, "the stages need %s, but only %s remain until the deadline", d.late.Round(time.Millisecond), job.Deadline.Sub(now).Round(time.Millisecond))
 	if d.reason == refusedShare {
 		err = fault.New(api.KindDeadlineUnreachable, "the workspace has more than its share of the stages")
--- a/internal/service/throttle/throttle.go
+++ b/internal/service/throttle/throttle.go
@@ -154,21 +154,8 @@
 // State reports whether an upstream names a limit, and whether this host may send it no request
 // now because of it, of a pause, or because the upstream is cold.
 func (t *Table) State(upstream *fleet.Upstream, now time.Time) (limited, exhausted bool) {
-	if t == nil {
-		return false, false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	exhausted = t.paused(upstream, now) > 0
-	if cold := t.coldLimit(upstream, now); cold != nil {
-		exhausted = exhausted || cold.wait(t.coldSlots(upstream, cold, now), now) > 0
-	}
-	known := t.limited(upstream)
-	if known == nil {
-		return false, exhausted
-	}
-	rate := t.share(upstream.ID, known)
-	return true, exhausted || rate == 0 || known.wait(rate, now) > 0
+	terms := t.Terms(upstream, now)
+	return terms.Limited, terms.Exhausted()
 }
 
 // Take reports whether this host may send the upstream a request now, and counts it.
--- a/internal/web/admin/admin.go
+++ b/internal/web/admin/admin.go
@@ -1,4 +1,4 @@
-// Package admin serves health, readiness and metrics.
+// Package admin serves health, readiness, metrics and, at entry hosts on the platform, explanations.
 package admin
 
 import (
@@ -13,6 +13,8 @@
 	Metrics *metric.Set
 	// Ready returns nil if the host can accept requests, or the reason why it can't.
 	Ready func() error
+	// Explain is nil if the host can't explain its decisions.
+	Explain ExplainFunc
 }
 
 // Routes returns the HTTP handler of the admin interface.
@@ -27,6 +29,9 @@
 		// The client may have disconnected; a write error is ignored.
 		_ = h.Metrics.Write(w)
 	})
+	if h.Explain != nil {
+		mux.HandleFunc("GET "+PathExplain, h.explain)
+	}
 	return mux
 }
 
