--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -46,8 +46,8 @@
 			&cli.StringFlag{Name: "parts", Usage: "prompt `parts` in sequence: ID:TOKENS,..."},
 			&cli.StringFlag{Name: "tokens", Usage: "prompt tokens and maximum output tokens: `PROMPT,OUTPUT`"},
 			&cli.StringFlag{Name: "items", Usage: "item `counts` of the stages: N,..."},
-			&cli.DurationFlag{Name: "left", Usage: "`time` until the caller gives up, such as 1500ms (default: the timeout of the route)"},
-			&cli.StringFlag{Name: "id", Usage: "request `id`, on which weighted choices depend (default: a fixed one)"},
+			&cli.DurationFlag{Name: "left", DefaultText: "the timeout of the route", Usage: "`time` until the caller gives up, such as 1500ms"},
+			&cli.StringFlag{Name: "id", Usage: "request `id`, on which weighted choices depend", DefaultText: "a fixed one"},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: outputTable, Usage: "`format`: table or json"},
 		},
 		Action: explainRequest,
@@ -223,7 +223,7 @@
 			break
 		}
 	}
-	fmt.Fprintln(out, strings.Join(append(append([]string{"UPSTREAM", "ZONE", "STATE", "RUNNING", "AGE ms"}, names...), "COST", "NOTE"), "\t"))
+	fmt.Fprintln(out, strings.Join(append(append([]string{"UPSTREAM", "DATA CENTRE", "STATE", "RUNNING", "AGE ms (ENTRY/LAST/LOAD/PACE)"}, names...), "COST", "NOTE"), "\t"))
 	for i := range e.Candidates {
 		c := &e.Candidates[i]
 		cells := []string{string(c.Upstream), string(c.DataCentre), string(c.State), strconv.Itoa(c.Running), describeAges(c)}
@@ -281,7 +281,7 @@
 	if c.RateLimit != nil {
 		notes = append(notes, fmt.Sprintf("limit %s/s, share of this host %s/s", formatNumber(*c.RateLimit), formatNumber(*c.RateShare)))
 	}
-	return strings.Join(notes, "; ")
+	return cmp.Or(strings.Join(notes, "; "), "-")
 }
 
 func formatNumber(value float64) string { return strconv.FormatFloat(value, 'g', 4, 64) }
--- a/internal/service/forward/explain.go
+++ b/internal/service/forward/explain.go
@@ -263,7 +263,7 @@
 	r.Terms = []Term{
 		{"tokens", float64(t.Tokens), ""},
 		{"read", t.Read * 1000, "ms"},
-		{"running", t.Running * 1000, "ms"},
+		{"requests", t.Running * 1000, "ms"},
 		{"remote", t.Remote * 1000, "ms"},
 		{"warm-up", t.WarmUp * 1000, "ms"},
 		{"pace", t.Pace, ""},
--- a/internal/service/stage/explain_test.go
+++ b/internal/service/stage/explain_test.go
@@ -81,16 +81,20 @@
 	client    *Client
 	scheduler *Scheduler
 	view      *directory.View
+	// part is the id of the shared part of the prompt.
+	part string
 }
 
-func newExplainSite(t *testing.T) *explainSite {
+// newExplainSite returns a host of a fleet with more hosts in another data centre.
+func newExplainSite(t *testing.T, others int) *explainSite {
 	t.Helper()
 	state := directory.State{Decoder: directory.Decoder{
 		DocumentKey: platform.KeyDocument, Document: platform.DecodeDocument, UpstreamPrefix: platform.PrefixUpstream, Upstream: platform.DecodeUpstream,
 		HostPrefix: "hosts/", EvacuationPrefix: platform.PrefixEvacuation,
 	}}
 	entries := []store.Entry{
-		{Key: platform.KeyDocument, Value: []byte(explainDocument), Version: 1}, {Key: "hosts/a", Value: []byte(`{"id":"a","data_centre":"z"}`), Version: 2},
+		{Key: platform.KeyDocument, Value: []byte(explainDocument), Version: 1},
+		{Key: "hosts/a", Value: []byte(`{"id":"a","data_centre":"z","started":1}`), Version: 2},
 		{Key: platform.PrefixEvacuation + "gone", Value: []byte("{}"), Version: 3},
 	}
 	add := func(id, service, zone, state string, cold int) {
@@ -108,8 +112,15 @@
 	add("p1", "plain", "z", "ready", 0)
 	add("p2", "plain", "z", "ready", 0)
 	add("s1", "stage", "z", "ready", 0)
+	for i := range others {
+		value := fmt.Sprintf(`{"id":"y%d","data_centre":"y","started":2}`, i)
+		entries = append(entries, store.Entry{Key: fmt.Sprint("hosts/y", i), Value: []byte(value), Version: store.Version(len(entries) + 1)})
+	}
+	if others > 0 {
+		add("s2", "stage", "y", "ready", 0)
+	}
 	state.Replace(entries, store.Version(len(entries)+1), clock.Now(), time.Time{})
-	s := &explainSite{view: state.View()}
+	s := &explainSite{view: state.View(), part: "shared"}
 	view := func() *directory.View { return s.view }
 	limits := &throttle.Table{
 		Self: "a", Hosts: func() []fleet.Host { return s.view.Hosts }, Log: logging.Discard(), Metrics: metric.New(),
@@ -119,7 +130,8 @@
 	rate := 1.0
 	limits.UpdateHosts(now.Add(-time.Minute))
 	limits.Observe(s.upstream("limited"), &rate, now)
-	assert.Assert(t, limits.Take(s.upstream("limited"), now))
+	// A host of a large fleet has no share of the limit.
+	assert.Equal(t, limits.Take(s.upstream("limited"), now), others == 0)
 	for limits.Take(s.upstream("cold"), now) {
 	}
 	limits.Pause(s.upstream("paused"), time.Minute, now)
@@ -133,7 +145,7 @@
 	}
 	s.scheduler = &Scheduler{
 		Log: logging.Discard(), Metrics: metric.New(), View: view, Budget: &forward.Budget{Window: time.Second}, Throttle: limits, Forecasts: &GroupForecasts{},
-		Upstreams: func(v *directory.View) []*fleet.Upstream { return UpstreamsInGroup(v, GroupAll) }, Role: func(*directory.View) Role { return RoleScheduler },
+		Upstreams: func(v *directory.View) []*fleet.Upstream { return UpstreamsInGroup(v, slices.Max(Groups(v))) }, Role: func(*directory.View) Role { return RoleScheduler },
 	}
 	s.client = &Client{Self: "a", View: view, Log: logging.Discard(), Metrics: metric.New(), Forecasts: s.scheduler.Forecasts, Local: func(Group) *Scheduler { return s.scheduler }}
 	s.client.Forecasts.Learn(jobKind(0, []Spec{{Service: "stage"}}), []GroupForecast{{"z", 10, 20, 5000}, {"y", 30, 40, 100}}, now)
@@ -159,7 +171,7 @@
 	t.Helper()
 	request := &fleet.Request{
 		ID: "r", Host: "h", Path: path, Received: clock.Now(), Items: items, CallerTimeout: 5 * time.Second,
-		Prompt: []fleet.PromptPart{{ID: "shared", Tokens: 1000}, {ID: "own", Tokens: 10}}, PromptTokens: 1010,
+		Prompt: []fleet.PromptPart{{ID: s.part, Tokens: 1000}, {ID: "own", Tokens: 10}}, PromptTokens: 1010,
 	}
 	report, err := s.forward.Explain(t.Context(), request, "w", func(work *forward.StageWork, limits *throttle.Table) (*forward.StageReport, error) {
 		return s.client.Explain(work, limits, func(Group) *Scheduler { return s.scheduler })
@@ -185,7 +197,7 @@
 // TestExplainChangesNothing guards against an explanation that takes a token, promises a time to a caller,
 // counts work or evidence, or drops what was known.
 func TestExplainChangesNothing(t *testing.T) {
-	s := newExplainSite(t)
+	s := newExplainSite(t, 0)
 	check := func(verdict forward.Verdict, path string, items ...int) *forward.Explanation {
 		before := stateOf(s)
 		report := s.explain(t, path, items...)
@@ -215,7 +227,7 @@
 // TestExplainAdmitsLikeScheduler guards against a report that differs from the decision that follows it.
 func TestExplainAdmitsLikeScheduler(t *testing.T) {
 	for _, busy := range []bool{false, true} {
-		s := newExplainSite(t)
+		s := newExplainSite(t, 0)
 		if busy {
 			s.occupy(t)
 		}
@@ -234,7 +246,7 @@
 
 // TestExplainNamesReasons guards against an upstream that is left out without the reason.
 func TestExplainNamesReasons(t *testing.T) {
-	report := newExplainSite(t).explain(t, "/plan/1", 4)
+	report := newExplainSite(t, 0).explain(t, "/plan/1", 4)
 	reasons := map[api.UpstreamID]string{}
 	for _, c := range report.Candidates {
 		for _, obstacle := range slices.Concat(c.LeftOut, c.LastResort) {
@@ -252,3 +264,30 @@
 	assert.Assert(t, slices.Contains([]api.UpstreamID{"free", "other"}, report.Choice), report.Choice)
 	assert.Assert(t, report.RunnerUp != report.Choice && slices.Contains([]api.UpstreamID{"free", "other"}, report.RunnerUp), report.RunnerUp)
 }
+
+// TestExplainOfGroups guards against a verdict on stages that another host schedules, and against a
+// refusal by one group that is taken for that of the request.
+func TestExplainOfGroups(t *testing.T) {
+	s := newExplainSite(t, maxSingleGroupHosts)
+	s.occupy(t)
+	seen := map[string]bool{}
+	for i := range 20 {
+		s.part = fmt.Sprint("part-", i)
+		before := stateOf(s)
+		report := s.explain(t, "/plan/1", 4)
+		assert.Equal(t, stateOf(s), before)
+		assert.Equal(t, report.Admission.Verdict, forward.VerdictOther)
+		first, last := report.Stages, report.Stages
+		seen[first.Group] = true
+		if first.Group == "z" {
+			assert.Assert(t, first.Local && !*first.Accepted && first.Other != nil)
+			last = first.Other
+		}
+		assert.Equal(t, last.Group, "y")
+		assert.Assert(t, !last.Local && last.Accepted == nil && strings.HasPrefix(string(last.Scheduler), "y"), last.Scheduler)
+		assert.Assert(t, slices.ContainsFunc(last.Forecasts, func(f forward.StageForecastReport) bool {
+			return f.Group == "y" && f.OnTimeMs == 30 && f.AgeMs >= 100 && !f.Refuses
+		}))
+	}
+	assert.Equal(t, len(seen), 2, "only some groups are covered")
+}
