--- a/internal/service/forward/engine.go
+++ b/internal/service/forward/engine.go
@@ -73,25 +73,8 @@
 	_, shared := sharedPrefix(request)
 	owner := choice.Preferred
 	chosen := best(candidates, request.ID, exclude, now, func(c *Candidate) float64 {
-		costs := c.Health.engineCosts()
-		tokens := c.Health.PendingTokens
-		if c.Upstream != owner && !c.Limited && (owners == nil || !slices.Contains(owners, c.Upstream)) {
-			tokens += shared
-		}
-		cost := costs.Token*float64(tokens) + costs.Request*float64(c.Health.Running+1)
-		if c.Upstream != owner && owners != nil {
-			cost += ownerSwitchCost.Seconds()
-		}
-		if c.Upstream.DataCentre != preferred && preferred != "" {
-			cost += remoteCost.Seconds()
-		}
-		if c.Upstream.WarmUp > 0 {
-			cost += costs.Request
-		}
-		if c.Health.Measured != nil && c.Health.Measured.Pace.Reported {
-			cost *= c.Health.pace(now)
-		}
-		return cost * (1 + failurePenalty*c.Health.failureRate(now))
+		terms := engineTerms(c, &choice, owners, shared, preferred, now)
+		return terms.cost()
 	})
 	choice.Upstream = chosen
 	if chosen != nil && (chosen == owner || slices.Contains(owners, chosen)) {
@@ -100,6 +83,49 @@
 	return choice
 }
 
+// EngineTerms are the terms of the cost of an engine for a request.
+type EngineTerms struct {
+	// Tokens is the number of prompt tokens that the engine would read before those of the request that
+	// no engine keeps, and Rate the time for each, in seconds.
+	Tokens int
+	Rate   float64
+	// Read, Running, Remote and WarmUp are times in seconds: to read the tokens, the delay by running
+	// requests, the transfer between data centres, and the delay of an engine that is slow after its start.
+	// Switch is added for an owner of the prefix other than the preferred one.
+	Read, Running, Remote, WarmUp, Switch float64
+	// Pace and Failures are the factors by which the sum of the times is multiplied.
+	Pace, Failures float64
+}
+
+// engineTerms returns the terms of a candidate's cost. The preferred engine of the choice and the other
+// owners presumably keep the shared tokens.
+func engineTerms(c *Candidate, choice *EngineChoice, owners []*fleet.Upstream, shared int, preferred api.DataCentre, now time.Time) EngineTerms {
+	costs := c.Health.engineCosts()
+	t := EngineTerms{Tokens: c.Health.PendingTokens, Rate: costs.Token, Pace: 1, Failures: 1 + failurePenalty*c.Health.failureRate(now)}
+	if c.Upstream != choice.Preferred && !c.Limited && (owners == nil || !slices.Contains(owners, c.Upstream)) {
+		t.Tokens += shared
+	}
+	if c.Upstream != choice.Preferred && owners != nil {
+		t.Switch = ownerSwitchCost.Seconds()
+	}
+	t.Read, t.Running = costs.Token*float64(t.Tokens), costs.Request*float64(c.Health.Running+1)
+	if c.Upstream.DataCentre != preferred && preferred != "" {
+		t.Remote = remoteCost.Seconds()
+	}
+	if c.Upstream.WarmUp > 0 {
+		t.WarmUp = costs.Request
+	}
+	if c.Health.Measured != nil && c.Health.Measured.Pace.Reported {
+		t.Pace = c.Health.pace(now)
+	}
+	return t
+}
+
+// cost returns the cost of an engine.
+func (t *EngineTerms) cost() float64 {
+	return (t.Read + t.Running + t.Remote + t.WarmUp + t.Switch) * t.Pace * t.Failures
+}
+
 // PrefixDataCentre returns the data centre of the engine that the hash of a request's prefix selects,
 // where all hosts send requests with the prefix at the given rate per second. Returns "" if there is no
 // such engine or it is in cooldown.
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -40,9 +40,7 @@
 	if err := c.checkEngines(); err != nil {
 		return err
 	}
-	if parts := c.request.SharedParts(); len(parts) > 0 {
-		c.prefixes.Add(parts[len(parts)-1].ID, c.request.Received)
-	}
+	c.countPrefix()
 	prepared, err := c.runStages(ctx, c.request.Received.Add(c.route.Objective), c.eventDeadline(c.request.Received))
 	c.prepareTime = clock.Now().Sub(c.request.Received)
 	if err != nil {
@@ -88,6 +86,13 @@
 	}
 }
 
+// countPrefix counts the shared parts of the request.
+func (c *call) countPrefix() {
+	if parts := c.request.SharedParts(); len(parts) > 0 {
+		c.prefixes.Add(parts[len(parts)-1].ID, c.request.Received)
+	}
+}
+
 // prefixRate returns the estimated rate per second at which all hosts send prompts with the shared parts
 // of the request.
 func (c *call) prefixRate(now time.Time) float64 {
--- a/internal/service/prefix/table.go
+++ b/internal/service/prefix/table.go
@@ -3,6 +3,7 @@
 package prefix
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -73,6 +74,13 @@
 	t.parts[key] = use{u.decayed(now) + 1, now}
 }
 
+// CopyTo copies the parts to an empty table.
+func (t *Table) CopyTo(copied *Table) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	copied.parts, copied.swept = maps.Clone(t.parts), t.swept
+}
+
 // Len returns the number of parts in the table.
 func (t *Table) Len() int {
 	t.mu.Lock()
