--- a/internal/service/prefix/table.go
+++ b/internal/service/prefix/table.go
@@ -1,5 +1,5 @@
-// Package prefix estimates how often prompts with a shared part are sent, and what engines keep of
-// them, from the requests of this host alone.
+// Package prefix estimates how often prompts with a shared part arrive, from the requests of this host
+// alone, and on how many engines the part should be kept.
 package prefix
 
 import (
@@ -24,14 +24,14 @@
 	expiry = 5 * rateTime
 )
 
-// Table counts the uses of prompt parts by this host. The zero value is ready to use.
+// Table counts the prompts with each part that arrive at this host. The zero value is ready to use.
 type Table struct {
 	mu    sync.Mutex
 	parts map[uint64]use
 	swept time.Time
 }
 
-// use is a decayed count of the uses of a part.
+// use is a decayed count of the prompts with a part.
 type use struct {
 	count float64
 	at    time.Time
