--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Plays the case: 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0
+# the clients read without a pause.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-2/lab2 ] && [ -x target/redwingloft ] || exit 2
+exec target/review-2/lab2 slow-reader review/6/record.txt
