--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -266,3 +266,12 @@
 	s.endLease(id)
 	reply(w, http.StatusOK, nil)
 }
+
+// drop deletes a key as a worker that leaves does.
+func (s *kvStore) drop(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	s.remove(key)
+	s.signal()
+}
