--- a/review/lab2/slowreader.go
+++ b/review/lab2/slowreader.go
@@ -18,7 +18,7 @@
 const (
 	readers = 6
 	// readPause is how long a client reads nothing, once in its stream.
-	readPause = 2500 * time.Millisecond
+	readPause = 3 * time.Second
 	// pauseAfter is the event after which it pauses.
 	pauseAfter = 10
 	// readerBuffer is the receive buffer that a client asks for.
