--- a/review/lab2/site.go
+++ b/review/lab2/site.go
@@ -18,9 +18,11 @@
 type entryHost struct {
 	name                        string
 	front, control, list, ready string
-	settings                    string
-	command                     *exec.Cmd
-	log                         *os.File
+	// admin is the port of the host's own interface.
+	admin    string
+	settings string
+	command  *exec.Cmd
+	log      *os.File
 }
 
 // site is a small deployment: a store, workers and entry hosts on loopback addresses.
@@ -79,21 +81,34 @@
 			return nil, err
 		}
 	}
+	h.admin = strings.TrimPrefix(admin, "127.0.0.1:")
 	s.hosts = append(s.hosts, h)
+	return h, s.writeSettings(h)
+}
+
+// writeSettings writes the settings of a host. Its seeds are the hosts that have been added so far.
+func (s *site) writeSettings(h *entryHost) error {
+	var seeds []string
+	for _, other := range s.hosts {
+		seeds = append(seeds, other.control)
+	}
 	values := map[string]string{
-		"node": name, "listen.front": h.front, "listen.control": h.control, "listen.directory": h.list, "listen.ready": h.ready,
-		"portRange.0": strings.TrimPrefix(admin, "127.0.0.1:"), "seeds": s.hosts[0].control,
+		"node": h.name, "listen.front": h.front, "listen.control": h.control, "listen.directory": h.list, "listen.ready": h.ready,
+		"portRange.0": h.admin, "seeds": strings.Join(seeds[:min(len(seeds), maxSeeds)], ","),
 	}
 	for key, value := range s.values {
 		values[key] = value
 	}
 	template, err := os.ReadFile("deploy/entry.ini")
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return h, os.WriteFile(h.settings, []byte(render(string(template), values)), 0o600)
+	return os.WriteFile(h.settings, []byte(render(string(template), values)), 0o600)
 }
 
+// maxSeeds is the number of seeds that the platform names at most.
+const maxSeeds = 3
+
 var section = regexp.MustCompile(`(?s)\{\{#([a-zA-Z.]+)\}\}(.*?)\{\{/[a-zA-Z.]+\}\}`)
 
 // render fills in a template as the platform does.
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -37,6 +37,8 @@
 	history []item
 	leases  map[int64]*lease
 	changed chan struct{}
+	// silentUntil is the time until which no call is answered.
+	silentUntil time.Time
 }
 
 // newStore starts a store on a free loopback port.
@@ -56,7 +58,14 @@
 	mux.HandleFunc("POST /-/kv-lease", s.serveGrant)
 	mux.HandleFunc("POST /-/kv-keep/{id}", s.serveKeep)
 	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.serveEnd)
-	go func() { _ = (&http.Server{Handler: mux, ReadHeaderTimeout: time.Second}).Serve(listener) }()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isSilent() {
+			<-r.Context().Done()
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+	go func() { _ = (&http.Server{Handler: handler, ReadHeaderTimeout: time.Second}).Serve(listener) }()
 	go s.expireLeases()
 	return s, nil
 }
@@ -99,6 +108,10 @@
 	for range time.Tick(50 * time.Millisecond) {
 		s.mu.Lock()
 		for id, l := range s.leases {
+			if time.Now().Before(s.silentUntil) {
+				// Leases pause while the store is down.
+				l.end = time.Now().Add(l.ttl)
+			}
 			if time.Now().After(l.end) {
 				s.endLease(id)
 			}
@@ -170,6 +183,10 @@
 			}
 		}
 		s.mu.Unlock()
+		if s.isSilent() {
+			<-r.Context().Done()
+			return
+		}
 		if len(events) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
 			return
@@ -275,3 +292,17 @@
 	s.remove(key)
 	s.signal()
 }
+
+// silence makes the store answer nothing for a time.
+func (s *kvStore) silence(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentUntil = time.Now().Add(d)
+	s.signal()
+}
+
+func (s *kvStore) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.silentUntil)
+}
