Forward streams whose event ids increase by different steps

Cause: forwardEvent took the difference of the first two ids as the step of the whole stream and returned errEventGap for each event with another step, also within the response of one engine, where nothing can be missing.

Ids now only have to increase within a response. A gap is looked for where it can be: between the last forwarded event and the first new one of another engine, by the events that this engine repeats or else by the largest step so far. An event without an id is an error in that place only.

--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -130,8 +130,8 @@
 	atStart FirstEvent
 	// lastEventID is the id of the last forwarded event.
 	lastEventID string
-	// idStep is the difference between consecutive event ids; 0 until it is known.
-	idStep int64
+	// maxIDStep is the largest difference between the ids of consecutive events; 0 until one is known.
+	maxIDStep int64
 	// forwarded counts the forwarded events.
 	forwarded int
 	// events counts the events of the current attempt.
@@ -140,6 +140,12 @@
 	lastEventAt time.Time
 	// continues is true if the events of the current attempt follow those of another one.
 	continues bool
+	// joined is set once an event of the current attempt has been forwarded.
+	joined bool
+	// repeatedID is the id of the last event of the current attempt that had been forwarded already, and
+	// repeats is set if there is one.
+	repeatedID int64
+	repeats    bool
 	// unplaced is true if the last forwarded event has no number, so that no other attempt can
 	// continue after it.
 	unplaced atomic.Bool
@@ -206,6 +212,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.events, s.continues, s.blocked = 0, s.forwarded > 0, false
+	s.joined, s.repeats = false, false
 	tokens := s.request.PromptTokens
 	s.atStart = s.loadAtStart(upstream)
 	s.Health.Begin(upstream, tokens)
@@ -396,26 +403,24 @@
 }
 
 // errEventGap is returned if a resumed stream skips events.
-var errEventGap = errors.New("event ids are not consecutive")
+var errEventGap = errors.New("the events of the resumed stream don't follow the last one")
 
-// forwardEvent forwards an event. Events that were already forwarded are dropped, and a gap
-// in the ids is an error, as is an event without a number after those of another attempt.
+// forwardEvent forwards an event, unless it was already forwarded. Ids may increase by different steps
+// within an attempt; whether events are missing is checked only between the events of two attempts.
 func (s *streamCall) forwardEvent(x *exchange, e *event) error {
 	id, ok := e.numericID()
-	if !ok && s.continues {
+	last, known := (&event{id: s.lastEventID}).numericID()
+	if ok && known && id <= last {
+		s.repeatedID, s.repeats = id, true
+		return nil
+	}
+	if s.continues && !s.joined && !(ok && s.follows(id, last, known)) {
 		return errEventGap
 	}
-	if ok {
-		last, known := (&event{id: s.lastEventID}).numericID()
-		switch {
-		case known && id <= last:
-			return nil // already forwarded
-		case known && s.idStep > 0 && id-last != s.idStep:
-			return errEventGap
-		case known && s.forwarded > 0 && s.idStep == 0:
-			s.idStep = id - last
-		}
+	if ok && known && s.forwarded > 0 {
+		s.maxIDStep = max(s.maxIDStep, id-last)
 	}
+	s.joined = true
 	if !s.started {
 		s.startResponse(x)
 	}
@@ -430,3 +435,17 @@
 	}
 	return nil
 }
+
+// follows reports whether no event is missing between the last forwarded one and the first new one of
+// another attempt. Events that the attempt has repeated end with the last forwarded one. If it has
+// repeated none, its first id exceeds the last one by no more than the ids of the stream have before.
+func (s *streamCall) follows(id, last int64, known bool) bool {
+	switch {
+	case !known:
+		return true
+	case s.repeats:
+		return s.repeatedID == last
+	default:
+		return s.maxIDStep == 0 || id-last <= s.maxIDStep
+	}
+}
