Keep connections whose peer is alive and pauses its reading

An order with a body of 3 MB, of which its upstream read nothing for 2.5 s, was answered 502.

Cause: TCP_USER_TIMEOUT of 1.5 s limits not only how long data may remain unacknowledged, but also how long the peer may have no room for more. So the limit on dead peers also counted a pause of a live one.

dial.Monitor takes the kernel's timeout off a connection once its peer has had no room, and closes it itself if data or probes are not acknowledged for 1.5 s, or if a caller accepts nothing for write_stall. Other connections keep the kernel's timeout.

Ruled out: extending the timeout in steps; the kernel counts it from the first probe and does not always start anew, so a second pause was cut off.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -90,6 +90,9 @@
 	limitPresence throttle.Presence
 	codec         forward.Codec
 	peerClient    *http.Client
+	// callerConns and upstreamConns keep the connections of peers that read slowly.
+	callerConns   dial.Monitor
+	upstreamConns dial.Monitor
 	stages        *stage.Client
 	callerHandler *web.CallerHandler
 	callerServer  *http.Server
@@ -120,6 +123,8 @@
 		},
 		peerClient: newPeerClient(), schedulers: map[stage.Group]*stage.Scheduler{},
 	}
+	e.callerConns = dial.Monitor{Limit: s.Clients.WriteStall, OnClose: e.reportClosedConn("caller")}
+	e.upstreamConns = dial.Monitor{OnClose: e.reportClosedConn("upstream")}
 	kv, err := openStore(s, e.reportMalformedItem)
 	if err != nil {
 		return nil, err
@@ -130,7 +135,7 @@
 	e.memory = &memory.Account{Limit: accountLimit(s), StallTime: s.Clients.Stall}
 	e.metrics.GaugeFunc("clients.memory_bytes", e.memory.Used)
 	e.pool = &forward.Pool{
-		Dial: dial.NewBounded(upstreamDialTimeout), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
+		Dial: e.upstreamConns.Dialer(dial.NewBounded(upstreamDialTimeout)), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
 		Health: e.health, Log: logger, Memory: e.memory,
 		OnLeaving: func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
 	}
@@ -214,6 +219,15 @@
 	e.log.Warn().Str("key", key).Err(err).Msg("entry_malformed")
 }
 
+// reportClosedConn returns a function that logs and counts connections that are closed because the caller
+// or upstream at the other end does not read them.
+func (e *entryHost) reportClosedConn(peer string) func(net.Addr, dial.CloseCause) {
+	return func(address net.Addr, cause dial.CloseCause) {
+		e.metrics.Counter("connections.closed." + peer + "." + string(cause)).Inc(1)
+		e.log.Info().Str("peer", peer).Str("address", address.String()).Str("cause", string(cause)).Msg("connection_closed")
+	}
+}
+
 // quarantinedParts returns the quarantined parts of prompts in the store.
 func (e *entryHost) quarantinedParts() map[string]fleet.QuarantinedPart {
 	return e.directory.View().Quarantined
@@ -393,6 +407,8 @@
 	e.timer.Every(sweepInterval, e.pool.Sweep)
 	e.timer.Every(sweepInterval, e.idleTracker.Sweep)
 	e.timer.Every(sweepInterval, e.directoryTracker.Sweep)
+	e.timer.Every(dial.CheckInterval, e.callerConns.Check)
+	e.timer.Every(dial.CheckInterval, e.upstreamConns.Check)
 	e.timer.Every(sweepInterval, e.sweepHealth)
 	e.timer.Every(sweepInterval, e.sweepThrottle)
 	e.timer.Every(outlier.ExchangeInterval, e.outliers.Run)
@@ -427,7 +443,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return tracker.Listener(listener), nil
+		return tracker.Listener(e.callerConns.Listener(listener)), nil
 	})
 }
 
--- a/internal/web/entry/limit.go
+++ b/internal/web/entry/limit.go
@@ -130,8 +130,8 @@
 	i.refused++
 	i.mu.Unlock()
 	_, _ = c.Write(refusal(info.Status, err))
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	if half, ok := c.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 	time.AfterFunc(refusalTime, func() {
 		_ = c.Close()
