Ignore full reads of the store that are older than the state

Cause: State.Replace merged a full read without asking whether it was older than the state. Entries that later changes had removed were added again: upstreams, hosts, evacuations, and entries never heard of before.

A read at an earlier version than the state now changes nothing and only confirms it. The state is complete up to its version, so what only the read has was deleted since, and the watch that follows delivers what is newer.

Ruled out: a longer hold of entries that reappear; it does not see entries that the host never knew, and no later event would end it.

--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -400,11 +400,16 @@
 	return time.Time{}
 }
 
-// replace applies the result of a full read that started at start.
+// replace applies the result of a full read that started at start. If other hosts have supplied a later
+// state meanwhile, the read only confirms it.
 func (s *Service) replace(entries []store.Entry, version store.Version, start time.Time) {
 	defer s.pause.confirm(start)
 	s.mu.Lock()
 	now := s.now()
+	if known := s.state.Version(); version < known {
+		s.Metrics.Counter("directory.outdated_reads").Inc(1)
+		s.Log.Info().Int64("version", int64(version)).Int64("known", int64(known)).Int64("took_ms", now.Sub(start).Milliseconds()).Msg("outdated_read_ignored")
+	}
 	entered := s.enterEra(version, now, missingEntryGrace)
 	s.replaceState(entries, version, now, s.missingEntryExpiry(now))
 	entered()
--- a/internal/service/directory/state.go
+++ b/internal/service/directory/state.go
@@ -160,9 +160,10 @@
 func (s *State) Version() store.Version { return s.version }
 
 // Replace replaces the state with the result of a full read and returns the changes, sorted
-// by revision. Missing entries are removed at expiry, or at once if it is zero.
+// by revision. Missing entries are removed at expiry, or at once if it is zero. A read that is older
+// than the state changes nothing: entries that only the read has were deleted since.
 func (s *State) Replace(entries []store.Entry, version store.Version, now, expiry time.Time) []store.Event {
-	if version.Era() < s.version.Era() {
+	if version < s.version {
 		return nil
 	}
 	defer s.beginRestore(version, expiry)()
