Report a reset to reads although a write has noticed it first

Cause: a response that ends with its connection was complete if the read found a regular end. The kernel reports a reset to one call only, and the write of the body, in another goroutine, could be that call.

Reads from upstreams now ask the kernel for the state of the connection when they find its end, and return an error if it was reset. The end of the upstream's own side stays a regular one.

Before: TestResetDuringUpload failed on all three kinds of routes.

--- a/internal/helper/dial/monitor.go
+++ b/internal/helper/dial/monitor.go
@@ -192,7 +192,7 @@
 	defer c.mu.Unlock()
 	// A write that is counted here and is not in progress any more has reached the kernel.
 	written, writing := c.written.Load(), c.writing.Load() > 0
-	info, ok := c.info()
+	info, ok := tcpInfo(c.tcp)
 	if !ok {
 		c.delivered.Store(written)
 		return false
@@ -265,7 +265,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if info, ok := c.info(); !c.adopted.Load() && ok && isFull(info) {
+	if info, ok := tcpInfo(c.tcp); !c.adopted.Load() && ok && isFull(info) {
 		c.adopt(now)
 	}
 	if c.adopted.Load() {
@@ -275,27 +275,9 @@
 	}
 }
 
-// info returns the state of the connection, and false if it is closed or the kernel does not report it.
-func (c *monitoredConn) info() (info *unix.TCPInfo, ok bool) {
-	c.control(func(fd int) (err error) {
-		info, err = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		ok = err == nil
-		return err
-	})
-	return info, ok
-}
-
 // setTimeout sets the timeout of the kernel; 0 removes it. An error means that the connection is closed.
 func (c *monitoredConn) setTimeout(d time.Duration) { c.setOption(unix.TCP_USER_TIMEOUT, d) }
 
 func (c *monitoredConn) setOption(name int, d time.Duration) {
-	c.control(func(fd int) error { return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, name, int(d.Milliseconds())) })
-}
-
-func (c *monitoredConn) control(f func(fd int) error) {
-	raw, err := c.tcp.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) { _ = f(int(fd)) })
+	control(c.tcp, func(fd int) error { return unix.SetsockoptInt(fd, unix.IPPROTO_TCP, name, int(d.Milliseconds())) })
 }
--- a/internal/service/forward/pool.go
+++ b/internal/service/forward/pool.go
@@ -120,7 +120,7 @@
 	if p.IdleLimit != nil {
 		limit = p.IdleLimit(upstream)
 	}
-	bounded := &boundedReader{conn: raw}
+	bounded := &boundedReader{conn: dial.ReportResets(raw)}
 	return &conn{Conn: raw, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferSize), endpoint: endpointOf(upstream), idleLimit: limit}, nil
 }
 
--- a/internal/service/upstream/pool.go
+++ b/internal/service/upstream/pool.go
@@ -79,7 +79,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return g.track(raw, now), nil
+		return g.track(dial.ReportResets(raw), now), nil
 	})
 	return g
 }
--- a/internal/service/upstream/sender.go
+++ b/internal/service/upstream/sender.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"redwingloft/internal/helper/dial"
 	"redwingloft/internal/helper/tracing"
 	"redwingloft/pkg/api"
 )
@@ -248,7 +249,14 @@
 // singleUseTransport returns a transport for one request on a new connection.
 // net/http does not repeat requests on a connection that was not used before.
 func singleUseTransport() *http.Transport {
-	return newTransport((&net.Dialer{Timeout: dialTimeout}).DialContext)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return dial.ReportResets(raw), nil
+	})
 }
 
 func (r *inFlight) roundTrip(ctx context.Context, transport *http.Transport, attempt Attempt) *SendError {
--- a/standin/platform/upstream.go
+++ b/standin/platform/upstream.go
@@ -26,6 +26,9 @@
 type Upstream struct {
 	// Handle writes the response to one request. It returns false to close the connection afterwards.
 	Handle func(w *bufio.Writer, request Request) (keep bool)
+	// HandleEarly, if set, is called instead of Handle before the body of a request is read. The
+	// connection is closed after it.
+	HandleEarly func(c net.Conn, request *http.Request)
 	// Entry is the upstream's entry in the store; Start sets its Address.
 	Entry fleet.Upstream
 
@@ -116,6 +119,10 @@
 		if err != nil {
 			return
 		}
+		if u.HandleEarly != nil {
+			u.HandleEarly(c, request)
+			return
+		}
 		body, err := io.ReadAll(request.Body)
 		if err != nil {
 			return
