Reject responses with a status below 100

Cause: net/http accepts any three digits, and statuses were compared from above only. In redwingloft serve such a status reached the caller of a service, and a health probe with it counted as healthy.

Such a response is now none: the attempt is lost, or broken in redwingloft serve, and the probe has failed.

Before: TestInvalidStatus ended in the panic in internal/service/forward and failed in internal/service/upstream. After: both pass with the race detector.

--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -155,7 +155,10 @@
 		if err != nil {
 			return fmt.Errorf("read response: %w", x.conn.bounded.reached(err))
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if response.StatusCode < http.StatusContinue {
+			return fmt.Errorf("read response: invalid status %q", response.Status)
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		x.conn.bounded.unlimit()
--- a/internal/service/upstream/probe.go
+++ b/internal/service/upstream/probe.go
@@ -45,6 +45,9 @@
 		return probeResult{}
 	}
 	_ = response.Body.Close()
+	if response.StatusCode < http.StatusContinue {
+		return probeResult{}
+	}
 	draining := isDrainRefusal(response) || response.Header.Get("X-Draining") == "true"
 	return probeResult{
 		responded: true, draining: draining,
--- a/internal/service/upstream/sender.go
+++ b/internal/service/upstream/sender.go
@@ -272,6 +272,10 @@
 	if err != nil {
 		return r.sendError(ctx, err, ReasonNoAnswer)
 	}
+	if response.StatusCode < http.StatusContinue {
+		_ = response.Body.Close()
+		return &SendError{Reason: ReasonBroken, Written: true, Cause: fmt.Errorf("invalid status %q", response.Status)}
+	}
 	draining := r.inspectHeaders(response)
 	if draining && !attempt.Exclusive || !attempt.AnyStatus && response.StatusCode/100 != 2 {
 		_ = response.Body.Close()
