Hand decisions against parts of prompts over to the next collecting host

Cause: a decision was kept by the host that made it until the store had it. The other hosts acted on it and told nobody, as reports held evidence only.

Reports now also hold the decisions that the store lacks. A collecting host takes them over, tells the others and writes them. Decisions that a host has seen in the store are not reported, so that lifting one still ends it.

Ruled out: sending losses again; those of the restarted host are gone.

--- a/internal/service/outlier/outlier.go
+++ b/internal/service/outlier/outlier.go
@@ -142,18 +142,18 @@
 	fallbacks int
 }
 
-// Run makes one exchange. It does nothing if there is nothing to report.
+// Run makes one exchange. Only the collecting host does so if there is nothing to report.
 func (e *Exchanger) Run(time.Time) {
 	now := clock.Now()
 	message := &Message{Observations: e.Health.Observations(), Prompts: e.Prompts.Report(e.Self, now), Limits: e.Throttle.Report(now)}
-	if len(message.Observations) == 0 && message.Prompts == nil && len(message.Limits.Statements) == 0 {
-		return
-	}
 	collector, found := e.collector(now)
 	if !found || collector.ID == e.Self {
 		e.apply(message, e.Collector.Exchange(message, now), now)
 		return
 	}
+	if len(message.Observations) == 0 && message.Prompts == nil && len(message.Limits.Statements) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
 	var reply Reply
--- a/internal/service/quarantine/collector.go
+++ b/internal/service/quarantine/collector.go
@@ -148,6 +148,7 @@
 }
 
 func (c *Collector) add(report *Report, now time.Time) {
+	c.adopt(report.Quarantined, now)
 	c.passed[report.Host] = passedCount{report.Passed, report.RecentlyPassed, now}
 	for _, l := range report.Losses {
 		known := slices.ContainsFunc(c.losses, func(other *collected) bool {
@@ -174,6 +175,16 @@
 	}
 }
 
+// adopt takes over the decisions of another collecting host that it could not write to the store.
+func (c *Collector) adopt(parts []fleet.QuarantinedPart, now time.Time) {
+	stored := c.stored()
+	for _, part := range parts {
+		if now.Before(part.Until) && stored[part.Part].Until.Before(part.Until) && c.decided[part.Part].Until.Before(part.Until) {
+			c.decided[part.Part] = part
+		}
+	}
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // expire drops old evidence.
--- a/internal/service/quarantine/quarantine_test.go
+++ b/internal/service/quarantine/quarantine_test.go
@@ -284,6 +284,55 @@
 	assert.Assert(t, s.refused[crashingPart] > 0)
 }
 
+// TestDecisionOutlivesItsCollector guards against a decision that is lost with the host that made it, although
+// other hosts know it, because the store could not be written.
+func TestDecisionOutlivesItsCollector(t *testing.T) {
+	for name, lose := range map[string]func(*simulation){
+		"restarted":       func(s *simulation) { s.collectors[0] = &Collector{} },
+		"replaced":        func(s *simulation) { s.down[0] = true },
+		"first and other": func(s *simulation) { s.collectors[0], s.collectors[1] = &Collector{}, &Collector{} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(1, 6, 12)
+			s.rate, s.crashingRate = 30, 0.6
+			// The evidence of the crashes is dropped by then.
+			s.run(evidenceTime+20*time.Second, nil)
+			crashes := s.crashes
+			lose(s)
+			s.hosts[0] = &Tracker{}
+			s.run(2*time.Second, nil)
+			s.crashes = 0
+			s.run(30*time.Second, nil)
+			assert.Equal(t, s.crashes, 0, "%d crashes before the loss", crashes)
+			for _, collector := range s.collectors {
+				if collector.epoch != 0 && !s.down[slices.Index(s.collectors, collector)] {
+					assert.Equal(t, len(collector.Unstored(s.now)), 1)
+				}
+			}
+		})
+	}
+}
+
+// TestDecisionInStoreIsNotReported guards against a quarantine that is written again after an operator has
+// lifted it.
+func TestDecisionInStoreIsNotReported(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	part := fleet.QuarantinedPart{Part: "a", Until: now.Add(time.Minute)}
+	stored := map[string]fleet.QuarantinedPart{}
+	tracker := &Tracker{Stored: func() map[string]fleet.QuarantinedPart { return stored }}
+	tracker.Apply(nil, &Verdict{Epoch: 1, Quarantined: []fleet.QuarantinedPart{part}}, now)
+	assert.Equal(t, len(tracker.Report("host", now).Quarantined), 1)
+	stored["a"] = part
+	assert.Assert(t, tracker.Report("host", now) == nil)
+	delete(stored, "a")
+	assert.Assert(t, tracker.Report("host", now) == nil)
+	assert.Assert(t, tracker.Find([]fleet.PromptPart{{ID: "a"}}, now) == nil)
+
+	collector := &Collector{Stored: func() map[string]fleet.QuarantinedPart { return map[string]fleet.QuarantinedPart{"a": part} }}
+	verdict := collector.Exchange(&Report{Host: "host", Quarantined: []fleet.QuarantinedPart{part}}, now)
+	assert.Equal(t, len(verdict.Quarantined), 0)
+}
+
 // TestCrashesWithoutCommonPartQuarantineNothing guards against sound prompts that are refused
 // because engines crash for another reason: at random, one after the other, many at once, or up
 // and down by turns.
--- a/internal/service/quarantine/tracker.go
+++ b/internal/service/quarantine/tracker.go
@@ -68,6 +68,8 @@
 	Host api.HostID `json:"host"`
 	// Losses are those that the collecting host does not have yet.
 	Losses []Loss `json:"lost,omitempty"`
+	// Quarantined holds the decisions of any collecting host that are not in the store yet.
+	Quarantined []fleet.QuarantinedPart `json:"quarantined,omitempty"`
 	// PassedMs holds, for the parts of Losses and the suspected ones, the time since a response
 	// last passed each milestone, in milliseconds; neverPassed if none did.
 	PassedMs map[string][milestoneCount]int64 `json:"passed_ms,omitempty"`
@@ -230,7 +232,8 @@
 func (t *Tracker) Report(host api.HostID, now time.Time) *Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	report := &Report{Host: host}
+	t.dropStored(now)
+	report := &Report{Host: host, Quarantined: slices.Collect(maps.Values(t.decided))}
 	for m := range t.passed {
 		report.Passed[m] = t.passed[m].sum(now, evidenceTime)
 		report.RecentlyPassed[m] = t.passed[m].sum(now, recentTime)
@@ -245,7 +248,7 @@
 		})
 		parts = append(parts[:len(parts):len(parts)], l.parts...)
 	}
-	if len(parts) == 0 {
+	if len(parts) == 0 && len(report.Quarantined) == 0 {
 		return nil
 	}
 	for _, part := range parts {
@@ -276,13 +279,19 @@
 	return t.addDecided(verdict.Quarantined, now)
 }
 
-// addDecided adds decisions and returns the new ones. Those that are in the store are left to it,
-// so that their removal from there ends the quarantine.
-func (t *Tracker) addDecided(parts []fleet.QuarantinedPart, now time.Time) []fleet.QuarantinedPart {
+// dropStored drops the decisions that have ended or are in the store. Those are left to it, so that their
+// removal from there ends the quarantine. The caller holds mu.
+func (t *Tracker) dropStored(now time.Time) {
 	stored := t.stored()
 	maps.DeleteFunc(t.decided, func(id string, part fleet.QuarantinedPart) bool {
 		return !stored[id].Until.Before(part.Until) || !now.Before(part.Until)
 	})
+}
+
+// addDecided adds decisions that are not in the store and returns the new ones. The caller holds mu.
+func (t *Tracker) addDecided(parts []fleet.QuarantinedPart, now time.Time) []fleet.QuarantinedPart {
+	t.dropStored(now)
+	stored := t.stored()
 	var added []fleet.QuarantinedPart
 	for _, part := range parts {
 		if !stored[part.Part].Until.Before(part.Until) || t.decided[part.Part].Until.Equal(part.Until) {
