--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -219,15 +217,6 @@
 	e.log.Warn().Str("key", key).Err(err).Msg("entry_malformed")
 }
 
-// reportClosedConn returns a function that logs and counts connections that are closed because the caller
-// or upstream at the other end does not read them.
-func (e *entryHost) reportClosedConn(peer string) func(net.Addr, dial.CloseCause) {
-	return func(address net.Addr, cause dial.CloseCause) {
-		e.metrics.Counter("connections.closed." + peer + "." + string(cause)).Inc(1)
-		e.log.Info().Str("peer", peer).Str("address", address.String()).Str("cause", string(cause)).Msg("connection_closed")
-	}
-}
-
 // quarantinedParts returns the quarantined parts of prompts in the store.
 func (e *entryHost) quarantinedParts() map[string]fleet.QuarantinedPart {
 	return e.directory.View().Quarantined
@@ -425,57 +414,3 @@
 	server.Protocols.SetHTTP1(true)
 	return server
 }
-
-func (e *entryHost) newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: entryReadHeaderTimeout, MaxHeaderBytes: dial.MaxHeaderBytes}
-}
-
-// addListener adds a server to the group; an empty address disables it.
-func (e *entryHost) addListener(group *run.Group, address string, server *http.Server) {
-	e.addListenerFor(group, address, server, dial.Listen)
-}
-
-// addTrackedListener adds a server whose connections are tracked and bounded.
-func (e *entryHost) addTrackedListener(group *run.Group, address string, server *http.Server, tracker *web.ConnTracker) {
-	server.ConnState, server.ConnContext = tracker.Track, web.ConnContext
-	e.addListenerFor(group, address, server, func(ctx context.Context, address string) (net.Listener, error) {
-		listener, err := dial.ListenBounded(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		return tracker.Listener(e.callerConns.Listener(listener)), nil
-	})
-}
-
-// addListenerFor adds a server to the group, whose listener is opened by listen.
-func (e *entryHost) addListenerFor(group *run.Group, address string, server *http.Server, listen func(context.Context, string) (net.Listener, error)) {
-	if address == "" {
-		return
-	}
-	interrupted := make(chan struct{})
-	group.Add(func() error {
-		listener, err := listen(context.Background(), address)
-		if err != nil {
-			return fmt.Errorf("listener %s: %w", address, err)
-		}
-		err = server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			// A drain closes the listener before the process ends.
-			<-interrupted
-		}
-		return fmt.Errorf("listener %s: %w", address, err)
-	}, func(error) {
-		close(interrupted)
-		closeServer(server)
-	})
-}
-
-// closeServer shuts a server down. Responses that are still being written have
-// serverCloseTimeout to complete.
-func closeServer(server *http.Server) {
-	ctx, cancel := context.WithTimeout(context.Background(), serverCloseTimeout)
-	defer cancel()
-	// The process exits next, so errors are ignored.
-	_ = server.Shutdown(ctx)
-	_ = server.Close()
-}
