Start the renewal after a restore once the view is published

Callers got the address of a host that had left for up to a second longer than needed, after the store came back from a copy that has the host's entry.

Cause: what starts a renewal ran before the change that it is about was visible. enterEra started it, and the view was published afterwards; a renewal that was faster compared the earlier era and did nothing.

--- a/internal/service/directory/follow.go
+++ b/internal/service/directory/follow.go
@@ -429,7 +429,9 @@
 	s.signalChange()
 	s.mu.Unlock()
 	s.logChanges(old, view)
-	if view.Snapshot != nil && (old == nil || old.Snapshot == nil) {
+	firstDocument := view.Snapshot != nil && (old == nil || old.Snapshot == nil)
+	// A renewal looks at the view, so that it must not start before.
+	if firstDocument || old != nil && view.Version.Era() > old.Version.Era() {
 		s.registration.start()
 	}
 	if s.OnChange != nil {
--- a/internal/service/directory/restore.go
+++ b/internal/service/directory/restore.go
@@ -161,6 +161,5 @@
 		s.Metrics.Counter("directory.store_restores").Inc(1)
 		s.Log.Warn().Int64("before", int64(before)).Int64("version", int64(version)).Int("missing", missing).Int("held", held).
 			Int64("grace_ms", grace.Milliseconds()).Msg("store_restored")
-		s.registration.start()
 	}
 }
