Fetch the configuration of the peers before that of the store at the start

Cause: a starting host fetched a configuration from whichever source told it of one first. The read of the store at its registration started a fetch at once, the exchange with the peers ran beside it, and news of a newer revision were skipped while that fetch ran.

Join registers, waits for one exchange and the fetch that it starts, and then leaves the store to be read. The start takes up to a second longer if a peer doesn't answer. Ruled out: readiness. The host was fresh by the store's own evidence, which nothing at the store contradicts after a loss.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -243,9 +243,8 @@
 		h.log.Warn().Str("reason", "no key-value service is configured; the configuration is lost when the process exits").Msg("host_runs_alone")
 	}
 	if !h.members.Standalone {
-		// Register before the first read of the configuration.
-		h.members.ReadStore(ctx)
-		h.members.StartRound(ctx)
+		// Must be done before the first read of the configuration.
+		h.members.Join(ctx)
 	}
 	if err := h.commitInitialDocument(ctx); err != nil {
 		return err
--- a/internal/service/member/cluster_test.go
+++ b/internal/service/member/cluster_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -123,11 +122,19 @@
 	}
 }
 
-// addHost adds a host, which does what a process does at its start.
+// addHost adds a host that registers at its start.
 func (c *cluster) addHost() *node { return c.addHostAt(fmt.Sprintf("p%02d", len(c.hosts))) }
 
 // addHostAt adds a host with the given address.
 func (c *cluster) addHostAt(address string) *node {
+	n := c.newNode(address)
+	n.ReadStore(context.Background())
+	n.waitForFetch()
+	return n
+}
+
+// newNode adds a host that has not done anything.
+func (c *cluster) newNode(address string) *node {
 	id := fmt.Sprintf("h%02d", len(c.hosts))
 	n := &node{cluster: c}
 	n.Service = &Service{
@@ -145,8 +152,6 @@
 		n.Seeds = []api.Address{c.hosts[0].Self.Peer, c.hosts[len(c.hosts)-1].Self.Peer}
 	}
 	c.hosts = append(c.hosts, n)
-	n.ReadStore(context.Background())
-	n.waitForFetch()
 	return n
 }
 
@@ -181,9 +186,8 @@
 
 // waitForFetch waits for a fetch in progress, so that steps run one after another.
 func (n *node) waitForFetch() {
-	for n.fetching.Load() {
-		runtime.Gosched()
-	}
+	n.fetching.Lock()
+	defer n.fetching.Unlock()
 }
 
 // commit stores a new revision, with or without a move of the workspace between its two
--- a/internal/service/member/exchange.go
+++ b/internal/service/member/exchange.go
@@ -30,6 +30,24 @@
 	acknowledged uint64
 }
 
+// Join registers this host and exchanges its state with its peers once. If they have a newer configuration, it is
+// fetched before that of the store, which may have come back without its latest data.
+func (s *Service) Join(ctx context.Context) {
+	s.joining.Store(true)
+	s.ReadStore(ctx)
+	s.StartRound(ctx)()
+	// Wait for a fetch that an answer has started.
+	s.fetching.Lock()
+	s.joining.Store(false)
+	s.fetching.Unlock()
+	s.mu.Lock()
+	stored := s.storeReads.revision
+	s.mu.Unlock()
+	if stored > s.revision() {
+		s.startFetch("", stored)
+	}
+}
+
 // StartRound starts an exchange with each peer of this round. The returned function waits until all have ended.
 func (s *Service) StartRound(ctx context.Context) (wait func()) {
 	var exchanges sync.WaitGroup
@@ -411,11 +429,12 @@
 
 // startFetch fetches a revision in the background unless a fetch is already in progress.
 func (s *Service) startFetch(from api.Address, revision api.Revision) {
-	if s.OnNewerRevision == nil || !s.fetching.CompareAndSwap(false, true) {
+	fromStore := from == ""
+	if s.OnNewerRevision == nil || fromStore && s.joining.Load() || !s.fetching.TryLock() {
 		return
 	}
 	go func() {
-		defer s.fetching.Store(false)
+		defer s.fetching.Unlock()
 		s.OnNewerRevision(from, revision)
 	}()
 }
--- a/internal/service/member/member.go
+++ b/internal/service/member/member.go
@@ -130,9 +130,11 @@
 	majorities []majorityAck
 	storeReads storeReads
 	rounds     int
-	// fetching is true while the callback for a newer revision runs.
-	fetching atomic.Bool
-	liveSet  atomic.Pointer[liveSet]
+	// fetching is held while the callback for a newer revision runs.
+	fetching sync.Mutex
+	// joining is true until Join has heard of the revisions of the peers.
+	joining atomic.Bool
+	liveSet atomic.Pointer[liveSet]
 }
 
 // memberState is what this host knows of one member.
--- a/internal/service/member/remove_test.go
+++ b/internal/service/member/remove_test.go
@@ -64,3 +64,33 @@
 		assert.NilError(t, c.startRequest(host))
 	}
 }
+
+// TestJoinAfterLoss guards against a host that starts after the store came back with an older manifest, and serves
+// by that although its peers have a newer one.
+func TestJoinAfterLoss(t *testing.T) {
+	for _, membersLost := range []bool{false, true} {
+		c := newCluster(t, 3)
+		c.commit(true)
+		c.commit(false)
+		c.run(3 * time.Second)
+		assert.NilError(t, c.startRequest(c.hosts[0]))
+		older := store.Txn{Puts: []store.Put{{Key: c.keys.Manifest(), Value: []byte(`{"revision":1}`)}}}
+		if membersLost {
+			older.Deletes = []string{c.keys.Members("dc")}
+		}
+		_, err := c.kv.Txn(t.Context(), older)
+		assert.NilError(t, err)
+		added := c.newNode("added")
+		fetch := added.OnNewerRevision
+		added.OnNewerRevision = func(from api.Address, revision api.Revision) {
+			assert.Check(t, from != "", "revision %d was fetched from the store, members lost: %t", revision, membersLost)
+			fetch(from, revision)
+		}
+		added.Join(t.Context())
+		assert.Equal(t, added.revision(), api.Revision(3), "members lost: %t", membersLost)
+		_ = c.startRequest(added)
+		c.run(3 * time.Second)
+		assert.NilError(t, c.startRequest(added))
+		assert.Equal(t, len(c.violations), 0, "%v", c.violations)
+	}
+}
