Do not bring back quarantines that an operator has lifted

An operator lifts a quarantine, and it comes back: a host that was cut off from the store while the key was written and removed still holds the decision and reports it, and the collecting host writes it again.

Cause: a decision that is not in the store was taken for one that has not been there yet.

Each host remembers the ends of the quarantines that its view of the store has shown. A collecting host does not take over such a decision, and its verdict tells the reporter to drop it.

Ruled out: a store that comes back from a copy without the key. The view still shows quarantines that the copy lacks, and writes them again.

--- a/internal/service/quarantine/collector.go
+++ b/internal/service/quarantine/collector.go
@@ -85,6 +85,8 @@
 	passed      map[api.HostID]passedCount
 	// decided holds the decisions that are not in the store yet.
 	decided map[string]fleet.QuarantinedPart
+	// storedUntil holds the ends of the quarantines that have been in the store.
+	storedUntil map[string]time.Time
 }
 
 // collected is a loss of a host.
@@ -126,6 +128,9 @@
 		c.evaluate(now)
 	}
 	verdict := &Verdict{Epoch: c.epoch, Suspects: c.suspects}
+	if report != nil {
+		verdict.Lifted = c.liftedOf(report.Quarantined, now)
+	}
 	for _, part := range c.decided {
 		verdict.Quarantined = append(verdict.Quarantined, part)
 	}
@@ -137,6 +142,7 @@
 	stored := c.stored()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.recordStored(stored, now)
 	var list []fleet.QuarantinedPart
 	for id, part := range c.decided {
 		if !stored[id].Until.Before(part.Until) || !now.Before(part.Until) {
@@ -186,13 +192,40 @@
 // adopt takes over the decisions of another collecting host that it could not write to the store.
 func (c *Collector) adopt(parts []fleet.QuarantinedPart, now time.Time) {
 	stored := c.stored()
+	c.recordStored(stored, now)
 	for _, part := range parts {
-		if now.Before(part.Until) && stored[part.Part].Until.Before(part.Until) && c.decided[part.Part].Until.Before(part.Until) {
+		if now.Before(part.Until) && c.storedUntil[part.Part].Before(part.Until) && c.decided[part.Part].Until.Before(part.Until) {
 			c.decided[part.Part] = part
 		}
 	}
 }
 
+// recordStored records the quarantines that are in the store. The caller holds mu.
+func (c *Collector) recordStored(stored map[string]fleet.QuarantinedPart, now time.Time) {
+	maps.DeleteFunc(c.storedUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	for id, part := range stored {
+		if now.Before(part.Until) && c.storedUntil[id].Before(part.Until) {
+			if c.storedUntil == nil {
+				c.storedUntil = map[string]time.Time{}
+			}
+			c.storedUntil[id] = part.Until
+		}
+	}
+}
+
+// liftedOf returns the ids of the decisions that were in the store and have been removed from it before their
+// end.
+func (c *Collector) liftedOf(parts []fleet.QuarantinedPart, now time.Time) []string {
+	stored := c.stored()
+	var lifted []string
+	for _, part := range parts {
+		if now.Before(part.Until) && !c.storedUntil[part.Part].Before(part.Until) && stored[part.Part].Until.Before(part.Until) {
+			lifted = append(lifted, part.Part)
+		}
+	}
+	return lifted
+}
+
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // expire drops old evidence.
--- a/internal/service/quarantine/tracker.go
+++ b/internal/service/quarantine/tracker.go
@@ -90,6 +90,8 @@
 	Suspects []string `json:"suspects,omitempty"`
 	// Quarantined holds the decisions that are not in the store yet.
 	Quarantined []fleet.QuarantinedPart `json:"quarantined,omitempty"`
+	// Lifted are the reported decisions that have been removed from the store.
+	Lifted []string `json:"lifted,omitempty"`
 }
 
 // loss is a loss with the times by the host's own clock.
@@ -276,6 +278,9 @@
 		t.acknowledged = report.Losses[len(report.Losses)-1].Number
 	}
 	t.suspects = verdict.Suspects
+	for _, id := range verdict.Lifted {
+		delete(t.decided, id)
+	}
 	return t.addDecided(verdict.Quarantined, now)
 }
 
