Count retried attempts that were lost at the place of a crash

What makes these places doubtful is that sound parts are lost at the same age where crashes are periodic. But those are lost elsewhere too, by their first attempts; a crashing part is lost elsewhere only with a response that is at the place.

Retried attempts count now if two independent crashes met first attempts at the place, and no crash met the part at other places only.

--- a/internal/service/quarantine/chance.go
+++ b/internal/service/quarantine/chance.go
@@ -9,16 +9,30 @@
 
 // crashesAtOnePlace counts the crashes under which responses with the part had come equally far:
 // a part that crashes engines does so at one place, others are lost anywhere. The places of
-// retried attempts depend on the times of earlier crashes and don't count. Nor do places before
-// the last milestone, which are judged there.
+// retried attempts depend on the times of earlier crashes. They count only if crashes also met first
+// attempts there minFirstAttempts times, and if no crash met the part at other places only. Places before
+// the last milestone don't count, as they are judged there.
 func (d *candidate) crashesAtOnePlace(until time.Time) int {
 	furthest := slices.MaxFunc(d.losses, func(a, b *collected) int { return cmp.Compare(a.events, b.events) }).events
 	if d.milestone > 0 && (d.milestone - 1).before(furthest) {
 		return 0
 	}
-	return countIndependent(slices.DeleteFunc(slices.Clone(d.losses), func(l *collected) bool {
-		return l.retried || l.events < furthest-placeEvents
-	}), until)
+	var atPlace, firstAttempts []*collected
+	for _, l := range d.losses {
+		if l.events < furthest-placeEvents {
+			continue
+		}
+		atPlace = append(atPlace, l)
+		if !l.retried {
+			firstAttempts = append(firstAttempts, l)
+		}
+	}
+	crashes := countIndependent(firstAttempts, until)
+	elsewhere := slices.ContainsFunc(d.losses, func(l *collected) bool { return !slices.ContainsFunc(atPlace, l.sameCrash) })
+	if crashes < minFirstAttempts || elsewhere {
+		return crashes
+	}
+	return countIndependent(atPlace, until)
 }
 
 // countIndependent counts the crashes until a time that are independent of each other. The losses
--- a/internal/service/quarantine/collector.go
+++ b/internal/service/quarantine/collector.go
@@ -30,6 +30,9 @@
 	// placeEvents is the number of events by which the places of losses for the same cause differ:
 	// a host may not receive the last event before a crash.
 	placeEvents = 1
+	// minFirstAttempts is the number of crashes that must have met first attempts at one place for those
+	// of retried attempts to count.
+	minFirstAttempts = 2
 	// crashSpread is the time within which hosts observe the same crash, and within which
 	// several upstreams that fail for the same reason crash.
 	crashSpread = 100 * time.Millisecond
