--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 # The fuzz targets of what reads from callers, as NAME:FOLDER.
 FUZZ := FuzzDecodeRequest:./platform FuzzReadBody:./internal/data/fleet FuzzConnection:./internal/web/entry FuzzRun:./internal/web/caller
-FUZZ_RUNS := 150000x
+FUZZ_RUNS := 200000x
 
 .PHONY: help build fmt lint test fuzz known-red demo bench
 
