Move the bounds of connections to a package of their own

Package guard holds what internal/web/entry had for the listeners of callers, so that the serve command can use it. Function fields take the place of the calls of package platform.

--- a/cmd/entry_drain.go
+++ b/cmd/entry_drain.go
@@ -121,7 +121,7 @@
 	ctx, cancel := context.WithTimeout(ctx, max(min(left, lastResponsesTimeout), 0))
 	defer cancel()
 	// Shutdown also closes idle connections on which a request is being read.
-	e.idleTracker.CloseIdle(ctx)
+	e.callerGuard.CloseIdle(ctx)
 	if err := e.callerServer.Shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Int64("in_progress", e.callerHandler.InProgress.Load()).Msg("connections_cut")
 	}
--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -28,6 +28,7 @@
 	"redwingloft/internal/service/throttle"
 	"redwingloft/internal/web/admin"
 	web "redwingloft/internal/web/entry"
+	"redwingloft/internal/web/guard"
 	"redwingloft/pkg/api"
 	"redwingloft/platform"
 )
@@ -96,9 +97,9 @@
 	callerServer  *http.Server
 	peerHandler   *web.PeerHandler
 	outliers      *outlier.Exchanger
-	idleTracker   *web.ConnTracker
-	// directoryTracker tracks the connections of the address list.
-	directoryTracker *web.ConnTracker
+	callerGuard   *guard.Guard
+	// callerGuard and directoryGuard guard the listeners of callers and of the address list.
+	directoryGuard *guard.Guard
 
 	schedulersMu sync.Mutex
 	schedulers   map[stage.Group]*stage.Scheduler
@@ -137,7 +138,7 @@
 		Health: e.health, Log: logger, Memory: e.memory,
 		OnLeaving: func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
 	}
-	refusals := &web.RefusalLog{Log: logger}
+	refusals := &guard.RefusalLog{Log: logger}
 	e.callerHandler = &web.CallerHandler{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
 		Memory: e.memory, BodyTimeout: s.Clients.BodyTimeout, Refusals: refusals,
@@ -154,9 +155,9 @@
 		Log:    logger, Metrics: e.metrics,
 	}
 	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
-	e.idleTracker = e.newConnTracker(e.maxCallerConns(), refusals)
-	e.directoryTracker = e.newConnTracker(e.maxCallerConns()/directoryConnShare, refusals)
-	e.metrics.GaugeFunc("clients.connections", func() int64 { return int64(e.idleTracker.Open()) })
+	e.callerGuard = e.newGuard("caller", e.maxCallerConns(), refusals)
+	e.directoryGuard = e.newGuard("directory", e.maxCallerConns()/directoryConnShare, refusals)
+	e.metrics.GaugeFunc("clients.connections", func() int64 { return int64(e.callerGuard.Open()) })
 	return e, nil
 }
 
@@ -168,9 +169,9 @@
 	return int64(accountRatio * s.Host.MemoryLimit * megabyte)
 }
 
-func (e *entryHost) newConnTracker(limit int, refusals *web.RefusalLog) *web.ConnTracker {
-	return &web.ConnTracker{
-		Timeout: e.callerIdleTimeout, Metrics: e.metrics, MaxConns: limit, Stall: e.settings.Clients.Stall, Memory: e.memory, Refusals: refusals,
+func (e *entryHost) newGuard(name string, limit int, refusals *guard.RefusalLog) *guard.Guard {
+	return &guard.Guard{
+		Name: name, SetRetryAfter: platform.SetRetryAfter, Timeout: e.callerIdleTimeout, Metrics: e.metrics, MaxConns: limit, Stall: e.settings.Clients.Stall, Memory: e.memory, Refusals: refusals,
 	}
 }
 
@@ -376,12 +377,12 @@
 	group.Add(func() error { return e.timer.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return e.runDirectory(ctx) }, func(error) { cancel() })
 	e.callerServer = e.newServer(e.callerHandler)
-	e.addTrackedListener(group, e.settings.Caller.Listen, e.callerServer, e.idleTracker)
+	e.addGuardedListener(group, e.settings.Caller.Listen, e.callerServer, e.callerGuard)
 	e.addListener(group, e.settings.Peer.Listen, e.newPeerServer())
 	directory := &web.DirectoryHandler{
 		View: e.directory.View, Self: e.settings.Caller.Advertise, AddressValidity: e.settings.Caller.AddressValidity, Ready: e.checkReady,
 	}
-	e.addTrackedListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)), e.directoryTracker)
+	e.addGuardedListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)), e.directoryGuard)
 	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)))
 	handler := &admin.Handler{Metrics: e.metrics, Ready: e.checkReady, Explain: e.explain}
 	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()))
@@ -394,8 +395,8 @@
 		Str("peer_listen", e.settings.Peer.Listen).Str("admin_listen", e.settings.Admin.Listen).Str("store", e.settings.Store.Kind).
 		Str("version", version).Msg("host_started")
 	e.timer.Every(sweepInterval, e.pool.Sweep)
-	e.timer.Every(sweepInterval, e.idleTracker.Sweep)
-	e.timer.Every(sweepInterval, e.directoryTracker.Sweep)
+	e.timer.Every(sweepInterval, e.callerGuard.Sweep)
+	e.timer.Every(sweepInterval, e.directoryGuard.Sweep)
 	e.timer.Every(dial.CheckInterval, e.callerConns.Check)
 	e.timer.Every(dial.CheckInterval, e.upstreamConns.Check)
 	e.timer.Every(sweepInterval, e.sweepHealth)
--- a/cmd/entry_listen.go
+++ b/cmd/entry_listen.go
@@ -10,7 +10,7 @@
 	"github.com/oklog/run"
 
 	"redwingloft/internal/helper/dial"
-	web "redwingloft/internal/web/entry"
+	"redwingloft/internal/web/guard"
 )
 
 func (e *entryHost) newServer(handler http.Handler) *http.Server {
@@ -22,15 +22,15 @@
 	e.addListenerFor(group, address, server, dial.Listen)
 }
 
-// addTrackedListener adds a server whose connections are tracked and bounded.
-func (e *entryHost) addTrackedListener(group *run.Group, address string, server *http.Server, tracker *web.ConnTracker) {
-	server.ConnState, server.ConnContext = tracker.Track, web.ConnContext
+// addGuardedListener adds a server whose listener is guarded.
+func (e *entryHost) addGuardedListener(group *run.Group, address string, server *http.Server, guard *guard.Guard) {
+	guard.Protect(server)
 	e.addListenerFor(group, address, server, func(ctx context.Context, address string) (net.Listener, error) {
 		listener, err := dial.ListenBounded(ctx, address)
 		if err != nil {
 			return nil, err
 		}
-		return tracker.Listener(e.callerConns.Listener(listener)), nil
+		return guard.Listener(e.callerConns.Listener(listener)), nil
 	})
 }
 
--- a/internal/web/entry/body.go
+++ b/internal/web/entry/body.go
@@ -2,15 +2,14 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
-	"strings"
 	"time"
 
 	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/service/memory"
+	"redwingloft/internal/web/guard"
 	"redwingloft/pkg/api"
 	"redwingloft/platform"
 )
@@ -39,11 +38,11 @@
 	}
 	limit, owner := h.bodyLimit(r)
 	if r.ContentLength > limit {
-		closeAfterResponse(w)
+		guard.CloseAfterResponse(w)
 		return nil, nil, fault.New(api.KindTooLarge, "the body has more than %d bytes", limit)
 	}
 	if !h.Memory.CanFit(owner, r.ContentLength) {
-		closeAfterResponse(w)
+		guard.CloseAfterResponse(w)
 		return nil, nil, h.memoryFullError(memory.ErrFull, r.ContentLength)
 	}
 	control := http.NewResponseController(w)
@@ -54,9 +53,9 @@
 	if err := control.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, nil, fault.Wrap(api.KindInternal, err, "set the read timeout of the body")
 	}
-	conn := connOf(r)
-	conn.beginBody()
-	holder := h.Memory.Open(owner, time.Now(), func() { _ = control.SetReadDeadline(pastDeadline) })
+	conn := guard.ConnOf(r)
+	conn.BeginBody()
+	holder := h.Memory.Open(owner, time.Now(), func() { guard.Interrupt(control) })
 	reserved := int64(0)
 	body, err := fleet.ReadBody(r.Body, r.ContentLength, limit, func(size int64) error {
 		reserved += size
@@ -65,7 +64,7 @@
 	if lost := holder.Complete(); lost != nil {
 		err = lost
 	}
-	conn.endBody()
+	conn.EndBody()
 	if err != nil {
 		return nil, holder, h.bodyError(w, err, limit, reserved)
 	}
@@ -104,7 +103,7 @@
 	default:
 		return errors.Join(errIncompleteBody, err)
 	}
-	closeAfterResponse(w)
+	guard.CloseAfterResponse(w)
 	return err
 }
 
@@ -142,38 +141,3 @@
 	}
 	return ""
 }
-
-// pastDeadline is a deadline that has passed.
-var pastDeadline = time.Unix(1, 0)
-
-// The rest of a refused body that is read and discarded, so that a caller that reads the response only
-// after it has written its request gets it. They are more than maxBodyBytes of the deployments; a
-// caller on a link of 40 Mbit/s writes 4 MB in a second.
-const (
-	maxDiscardedBytes = 5 << 20
-	discardTime       = time.Second
-)
-
-// closeAfterResponse makes the server close the connection after the response.
-func closeAfterResponse(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
-
-// discardBody reads what is left of the body of a refused request, within bounds, after the response.
-func discardBody(w http.ResponseWriter, r *http.Request) {
-	control := http.NewResponseController(w)
-	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
-		return
-	}
-	discarded, err := io.CopyN(io.Discard, r.Body, maxDiscardedBytes)
-	if err == io.EOF {
-		return
-	}
-	if c := connOf(r); c != nil && err != nil {
-		// A body can't be read any more once its reading was interrupted, as is done to take its memory.
-		_, _ = io.CopyN(io.Discard, c.Conn, maxDiscardedBytes-discarded)
-	}
-	// At its limit, MaxBytesReader tells the server to close the sending side first, and to wait before
-	// it closes the connection. There is no other way to request this.
-	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
-	// The server would read on for up to 256 KB.
-	_ = control.SetReadDeadline(pastDeadline)
-}
--- a/internal/web/entry/body_test.go
+++ b/internal/web/entry/body_test.go
@@ -18,6 +18,7 @@
 	"redwingloft/internal/helper/dial"
 	"redwingloft/internal/helper/logging"
 	"redwingloft/internal/service/memory"
+	"redwingloft/internal/web/guard"
 	"redwingloft/pkg/api"
 	wire "redwingloft/platform"
 )
@@ -67,7 +68,7 @@
 	var log bytes.Buffer
 	upstream, callers, server := startCallers(t, 0, echo)
 	callers.Memory = &memory.Account{Limit: 2 << 20, StallTime: 100 * time.Millisecond}
-	callers.Refusals = &RefusalLog{Log: logging.New(&log, "info", "")}
+	callers.Refusals = &guard.RefusalLog{Log: logging.New(&log, "info", "")}
 	stalled := begin(t, server, "stalled", 600<<10)
 	time.Sleep(200 * time.Millisecond)
 	assert.Equal(t, end(t, begin(t, server, "a", 700<<10)).StatusCode, http.StatusOK)
@@ -111,13 +112,13 @@
 func TestEvictedBodyGetsRefusal(t *testing.T) {
 	_, callers, _ := startCallers(t, 0, echo)
 	callers.Memory = &memory.Account{Limit: 2 << 20, StallTime: time.Hour}
-	tracker := &ConnTracker{Timeout: func() time.Duration { return time.Hour }, Metrics: callers.Metrics}
+	tracker := &guard.Guard{Timeout: func() time.Duration { return time.Hour }, Metrics: callers.Metrics}
 	server := httptest.NewUnstartedServer(callers)
 	bounded, err := dial.ListenBounded(context.Background(), "127.0.0.1:0")
 	assert.NilError(t, err)
 	_ = server.Listener.Close()
 	server.Listener = tracker.Listener(bounded)
-	server.Config.ConnState, server.Config.ConnContext = tracker.Track, ConnContext
+	tracker.Protect(server.Config)
 	server.Start()
 	t.Cleanup(server.Close)
 	older := begin(t, server, "older", 200<<10)
--- a/internal/web/entry/callers.go
+++ b/internal/web/entry/callers.go
@@ -16,6 +16,7 @@
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
 	"redwingloft/internal/service/memory"
+	"redwingloft/internal/web/guard"
 	"redwingloft/pkg/api"
 	"redwingloft/platform"
 )
@@ -31,7 +32,7 @@
 	// BodyTimeout limits the time for receiving a request body.
 	BodyTimeout time.Duration
 	// Refusals logs callers that are refused because of what they send or don't read.
-	Refusals *RefusalLog
+	Refusals *guard.RefusalLog
 	// Closing reports whether connections are closed after the response.
 	Closing func() bool
 	// InProgress is the number of requests in progress.
@@ -52,7 +53,7 @@
 			holder.Release()
 		}
 		h.writeError(w, r, err)
-		discardBody(w, r)
+		guard.DiscardBody(w, r)
 		return
 	}
 	if holder != nil {
@@ -82,14 +83,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	if forward.IsUnread(err) {
-		h.Refusals.report(r.RemoteAddr, "unread_response", err)
+		h.Refusals.Report(r.RemoteAddr, "unread_response", err)
 	}
 	if forward.IsAborted(err) || kind == api.KindCallerGone {
 		// Abort the connection, so that the caller does not take the response as complete.
 		panic(http.ErrAbortHandler)
 	}
-	if refusesClient(kind) {
-		h.Refusals.report(r.RemoteAddr, string(kind), err)
+	if guard.RefusesClient(kind) {
+		h.Refusals.Report(r.RemoteAddr, string(kind), err)
 	}
 	info := api.Kinds[kind]
 	h.Metrics.Counter(info.Counter).Inc(1)
--- a/internal/web/entry/fuzz_test.go
+++ b/internal/web/entry/fuzz_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingloft/internal/service/memory"
+	"redwingloft/internal/web/guard"
 	wire "redwingloft/platform"
 )
 
@@ -53,7 +54,7 @@
 		}
 		if err != nil {
 			callers.writeError(w, r, err)
-			discardBody(w, r)
+			guard.DiscardBody(w, r)
 			return
 		}
 		mu.Lock()
--- a/internal/web/entry/conn.go
+++ b/internal/web/guard/conn.go
@@ -1,4 +1,4 @@
-package entry
+package guard
 
 import (
 	"context"
@@ -11,9 +11,9 @@
 	"redwingloft/internal/service/memory"
 )
 
-// callerConn is a connection that expires by its read deadline. A read either returns bytes of a
+// Conn is a guarded connection. It expires by its read deadline. A read either returns bytes of a
 // request or fails at the deadline, so that no request is read from a connection that is closed.
-type callerConn struct {
+type Conn struct {
 	net.Conn
 	memory *memory.Account
 
@@ -54,19 +54,28 @@
 
 type connKey struct{}
 
-// ConnContext is the ConnContext callback of a server whose listener is tracked.
+// ConnContext is the ConnContext callback of a server whose listener is guarded.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	return context.WithValue(ctx, connKey{}, unwrap(c))
 }
 
-// connOf returns the tracked connection of a request, or nil.
-func connOf(r *http.Request) *callerConn {
-	c, _ := r.Context().Value(connKey{}).(*callerConn)
+// ConnOf returns the guarded connection of a request, or nil.
+func ConnOf(r *http.Request) *Conn {
+	c, _ := r.Context().Value(connKey{}).(*Conn)
 	return c
 }
 
+// unwrap returns the guarded connection under a connection, which may use TLS, or nil.
+func unwrap(c net.Conn) *Conn {
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn()
+	}
+	guarded, _ := c.(*Conn)
+	return guarded
+}
+
 // Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.received(int64(n)) {
 		// The server closes the connection without a response, as no request has arrived.
@@ -77,7 +86,7 @@
 
 // received records that bytes of a request were read. They may have been read just before the
 // connection expired. It returns false if the connection gives way to others.
-func (c *callerConn) received(n int64) bool {
+func (c *Conn) received(n int64) bool {
 	c.mu.Lock()
 	now := time.Now()
 	c.lastRead = now
@@ -101,7 +110,7 @@
 }
 
 // growHead reserves memory for a long request head.
-func (c *callerConn) growHead(size int64) bool {
+func (c *Conn) growHead(size int64) bool {
 	now := time.Now()
 	if c.head == nil {
 		c.head = c.memory.Open("", now, c.evictHead)
@@ -110,7 +119,7 @@
 }
 
 // releaseHead returns the memory of the request head. It is called between two requests.
-func (c *callerConn) releaseHead() {
+func (c *Conn) releaseHead() {
 	if c.head != nil {
 		c.head.Release()
 		c.head = nil
@@ -118,7 +127,7 @@
 }
 
 // evictHead closes a connection whose request head is not complete.
-func (c *callerConn) evictHead() {
+func (c *Conn) evictHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.serving {
@@ -128,7 +137,7 @@
 }
 
 // revive restores the read deadline of an expired connection. The caller holds mu.
-func (c *callerConn) revive() {
+func (c *Conn) revive() {
 	if !c.expired && !c.evicted {
 		return
 	}
@@ -138,7 +147,7 @@
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *callerConn) SetReadDeadline(t time.Time) error {
+func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
@@ -148,7 +157,7 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-func (c *callerConn) becomeIdle(timeout time.Duration) {
+func (c *Conn) becomeIdle(timeout time.Duration) {
 	c.releaseHead()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,7 +166,7 @@
 	c.headSince, c.headBytes = now, 0
 }
 
-func (c *callerConn) becomeActive() {
+func (c *Conn) becomeActive() {
 	if c.head != nil {
 		// If the head was evicted, it was complete before, and its memory is in use a little longer.
 		_ = c.head.Complete()
@@ -169,18 +178,19 @@
 	c.revive()
 }
 
-func (c *callerConn) isBetweenRequests() bool {
+func (c *Conn) isBetweenRequests() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.betweenRequests
 }
 
-// beginBody and endBody enclose the reading of a request body. The connection may be nil.
-func (c *callerConn) beginBody() { c.setReadingBody(true) }
+// BeginBody is called before a request body is read. The connection may be nil.
+func (c *Conn) BeginBody() { c.setReadingBody(true) }
 
-func (c *callerConn) endBody() { c.setReadingBody(false) }
+// EndBody is called after a request body was read. The connection may be nil.
+func (c *Conn) EndBody() { c.setReadingBody(false) }
 
-func (c *callerConn) setReadingBody(reading bool) {
+func (c *Conn) setReadingBody(reading bool) {
 	if c == nil {
 		return
 	}
@@ -191,7 +201,7 @@
 
 // expire ends the reading of an idle connection that due selects, upon which the server closes it.
 // It reports whether it did.
-func (c *callerConn) expire(due func(idleSince time.Time, timeout time.Duration) bool) bool {
+func (c *Conn) expire(due func(idleSince time.Time, timeout time.Duration) bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idleSince.IsZero() || c.expired || c.evicted || !due(c.idleSince, c.timeout) {
@@ -220,7 +230,7 @@
 
 // state returns the standing of a connection and since when it has it, or since when no bytes of a
 // body have arrived.
-func (c *callerConn) state() (standing, time.Time) {
+func (c *Conn) state() (standing, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -238,7 +248,7 @@
 }
 
 // giveWay closes a connection if it still has a standing. It reports whether it did.
-func (c *callerConn) giveWay(as standing, since time.Time) bool {
+func (c *Conn) giveWay(as standing, since time.Time) bool {
 	if as == standingIdle {
 		return c.expire(func(idleSince time.Time, _ time.Duration) bool { return idleSince.Equal(since) })
 	}
--- a/internal/web/entry/idle.go
+++ b/internal/web/guard/guard.go
@@ -1,4 +1,6 @@
-package entry
+// Package guard protects the listeners of a host from clients that don't send or read as they should: it
+// bounds the connections of each listener, closes idle ones, and accounts for long request heads.
+package guard
 
 import (
 	"context"
@@ -11,11 +13,13 @@
 	"redwingloft/internal/service/memory"
 )
 
-// ConnTracker closes callers' connections that exceed the idle timeout of the routing document,
-// which may change while connections are open, and bounds their number. It closes none on which a
-// request is being served. Set the exported fields before use.
-type ConnTracker struct {
-	// Timeout returns the idle timeout; 0 means no timeout.
+// Guard bounds the connections of a listener and closes those that exceed the idle timeout, which may
+// change while connections are open. It closes none on which a request is being served. Set the exported
+// fields before use.
+type Guard struct {
+	// Name is the name of the listener in logs.
+	Name string
+	// Timeout returns the idle timeout; 0 means no timeout. A nil Timeout is the same.
 	Timeout func() time.Duration
 	Metrics *metric.Set
 	// MaxConns bounds the open connections; 0 means no limit.
@@ -26,50 +30,64 @@
 	Memory *memory.Account
 	// Refusals logs the connections that are closed because there are too many.
 	Refusals *RefusalLog
+	// SetRetryAfter sets the time to retry in the header of a refusal.
+	SetRetryAfter func(header http.Header, wait time.Duration)
 
 	mu sync.Mutex
 	// open holds the connections of Listener that are not closed.
-	open map[*callerConn]struct{}
+	open map[*Conn]struct{}
 	// refused counts the connections that are open only until their callers have read a refusal.
 	refused int
 }
 
+// Protect makes a server use the guard. Its listener must be one of Listener.
+func (g *Guard) Protect(server *http.Server) {
+	server.ConnState, server.ConnContext = g.Track, ConnContext
+}
+
+func (g *Guard) timeout() time.Duration {
+	if g.Timeout == nil {
+		return 0
+	}
+	return g.Timeout()
+}
+
 // Track records a connection's state.
-func (i *ConnTracker) Track(c net.Conn, state http.ConnState) {
-	tracked, ok := c.(*callerConn)
-	if !ok {
+func (g *Guard) Track(c net.Conn, state http.ConnState) {
+	tracked := unwrap(c)
+	if tracked == nil {
 		return
 	}
 	switch state {
 	case http.StateIdle:
-		tracked.becomeIdle(i.Timeout())
+		tracked.becomeIdle(g.timeout())
 	case http.StateActive:
 		tracked.becomeActive()
 	case http.StateClosed, http.StateHijacked:
 		tracked.releaseHead()
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		delete(i.open, tracked)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.open, tracked)
 	}
 }
 
 // Sweep closes the connections that have exceeded the idle timeout. A shorter timeout applies to
 // connections that become idle after the change: callers may still rely on the one before.
-func (i *ConnTracker) Sweep(now time.Time) {
-	limit := i.Timeout()
+func (g *Guard) Sweep(now time.Time) {
+	limit := g.timeout()
 	if limit <= 0 {
 		return
 	}
 	closed := 0
-	for _, c := range i.connections() {
+	for _, c := range g.connections() {
 		if c.expire(func(idleSince time.Time, timeoutThen time.Duration) bool {
 			return now.Sub(idleSince) > max(limit, timeoutThen)
 		}) {
 			closed++
 		}
 	}
-	if closed > 0 && i.Metrics != nil {
-		i.Metrics.Counter("caller.idle_closed").Inc(int64(closed))
+	if closed > 0 && g.Metrics != nil {
+		g.Metrics.Counter("caller.idle_closed").Inc(int64(closed))
 	}
 }
 
@@ -78,12 +96,12 @@
 
 // CloseIdle closes all idle connections and waits, but not longer than ctx, until the requests that
 // are being read are in progress. It is used once responses no longer keep their connections open.
-func (i *ConnTracker) CloseIdle(ctx context.Context) {
+func (g *Guard) CloseIdle(ctx context.Context) {
 	ticker := time.NewTicker(closeIdlePollInterval)
 	defer ticker.Stop()
 	for {
 		waiting := false
-		for _, c := range i.connections() {
+		for _, c := range g.connections() {
 			c.expire(func(time.Time, time.Duration) bool { return true })
 			waiting = waiting || c.isBetweenRequests()
 		}
@@ -98,11 +116,11 @@
 	}
 }
 
-func (i *ConnTracker) connections() []*callerConn {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	list := make([]*callerConn, 0, len(i.open))
-	for c := range i.open {
+func (g *Guard) connections() []*Conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := make([]*Conn, 0, len(g.open))
+	for c := range g.open {
 		list = append(list, c)
 	}
 	return list
--- a/internal/web/entry/idle_test.go
+++ b/internal/web/guard/guard_test.go
@@ -1,4 +1,4 @@
-package entry
+package guard
 
 import (
 	"bufio"
@@ -32,7 +32,7 @@
 }
 
 // startIdle starts a server whose connections the closer tracks, and returns it with a kept connection.
-func startIdle(t *testing.T, closer *ConnTracker) (*http.Server, *keptConnection) {
+func startIdle(t *testing.T, closer *Guard) (*http.Server, *keptConnection) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -59,9 +59,9 @@
 // TestRequestBeingReadIsAnswered guards against a connection that is closed as idle, without an
 // answer, while a request on it arrives.
 func TestRequestBeingReadIsAnswered(t *testing.T) {
-	for name, closeIdle := range map[string]func(closer *ConnTracker, server *http.Server){
-		"idle timeout": func(closer *ConnTracker, _ *http.Server) { closer.Sweep(time.Now().Add(time.Hour)) },
-		"shutdown": func(closer *ConnTracker, server *http.Server) {
+	for name, closeIdle := range map[string]func(closer *Guard, server *http.Server){
+		"idle timeout": func(closer *Guard, _ *http.Server) { closer.Sweep(time.Now().Add(time.Hour)) },
+		"shutdown": func(closer *Guard, server *http.Server) {
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
 			closer.CloseIdle(ctx)
@@ -69,7 +69,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			closer := &ConnTracker{Timeout: func() time.Duration { return time.Second }}
+			closer := &Guard{Timeout: func() time.Duration { return time.Second }}
 			server, kept := startIdle(t, closer)
 			kept.write(t, "GET / HTTP/1.1\r\nHo")
 			go closeIdle(closer, server)
@@ -83,7 +83,7 @@
 // TestRequestReadAheadIsAnswered guards against a request that ends as if its caller had left, because
 // its connection expired after the host had read it and before it was in progress.
 func TestRequestReadAheadIsAnswered(t *testing.T) {
-	closer := &ConnTracker{Timeout: func() time.Duration { return time.Second }}
+	closer := &Guard{Timeout: func() time.Duration { return time.Second }}
 	expired, cancel := context.WithCancel(context.Background())
 	cancel()
 	server := &http.Server{
@@ -117,7 +117,7 @@
 
 // TestIdleConnectionsAreClosed guards against idle connections that stay open.
 func TestIdleConnectionsAreClosed(t *testing.T) {
-	closer := &ConnTracker{Timeout: func() time.Duration { return time.Second }}
+	closer := &Guard{Timeout: func() time.Duration { return time.Second }}
 	_, kept := startIdle(t, closer)
 	closer.Sweep(time.Now())
 	kept.write(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -134,7 +134,7 @@
 func TestShorterIdleTimeoutSparesOpenConnections(t *testing.T) {
 	var timeout atomic.Int64
 	timeout.Store(int64(time.Hour))
-	closer := &ConnTracker{Timeout: func() time.Duration { return time.Duration(timeout.Load()) }}
+	closer := &Guard{Timeout: func() time.Duration { return time.Duration(timeout.Load()) }}
 	_, kept := startIdle(t, closer)
 	timeout.Store(int64(time.Second))
 	closer.Sweep(time.Now().Add(time.Minute))
--- a/internal/web/entry/limit.go
+++ b/internal/web/guard/limit.go
@@ -1,4 +1,4 @@
-package entry
+package guard
 
 import (
 	"encoding/json"
@@ -9,7 +9,6 @@
 
 	"redwingloft/internal/helper/fault"
 	"redwingloft/pkg/api"
-	"redwingloft/platform"
 )
 
 const (
@@ -27,59 +26,59 @@
 
 // Listener returns a listener whose connections are tracked and bounded. Track must be the ConnState
 // callback of its server, and ConnContext its callback of that name.
-func (i *ConnTracker) Listener(l net.Listener) net.Listener { return &trackedListener{l, i} }
+func (g *Guard) Listener(l net.Listener) net.Listener { return &guardedListener{l, g} }
 
-type trackedListener struct {
+type guardedListener struct {
 	net.Listener
-	tracker *ConnTracker
+	guard *Guard
 }
 
 // Accept implements net.Listener.
-func (l *trackedListener) Accept() (net.Conn, error) {
+func (l *guardedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		tracked := &callerConn{Conn: c, memory: l.tracker.Memory, headSince: time.Now()}
-		if l.tracker.admit(tracked) {
+		tracked := &Conn{Conn: c, memory: l.guard.Memory, headSince: time.Now()}
+		if l.guard.admit(tracked) {
 			return tracked, nil
 		}
-		l.tracker.refuse(c)
+		l.guard.refuse(c)
 	}
 }
 
 // Open returns the number of open connections.
-func (i *ConnTracker) Open() int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return len(i.open) + i.refused
+func (g *Guard) Open() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.open) + g.refused
 }
 
 // admit adds a connection. If there are too many, another one gives way to it; if none can, admit
 // returns false.
-func (i *ConnTracker) admit(c *callerConn) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if i.open == nil {
-		i.open = map[*callerConn]struct{}{}
+func (g *Guard) admit(c *Conn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.open == nil {
+		g.open = map[*Conn]struct{}{}
 	}
-	if i.MaxConns > 0 && len(i.open)+i.refused >= i.MaxConns && !i.makeRoom() {
+	if g.MaxConns > 0 && len(g.open)+g.refused >= g.MaxConns && !g.makeRoom() {
 		return false
 	}
-	i.open[c] = struct{}{}
+	g.open[c] = struct{}{}
 	return true
 }
 
 // makeRoom closes a connection, unless enough are about to be closed. The caller holds mu.
-func (i *ConnTracker) makeRoom() bool {
+func (g *Guard) makeRoom() bool {
 	type candidate struct {
-		conn  *callerConn
+		conn  *Conn
 		since time.Time
 	}
 	oldest := map[standing]candidate{}
 	leaving, unfinished := 0, 0
-	for c := range i.open {
+	for c := range g.open {
 		as, since := c.state()
 		switch as {
 		case standingLeaving:
@@ -88,7 +87,7 @@
 		case standingUnfinished:
 			unfinished++
 		case standingBody:
-			if time.Now().Sub(since) < i.Stall {
+			if time.Now().Sub(since) < g.Stall {
 				continue
 			}
 		case standingBusy:
@@ -98,17 +97,17 @@
 			oldest[as] = candidate{c, since}
 		}
 	}
-	if len(i.open)+i.refused-leaving < i.MaxConns {
+	if len(g.open)+g.refused-leaving < g.MaxConns {
 		return true
 	}
 	order := []standing{standingIdle, standingUnfinished, standingBody}
-	if unfinished > i.MaxConns/unfinishedShare {
+	if unfinished > g.MaxConns/unfinishedShare {
 		order[0], order[1] = standingUnfinished, standingIdle
 	}
 	for _, as := range order {
 		if found, ok := oldest[as]; ok && found.conn.giveWay(as, found.since) {
-			i.Metrics.Counter("clients.closed_" + string(as)).Inc(1)
-			i.Refusals.report(found.conn.RemoteAddr().String(), "connection_"+string(as), nil)
+			g.Metrics.Counter("clients.closed_" + string(as)).Inc(1)
+			g.Refusals.Report(found.conn.RemoteAddr().String(), "connection_"+string(as), nil)
 			return true
 		}
 	}
@@ -116,37 +115,37 @@
 }
 
 // refuse responds to a connection for which there is no room and closes it.
-func (i *ConnTracker) refuse(c net.Conn) {
+func (g *Guard) refuse(c net.Conn) {
 	err := fault.AddRetryAfter(fault.New(api.KindConnectionsFull, "the host serves as many connections as it may"), connRetryDelay)
 	info := api.Kinds[api.KindConnectionsFull]
-	i.Metrics.Counter(info.Counter).Inc(1)
-	i.Refusals.report(c.RemoteAddr().String(), string(api.KindConnectionsFull), nil)
-	i.mu.Lock()
-	if i.refused >= i.MaxConns/refusedShare {
-		i.mu.Unlock()
+	g.Metrics.Counter(info.Counter).Inc(1)
+	g.Refusals.Report(c.RemoteAddr().String(), string(api.KindConnectionsFull), nil)
+	g.mu.Lock()
+	if g.refused >= g.MaxConns/refusedShare {
+		g.mu.Unlock()
 		_ = c.Close()
 		return
 	}
-	i.refused++
-	i.mu.Unlock()
-	_, _ = c.Write(refusal(info.Status, err))
+	g.refused++
+	g.mu.Unlock()
+	_, _ = c.Write(g.refusal(info.Status, err))
 	if half, ok := c.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite()
 	}
 	time.AfterFunc(refusalTime, func() {
 		_ = c.Close()
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		i.refused--
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.refused--
 	})
 }
 
 // refusal returns a whole response with an error.
-func refusal(status int, err error) []byte {
+func (g *Guard) refusal(status int, err error) []byte {
 	// The error has no values that can't be encoded.
 	body, _ := json.Marshal(fault.ToAPI(err, ""))
 	header := http.Header{}
-	platform.SetRetryAfter(header, fault.RetryDelay(err))
+	g.SetRetryAfter(header, fault.RetryDelay(err))
 	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nConnection: close\r\nRetry-After: %s\r\nContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), header.Get("Retry-After"), len(body), body)
 }
--- a/internal/web/entry/limit_test.go
+++ b/internal/web/guard/limit_test.go
@@ -1,4 +1,4 @@
-package entry
+package guard
 
 import (
 	"bufio"
@@ -16,21 +16,22 @@
 
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/memory"
+	"redwingloft/platform"
 )
 
 // startTracked starts a server with a bound of its connections. Requests to /wait are answered once
 // release is closed.
-func startTracked(t *testing.T, tracker *ConnTracker) (address string, release chan struct{}) {
+func startTracked(t *testing.T, guard *Guard) (address string, release chan struct{}) {
 	t.Helper()
-	tracker.Timeout, tracker.Metrics = func() time.Duration { return time.Hour }, metric.New()
+	guard.Timeout, guard.Metrics, guard.SetRetryAfter = func() time.Duration { return time.Hour }, metric.New(), platform.SetRetryAfter
 	release = make(chan struct{})
 	server := &http.Server{
-		ConnState: tracker.Track, ConnContext: ConnContext, ReadHeaderTimeout: 10 * time.Second,
+		ReadHeaderTimeout: 10 * time.Second,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			conn := connOf(r)
-			conn.beginBody()
+			conn := ConnOf(r)
+			conn.BeginBody()
 			_, err := io.Copy(io.Discard, r.Body)
-			conn.endBody()
+			conn.EndBody()
 			if err != nil {
 				w.WriteHeader(http.StatusRequestTimeout)
 				return
@@ -41,9 +42,10 @@
 			fmt.Fprint(w, "answer")
 		}),
 	}
+	guard.Protect(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	go func() { _ = server.Serve(tracker.Listener(listener)) }()
+	go func() { _ = server.Serve(guard.Listener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return listener.Addr().String(), release
 }
@@ -75,8 +77,8 @@
 // TestUnfinishedConnectionsGiveWay guards against connections without a request, or with a part of one,
 // that use up the descriptors, and against the close of one on which a request is served.
 func TestUnfinishedConnectionsGiveWay(t *testing.T) {
-	tracker := &ConnTracker{MaxConns: 4}
-	address, release := startTracked(t, tracker)
+	guard := &Guard{MaxConns: 4}
+	address, release := startTracked(t, guard)
 	busy := dialTracked(t, address, waitRequest)
 	silent := dialTracked(t, address, "")
 	partial := dialTracked(t, address, plainRequest[:20])
@@ -87,7 +89,7 @@
 		assert.Equal(t, ordinary.get(t), "answer")
 		_ = ordinary.Close()
 		time.Sleep(20 * time.Millisecond)
-		assert.Assert(t, tracker.Open() <= 4)
+		assert.Assert(t, guard.Open() <= 4)
 	}
 	assert.Assert(t, silent.isClosed(t))
 	assert.Assert(t, !partial.isClosed(t) && !idle.isClosed(t), "more connections were closed than needed")
@@ -98,7 +100,7 @@
 // TestIdleConnectionsGiveWay guards against idle connections, of which one request each was sent, that
 // keep others out, and against the latest of them being closed first.
 func TestIdleConnectionsGiveWay(t *testing.T) {
-	address, _ := startTracked(t, &ConnTracker{MaxConns: 3})
+	address, _ := startTracked(t, &Guard{MaxConns: 3})
 	var list []*keptConnection
 	for range 5 {
 		c := dialTracked(t, address, plainRequest)
@@ -114,7 +116,7 @@
 // TestBusyConnectionsAreKept guards against a request that is lost because there are too many
 // connections, and against a refusal without a time to retry.
 func TestBusyConnectionsAreKept(t *testing.T) {
-	address, release := startTracked(t, &ConnTracker{MaxConns: 16})
+	address, release := startTracked(t, &Guard{MaxConns: 16})
 	var list []*keptConnection
 	for range 16 {
 		list = append(list, dialTracked(t, address, waitRequest))
@@ -132,7 +134,7 @@
 
 // TestStalledBodyGivesWay guards against bodies that never end and occupy all connections.
 func TestStalledBodyGivesWay(t *testing.T) {
-	address, _ := startTracked(t, &ConnTracker{MaxConns: 1, Stall: 50 * time.Millisecond})
+	address, _ := startTracked(t, &Guard{MaxConns: 1, Stall: 50 * time.Millisecond})
 	stalled := dialTracked(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
 	time.Sleep(100 * time.Millisecond)
 	assert.Equal(t, dialTracked(t, address, plainRequest).get(t), "answer")
@@ -144,7 +146,7 @@
 // TestLongHeadsAreAccounted guards against unfinished request heads that exceed the memory of a host.
 func TestLongHeadsAreAccounted(t *testing.T) {
 	account := &memory.Account{Limit: 256 << 10, StallTime: time.Hour}
-	address, _ := startTracked(t, &ConnTracker{Memory: account})
+	address, _ := startTracked(t, &Guard{Memory: account})
 	head := "GET / HTTP/1.1\r\nHost: h\r\nPadding: " + strings.Repeat("x", 40<<10)
 	first, second := dialTracked(t, address, head), dialTracked(t, address, head)
 	assert.Assert(t, second.isClosed(t) && !first.isClosed(t))
--- a/internal/web/entry/refusal.go
+++ b/internal/web/guard/refusal.go
@@ -1,4 +1,4 @@
-package entry
+package guard
 
 import (
 	"time"
@@ -17,8 +17,8 @@
 	limiter logging.Limiter
 }
 
-// report logs one refusal.
-func (l *RefusalLog) report(remote, reason string, err error) {
+// Report logs one refusal.
+func (l *RefusalLog) Report(remote, reason string, err error) {
 	if l == nil {
 		return
 	}
@@ -36,8 +36,8 @@
 	line.Msg("client_refused")
 }
 
-// refusesClient reports whether errors of a kind are due to what a caller sends or to the sum of what
+// RefusesClient reports whether errors of a kind are due to what a caller sends or to the sum of what
 // callers send.
-func refusesClient(kind api.Kind) bool {
+func RefusesClient(kind api.Kind) bool {
 	return kind == api.KindTooLarge || kind == api.KindBodyStalled || kind == api.KindMemoryFull || kind == api.KindConnectionsFull
 }
