Bound the connections of the serve command

Callers saw a host that took 615 to 621 descriptors of 256 for as many silent connections on any listener, and up to 312 MB of 128 MB with the bytes that the kernel had received. Cause: the listeners of the serve command accepted any number of connections, with buffers that grow to some megabytes each.

All listeners of the serve command now have a guard, as those of callers at entry hosts. The guards of a host share one account. Connections of HTTP/2 are idle while they have no requests, and are bounded to 16 requests and 64 KiB that are received and not read.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -21,7 +21,6 @@
 	"redwingloft/internal/helper/timer"
 	"redwingloft/internal/service/directory"
 	"redwingloft/internal/service/forward"
-	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/outlier"
 	"redwingloft/internal/service/quarantine"
 	"redwingloft/internal/service/stage"
@@ -42,21 +41,6 @@
 	// response-time objective at another one.
 	peerDialTimeout = 300 * time.Millisecond
 	peerPingTimeout = stage.MaxSchedulerPause / 2
-	// accountRatio is the part of the host's memory limit that may be held on behalf of callers. The
-	// heap grows to 1.5 times what is live before it is collected, and connections, code and the
-	// directory need the rest.
-	accountRatio = 0.4
-	// connDescriptorRatio is the part of the descriptors that callers' connections may use. A request
-	// in progress needs another one to its upstream, and the store and other hosts need some.
-	connDescriptorRatio = 0.4
-	// connMemoryRatio is the part of the memory limit that callers' connections may use at connBytes
-	// each: 32 KB for the buffers of net/http, the stacks of two goroutines and the head of a request,
-	// and 64 KB that the kernel has received.
-	connMemoryRatio = 0.4
-	connBytes       = 96 << 10
-	// directoryConnShare is the part of the callers' connections, 1/directoryConnShare, that the
-	// address list may have besides. Callers fetch it once in a few seconds.
-	directoryConnShare = 8
 	// sweepInterval is the interval at which idle connections and unused state are removed.
 	sweepInterval = time.Second
 	// slowLogInterval is the least interval between two log lines on slow upstreams, whose number may
@@ -77,7 +61,6 @@
 	timer        *timer.Service
 	metrics      *metric.Set
 	directory    *directory.Service
-	memory       *memory.Account
 	pool         *forward.Pool
 	health       *forward.HealthTable
 	// slowLogged is the number of slow upstreams in the last line about them, at slowLoggedAt.
@@ -97,9 +80,8 @@
 	callerServer  *http.Server
 	peerHandler   *web.PeerHandler
 	outliers      *outlier.Exchanger
+	guards        *listenerGuards
 	callerGuard   *guard.Guard
-	// callerGuard and directoryGuard guard the listeners of callers and of the address list.
-	directoryGuard *guard.Guard
 
 	schedulersMu sync.Mutex
 	schedulers   map[stage.Group]*stage.Scheduler
@@ -131,17 +113,15 @@
 	e.directory = e.newDirectory(kv)
 	e.prompts = &quarantine.Tracker{Stored: e.quarantinedParts}
 	e.throttle = &throttle.Table{Self: s.Host.ID, Hosts: e.hosts, ColdBound: e.coldBound, ListAge: s.Store.MaxAge, Log: logger, Metrics: e.metrics}
-	e.memory = &memory.Account{Limit: accountLimit(s), StallTime: s.Clients.Stall}
-	e.metrics.GaugeFunc("clients.memory_bytes", e.memory.Used)
+	e.guards = newListenerGuards(s, e.metrics, logger, platform.SetRetryAfter)
 	e.pool = &forward.Pool{
 		Dial: e.upstreamConns.Dialer(dial.NewBounded(upstreamDialTimeout)), IdleLimit: e.maxIdleConns, Metrics: e.metrics, Throttle: e.throttle,
-		Health: e.health, Log: logger, Memory: e.memory,
+		Health: e.health, Log: logger, Memory: e.guards.memory,
 		OnLeaving: func(upstream *fleet.Upstream) { e.directory.MarkDraining(upstream) },
 	}
-	refusals := &guard.RefusalLog{Log: logger}
 	e.callerHandler = &web.CallerHandler{
 		Service: e.newService(), View: e.directory.View, Log: logger, Metrics: e.metrics, Closing: e.draining.Load,
-		Memory: e.memory, BodyTimeout: s.Clients.BodyTimeout, Refusals: refusals,
+		Memory: e.guards.memory, BodyTimeout: s.Clients.BodyTimeout, Refusals: e.guards.refusals,
 	}
 	e.outliers = &outlier.Exchanger{
 		Self: s.Host.ID, View: e.directory.View, HTTP: e.peerClient, Health: e.health, Prompts: e.prompts, Throttle: e.throttle, Collector: &outlier.Collector{}, Log: logger, Metrics: e.metrics,
@@ -155,44 +135,11 @@
 		Log:    logger, Metrics: e.metrics,
 	}
 	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
-	e.callerGuard = e.newGuard("caller", e.maxCallerConns(), refusals)
-	e.directoryGuard = e.newGuard("directory", e.maxCallerConns()/directoryConnShare, refusals)
-	e.metrics.GaugeFunc("clients.connections", func() int64 { return int64(e.callerGuard.Open()) })
+	e.callerGuard = e.guards.addCaller()
+	e.callerGuard.Timeout = e.callerIdleTimeout
 	return e, nil
 }
 
-// accountLimit returns the bytes that may be held on behalf of callers; 0 means no limit.
-func accountLimit(s *settings.Settings) int64 {
-	if s.Clients.Memory > 0 {
-		return int64(s.Clients.Memory * megabyte)
-	}
-	return int64(accountRatio * s.Host.MemoryLimit * megabyte)
-}
-
-func (e *entryHost) newGuard(name string, limit int, refusals *guard.RefusalLog) *guard.Guard {
-	return &guard.Guard{
-		Name: name, SetRetryAfter: platform.SetRetryAfter, Timeout: e.callerIdleTimeout, Metrics: e.metrics, MaxConns: limit, Stall: e.settings.Clients.Stall, Memory: e.memory, Refusals: refusals,
-	}
-}
-
-// maxCallerConns returns the largest number of callers' connections; 0 means no limit.
-func (e *entryHost) maxCallerConns() int {
-	s := e.settings
-	if s.Clients.Connections > 0 {
-		return s.Clients.Connections
-	}
-	limit := 0
-	if s.Host.DescriptorLimit > 0 {
-		limit = int(connDescriptorRatio * s.Host.DescriptorLimit)
-	}
-	if s.Host.MemoryLimit > 0 {
-		if fit := int(connMemoryRatio * s.Host.MemoryLimit * megabyte / connBytes); limit == 0 || fit < limit {
-			limit = fit
-		}
-	}
-	return limit
-}
-
 func (e *entryHost) newDirectory(kv store.Store) *directory.Service {
 	s := e.settings
 	return &directory.Service{
@@ -382,7 +329,9 @@
 	directory := &web.DirectoryHandler{
 		View: e.directory.View, Self: e.settings.Caller.Advertise, AddressValidity: e.settings.Caller.AddressValidity, Ready: e.checkReady,
 	}
-	e.addGuardedListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)), e.directoryGuard)
+	directoryGuard := e.guards.addSide("directory")
+	directoryGuard.Timeout = e.callerIdleTimeout
+	e.addGuardedListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)), directoryGuard)
 	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)))
 	handler := &admin.Handler{Metrics: e.metrics, Ready: e.checkReady, Explain: e.explain}
 	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()))
@@ -395,8 +344,7 @@
 		Str("peer_listen", e.settings.Peer.Listen).Str("admin_listen", e.settings.Admin.Listen).Str("store", e.settings.Store.Kind).
 		Str("version", version).Msg("host_started")
 	e.timer.Every(sweepInterval, e.pool.Sweep)
-	e.timer.Every(sweepInterval, e.callerGuard.Sweep)
-	e.timer.Every(sweepInterval, e.directoryGuard.Sweep)
+	e.guards.start(e.timer)
 	e.timer.Every(dial.CheckInterval, e.callerConns.Check)
 	e.timer.Every(dial.CheckInterval, e.upstreamConns.Check)
 	e.timer.Every(sweepInterval, e.sweepHealth)
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -26,7 +26,6 @@
 	"redwingloft/internal/service/admission"
 	"redwingloft/internal/service/configuration"
 	"redwingloft/internal/service/member"
-	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/order"
 	"redwingloft/internal/service/pipeline"
 	"redwingloft/internal/service/request"
@@ -69,6 +68,7 @@
 	snapshots     *document.SnapshotHolder
 	upstreams     *upstream.Monitor
 	peerClient    *member.Client
+	guards        *listenerGuards
 	// inProgress counts the requests of the caller listener.
 	inProgress atomic.Int64
 	// recorder is nil if no trace is recorded.
@@ -88,6 +88,7 @@
 		return nil, err
 	}
 	h := &host{settings: s, log: logger, timer: &timer.Service{}, metrics: metric.New(), snapshots: &document.SnapshotHolder{}}
+	h.guards = newListenerGuards(s, h.metrics, logger, setRetryAfter)
 	keys := store.Keys{Prefix: s.Store.Prefix}
 	h.members = h.newMembers(kv, keys)
 	table := &upstream.Table{Host: s.Host.ID, Metrics: h.metrics, Log: logger, IsProber: h.isProber}
@@ -209,23 +210,23 @@
 		h.requests.Orders.Drain(drain)
 		return err
 	}, func(error) { cancel() })
-	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, 0, h.trackRequests(h.newCallerHandler().Routes()))
+	addServer(group, h.settings.Caller.Listen, h.settings.Caller.TLS, 0, h.guards.addCaller(), h.trackRequests(h.newCallerHandler().Routes()))
 	if !h.members.Standalone {
-		addServer(group, h.settings.Peer.Listen, settings.TLS{}, writeTimeout, h.newPeerHandler().Routes())
+		addServer(group, h.settings.Peer.Listen, settings.TLS{}, writeTimeout, h.guards.addPeer(), h.newPeerHandler().Routes())
 	}
 	if h.settings.Operator.Listen != "" {
-		addServer(group, h.settings.Operator.Listen, h.settings.Operator.TLS, writeTimeout, h.newConsoleHandler().Routes())
+		addServer(group, h.settings.Operator.Listen, h.settings.Operator.TLS, writeTimeout, h.guards.addSide("operator"), h.newConsoleHandler().Routes())
 	}
 	if h.settings.Admin.Listen != "" {
 		handler := &admin.Handler{Metrics: h.metrics, Ready: h.checkReady}
-		addServer(group, h.settings.Admin.Listen, settings.TLS{}, writeTimeout, handler.Routes())
+		addServer(group, h.settings.Admin.Listen, settings.TLS{}, writeTimeout, h.guards.addSide("admin"), handler.Routes())
 	}
+	h.guards.start(h.timer)
 }
 
 func (h *host) newCallerHandler() *caller.Handler {
 	handler := &caller.Handler{
-		Memory:  &memory.Account{Limit: accountLimit(h.settings), StallTime: h.settings.Clients.Stall},
-		Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.maxBodyBytes, Metrics: h.metrics, Log: h.log, Timer: h.timer,
+		Memory: h.guards.memory, Service: h.requests, Addresses: h.members.Addresses, BodyBytes: h.maxBodyBytes, Metrics: h.metrics, Log: h.log, Timer: h.timer,
 	}
 	if h.recorder != nil {
 		handler.Record = h.recorder.Record
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -4,15 +4,19 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/oklog/run"
 	"github.com/urfave/cli/v3"
 
 	"redwingloft/internal/data/settings"
+	"redwingloft/internal/helper/dial"
 	"redwingloft/internal/helper/logging"
+	"redwingloft/internal/web/guard"
 )
 
 // Limits of the HTTP servers. The caller listener has no write timeout: a stream may last until its deadline.
@@ -25,6 +29,10 @@
 	writeTimeout = 30 * time.Second
 	// closeTimeout bounds the shutdown of a listener, which has no requests left after a drain.
 	closeTimeout = time.Second
+	// maxStreams and streamBuffer bound what one HTTP/2 connection, of a listener with TLS, makes a host
+	// hold: request heads, and bytes that are received and not read.
+	maxStreams   = 16
+	streamBuffer = 64 << 10
 )
 
 func serveCommand() *cli.Command {
@@ -57,18 +65,29 @@
 	return err
 }
 
-// addServer adds an HTTP server to the group. The write timeout bounds each response; 0 means none.
-func addServer(group *run.Group, listen string, tls settings.TLS, write time.Duration, handler http.Handler) {
+// addServer adds an HTTP server with a guarded listener to the group. The write timeout bounds each
+// response; 0 means none.
+func addServer(group *run.Group, address string, tls settings.TLS, write time.Duration, guard *guard.Guard, handler http.Handler) {
 	server := &http.Server{
-		Addr: listen, Handler: handler,
-		ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, WriteTimeout: write,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: streamBuffer, MaxReceiveBufferPerStream: streamBuffer,
+		},
 	}
+	guard.Protect(server)
 	group.Add(func() error {
+		listener, err := dial.ListenBuffered(context.Background(), address)
+		if err != nil {
+			return fmt.Errorf("listener %s: %w", address, err)
+		}
+		listener = guard.Listener(listener)
 		if tls.CertFile != "" {
-			return fmt.Errorf("listener %s: %w", listen, server.ListenAndServeTLS(tls.CertFile, tls.KeyFile))
+			err = server.ServeTLS(listener, tls.CertFile, tls.KeyFile)
+		} else {
+			err = server.Serve(listener)
 		}
-		return fmt.Errorf("listener %s: %w", listen, server.ListenAndServe())
+		return fmt.Errorf("listener %s: %w", address, err)
 	}, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 		defer cancel()
@@ -77,3 +96,8 @@
 		_ = server.Close()
 	})
 }
+
+// setRetryAfter sets the time to retry in a header, in whole seconds.
+func setRetryAfter(header http.Header, wait time.Duration) {
+	header.Set("Retry-After", strconv.FormatInt(int64(math.Ceil(wait.Seconds())), 10))
+}
--- a/internal/data/settings/clients.go
+++ b/internal/data/settings/clients.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Clients holds the settings of section [clients]: limits on callers that don't send or read as they
-// should. The serve command uses Memory and Stall only.
+// should. The serve command uses Memory, Connections and Stall only.
 type Clients struct {
 	// Memory is what may be held on behalf of callers, in megabytes; 0 means a part of the memory limit.
 	Memory float64
--- a/internal/helper/dial/dial.go
+++ b/internal/helper/dial/dial.go
@@ -61,9 +61,13 @@
 // ListenBounded opens a listener like Listen, whose connections hold a bounded number of bytes that are
 // received or to be sent.
 func ListenBounded(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(
-		userTimeout, option{unix.SOL_SOCKET, unix.SO_RCVBUF, callerBuffer}, option{unix.SOL_SOCKET, unix.SO_SNDBUF, callerBuffer},
-	)}
+	config := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, receiveBuffer, sendBuffer)}
+	return config.Listen(ctx, "tcp", address)
+}
+
+// ListenBuffered opens a listener with the buffers of ListenBounded and the default timeouts of the kernel.
+func ListenBuffered(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: setOptions(receiveBuffer, sendBuffer)}
 	return config.Listen(ctx, "tcp", address)
 }
 
@@ -75,7 +79,11 @@
 // option is an integer option of a socket.
 type option struct{ level, name, value int }
 
-var userTimeout = option{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds())}
+var (
+	userTimeout   = option{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds())}
+	receiveBuffer = option{unix.SOL_SOCKET, unix.SO_RCVBUF, callerBuffer}
+	sendBuffer    = option{unix.SOL_SOCKET, unix.SO_SNDBUF, callerBuffer}
+)
 
 // setOptions returns a function that sets options before a socket is connected or listens.
 // Connections that a listener accepts inherit its options.
--- a/internal/web/entry/callers.go
+++ b/internal/web/entry/callers.go
@@ -83,14 +83,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	if forward.IsUnread(err) {
-		h.Refusals.Report(r.RemoteAddr, "unread_response", err)
+		h.Refusals.Report(guard.Caller, r.RemoteAddr, "unread_response", err)
 	}
 	if forward.IsAborted(err) || kind == api.KindCallerGone {
 		// Abort the connection, so that the caller does not take the response as complete.
 		panic(http.ErrAbortHandler)
 	}
 	if guard.RefusesClient(kind) {
-		h.Refusals.Report(r.RemoteAddr, string(kind), err)
+		h.Refusals.Report(guard.Caller, r.RemoteAddr, string(kind), err)
 	}
 	info := api.Kinds[kind]
 	h.Metrics.Counter(info.Counter).Inc(1)
--- a/internal/web/guard/conn.go
+++ b/internal/web/guard/conn.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -39,6 +40,11 @@
 	// of freeHeadBytes.
 	headBytes int64
 	head      *memory.Holder
+	// begun is set once bytes were read.
+	begun bool
+	// multiplexed is set if the connection uses HTTP/2. It is idle while it has no requests: what is read
+	// then are mostly frames of the connection.
+	multiplexed bool
 	// readingBody is set while a request body is read, lastRead is when bytes of it were read.
 	readingBody bool
 	lastRead    time.Time
@@ -52,6 +58,9 @@
 	headRatio = 2
 )
 
+// multiplexedPreface begins a connection that uses HTTP/2 without TLS.
+const multiplexedPreface = "PRI * HTTP/2.0"
+
 type connKey struct{}
 
 // ConnContext is the ConnContext callback of a server whose listener is guarded.
@@ -77,7 +86,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.received(int64(n)) {
+	if n > 0 && !c.received(p[:n]) {
 		// The server closes the connection without a response, as no request has arrived.
 		return 0, os.ErrDeadlineExceeded
 	}
@@ -86,18 +95,22 @@
 
 // received records that bytes of a request were read. They may have been read just before the
 // connection expired. It returns false if the connection gives way to others.
-func (c *Conn) received(n int64) bool {
+func (c *Conn) received(data []byte) bool {
 	c.mu.Lock()
 	now := time.Now()
 	c.lastRead = now
+	if !c.begun {
+		c.begun, c.multiplexed = true, bytes.HasPrefix(data, []byte(multiplexedPreface))
+	}
 	if c.serving {
 		c.mu.Unlock()
 		return true
 	}
-	if c.evicted {
-		c.mu.Unlock()
-		return false
+	if c.evicted || c.multiplexed {
+		defer c.mu.Unlock()
+		return !c.evicted
 	}
+	n := int64(len(data))
 	if !c.idleSince.IsZero() {
 		c.headSince, c.idleSince = now, time.Time{}
 	}
@@ -178,6 +191,13 @@
 	c.revive()
 }
 
+// setMultiplexed records that the connection uses HTTP/2.
+func (c *Conn) setMultiplexed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.multiplexed = true
+}
+
 func (c *Conn) isBetweenRequests() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -196,7 +216,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readingBody, c.lastRead = reading, time.Now()
+	c.readingBody, c.lastRead = reading && !c.multiplexed, time.Now()
 }
 
 // expire ends the reading of an idle connection that due selects, upon which the server closes it.
@@ -242,6 +262,8 @@
 		return standingBusy, time.Time{}
 	case !c.idleSince.IsZero():
 		return standingIdle, c.idleSince
+	case c.multiplexed:
+		return standingBusy, time.Time{}
 	default:
 		return standingUnfinished, c.headSince
 	}
--- a/internal/web/guard/guard.go
+++ b/internal/web/guard/guard.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -13,6 +14,9 @@
 	"redwingloft/internal/service/memory"
 )
 
+// Caller is the name of the listener of callers.
+const Caller = "caller"
+
 // Guard bounds the connections of a listener and closes those that exceed the idle timeout, which may
 // change while connections are open. It closes none on which a request is being served. Set the exported
 // fields before use.
@@ -58,6 +62,9 @@
 	if tracked == nil {
 		return
 	}
+	if encrypted, ok := c.(*tls.Conn); ok && encrypted.ConnectionState().NegotiatedProtocol == "h2" {
+		tracked.setMultiplexed()
+	}
 	switch state {
 	case http.StateIdle:
 		tracked.becomeIdle(g.timeout())
--- a/internal/web/guard/limit.go
+++ b/internal/web/guard/limit.go
@@ -107,7 +107,7 @@
 	for _, as := range order {
 		if found, ok := oldest[as]; ok && found.conn.giveWay(as, found.since) {
 			g.Metrics.Counter("clients.closed_" + string(as)).Inc(1)
-			g.Refusals.Report(found.conn.RemoteAddr().String(), "connection_"+string(as), nil)
+			g.Refusals.Report(g.Name, found.conn.RemoteAddr().String(), "connection_"+string(as), nil)
 			return true
 		}
 	}
@@ -119,7 +119,7 @@
 	err := fault.AddRetryAfter(fault.New(api.KindConnectionsFull, "the host serves as many connections as it may"), connRetryDelay)
 	info := api.Kinds[api.KindConnectionsFull]
 	g.Metrics.Counter(info.Counter).Inc(1)
-	g.Refusals.Report(c.RemoteAddr().String(), string(api.KindConnectionsFull), nil)
+	g.Refusals.Report(g.Name, c.RemoteAddr().String(), string(api.KindConnectionsFull), nil)
 	g.mu.Lock()
 	if g.refused >= g.MaxConns/refusedShare {
 		g.mu.Unlock()
--- a/internal/web/guard/refusal.go
+++ b/internal/web/guard/refusal.go
@@ -17,8 +17,8 @@
 	limiter logging.Limiter
 }
 
-// Report logs one refusal.
-func (l *RefusalLog) Report(remote, reason string, err error) {
+// Report logs one refusal on a listener.
+func (l *RefusalLog) Report(listener, remote, reason string, err error) {
 	if l == nil {
 		return
 	}
@@ -26,7 +26,7 @@
 	if !ok {
 		return
 	}
-	line := l.Log.Warn().Str("remote", remote).Str("reason", reason)
+	line := l.Log.Warn().Str("remote", remote).Str("reason", reason).Str("listener", listener)
 	if dropped > 0 {
 		line = line.Int64("lines_left_out", dropped)
 	}
