Count connections that give way until they are closed

Callers saw a host on one processor that took 385 to 478 descriptors of 256 while 600 clients sent heads that stop short. Cause: a connection that gave way to a new one only got a read deadline in the past, and was not counted from then on, although its goroutine closed it later; until then any number were accepted.

An idle connection, or one without a complete head, is now closed by the guard itself, and its descriptor is free before the new connection is admitted. A request whose head was complete at that moment is not served. A stalled body still gets its refusal, so its connection counts until it is closed, and an eighth of the limit may be open besides.

Ruled out: to hold new connections until one is closed, which leaves their bytes in the kernel.

--- a/internal/web/guard/conn.go
+++ b/internal/web/guard/conn.go
@@ -34,6 +34,8 @@
 	// evicted is set if the connection is closed although a request head may have begun to arrive.
 	// Bytes that arrive later are not read.
 	evicted bool
+	// closed is set once the connection has been closed to make room. No request on it is served.
+	closed bool
 	// headSince is when the connection was accepted, or the first byte of the next request was read.
 	headSince time.Time
 	// headBytes is the number of bytes read of the present request head, head holds those in excess
@@ -151,7 +153,7 @@
 
 // revive restores the read deadline of an expired connection. The caller holds mu.
 func (c *Conn) revive() {
-	if !c.expired && !c.evicted {
+	if !c.expired && !c.evicted || c.closed {
 		return
 	}
 	c.expired, c.evicted = false, false
@@ -198,6 +200,13 @@
 	c.multiplexed = true
 }
 
+// isClosed reports whether the connection has been closed to make room.
+func (c *Conn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed
+}
+
 func (c *Conn) isBetweenRequests() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -269,23 +278,24 @@
 	}
 }
 
-// giveWay closes a connection if it still has a standing. It reports whether it did.
-func (c *Conn) giveWay(as standing, since time.Time) bool {
-	if as == standingIdle {
-		return c.expire(func(idleSince time.Time, _ time.Duration) bool { return idleSince.Equal(since) })
-	}
+// giveWay makes a connection leave if it still has a standing. It reports whether the connection leaves, and
+// whether it is closed already.
+func (c *Conn) giveWay(as standing, since time.Time) (leaves, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.expired || c.evicted:
-		return false
-	case as == standingUnfinished && !c.serving && c.idleSince.IsZero():
-		c.evicted = true
+		return false, false
+	case as == standingIdle && !c.serving && c.idleSince.Equal(since),
+		as == standingUnfinished && !c.serving && c.idleSince.IsZero():
+		c.evicted, c.closed = true, true
+		// Close returns once the descriptor is free.
+		_ = c.Conn.Close()
+		return true, true
 	case as == standingBody && c.serving && c.readingBody && c.lastRead.Equal(since):
 		// The read fails, and its request is refused.
-	default:
-		return false
+		_ = c.Conn.SetReadDeadline(pastDeadline)
+		return true, false
 	}
-	_ = c.Conn.SetReadDeadline(pastDeadline)
-	return true
+	return false, false
 }
--- a/internal/web/guard/guard.go
+++ b/internal/web/guard/guard.go
@@ -47,6 +47,17 @@
 // Protect makes a server use the guard. Its listener must be one of Listener.
 func (g *Guard) Protect(server *http.Server) {
 	server.ConnState, server.ConnContext = g.Track, ConnContext
+	server.Handler = g.handler(server.Handler)
+}
+
+// handler returns a handler that serves no request whose connection was closed while its head was read.
+func (g *Guard) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := ConnOf(r); c != nil && c.isClosed() {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (g *Guard) timeout() time.Duration {
--- a/internal/web/guard/limit.go
+++ b/internal/web/guard/limit.go
@@ -18,6 +18,9 @@
 	// refusedShare is the part of all connections, 1/refusedShare, that may wait for the caller to read
 	// a refusal. Further ones are closed without a response.
 	refusedShare = 16
+	// leavingShare is the part of all connections, 1/leavingShare, that may be open besides until those that
+	// give way are closed.
+	leavingShare = 8
 	// refusalTime is how long a refused connection stays open, so that its caller gets the response.
 	refusalTime = 500 * time.Millisecond
 	// connRetryDelay is the time to retry of a refused connection. Most requests take less than a second.
@@ -70,14 +73,48 @@
 	return true
 }
 
-// makeRoom closes a connection, unless enough are about to be closed. The caller holds mu.
+// candidate is a connection that may give way.
+type candidate struct {
+	conn  *Conn
+	since time.Time
+}
+
+// makeRoom makes a connection give way. It reports whether there is room for another one: a connection that
+// is refused before it is closed still has its descriptor. The caller holds mu.
 func (g *Guard) makeRoom() bool {
-	type candidate struct {
-		conn  *Conn
-		since time.Time
+	oldest, leaving, unfinished := g.candidates(time.Now())
+	total := len(g.open) + g.refused
+	limit := g.MaxConns + g.MaxConns/leavingShare + 1
+	if total-leaving < g.MaxConns && total < limit {
+		return true
+	}
+	order := []standing{standingIdle, standingUnfinished, standingBody}
+	if unfinished > g.MaxConns/unfinishedShare {
+		order[0], order[1] = standingUnfinished, standingIdle
+	}
+	for _, as := range order {
+		found, ok := oldest[as]
+		if !ok {
+			continue
+		}
+		leaves, closed := found.conn.giveWay(as, found.since)
+		if !leaves {
+			continue
+		}
+		if closed {
+			delete(g.open, found.conn)
+		}
+		g.Metrics.Counter("clients.closed_" + string(as)).Inc(1)
+		g.Refusals.Report(g.Name, found.conn.RemoteAddr().String(), "connection_"+string(as), nil)
+		return closed || total < limit
 	}
-	oldest := map[standing]candidate{}
-	leaving, unfinished := 0, 0
+	return false
+}
+
+// candidates returns the oldest connection of each standing that may give way, the number of those that are
+// about to be closed, and of those without a complete request head.
+func (g *Guard) candidates(now time.Time) (oldest map[standing]candidate, leaving, unfinished int) {
+	oldest = map[standing]candidate{}
 	for c := range g.open {
 		as, since := c.state()
 		switch as {
@@ -87,7 +124,7 @@
 		case standingUnfinished:
 			unfinished++
 		case standingBody:
-			if time.Now().Sub(since) < g.Stall {
+			if now.Sub(since) < g.Stall {
 				continue
 			}
 		case standingBusy:
@@ -97,21 +134,7 @@
 			oldest[as] = candidate{c, since}
 		}
 	}
-	if len(g.open)+g.refused-leaving < g.MaxConns {
-		return true
-	}
-	order := []standing{standingIdle, standingUnfinished, standingBody}
-	if unfinished > g.MaxConns/unfinishedShare {
-		order[0], order[1] = standingUnfinished, standingIdle
-	}
-	for _, as := range order {
-		if found, ok := oldest[as]; ok && found.conn.giveWay(as, found.since) {
-			g.Metrics.Counter("clients.closed_" + string(as)).Inc(1)
-			g.Refusals.Report(g.Name, found.conn.RemoteAddr().String(), "connection_"+string(as), nil)
-			return true
-		}
-	}
-	return false
+	return oldest, leaving, unfinished
 }
 
 // refuse responds to a connection for which there is no room and closes it.
--- a/internal/web/guard/limit_test.go
+++ b/internal/web/guard/limit_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 
 // startTracked starts a server with a bound of its connections. Requests to /wait are answered once
 // release is closed.
-func startTracked(t *testing.T, guard *Guard) (address string, release chan struct{}) {
+func startTracked(t *testing.T, guard *Guard, wrap ...func(net.Listener) net.Listener) (address string, release chan struct{}) {
 	t.Helper()
 	guard.Timeout, guard.Metrics, guard.SetRetryAfter = func() time.Duration { return time.Hour }, metric.New(), platform.SetRetryAfter
 	release = make(chan struct{})
@@ -45,9 +46,13 @@
 	guard.Protect(server)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	address = listener.Addr().String()
+	for _, f := range wrap {
+		listener = f(listener)
+	}
 	go func() { _ = server.Serve(guard.Listener(listener)) }()
 	t.Cleanup(func() { _ = server.Close() })
-	return listener.Addr().String(), release
+	return address, release
 }
 
 func dialTracked(t *testing.T, address, text string) *keptConnection {
@@ -155,3 +160,60 @@
 	time.Sleep(20 * time.Millisecond)
 	assert.Equal(t, account.Used(), int64(0))
 }
+
+// TestLeavingConnectionsAreCounted guards against connections that are admitted while those that give way
+// are still open.
+func TestLeavingConnectionsAreCounted(t *testing.T) {
+	const limit = 16
+	for name, text := range map[string]string{"silent": "", "part of a head": plainRequest[:20], "stalled body": "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf"} {
+		t.Run(name, func(t *testing.T) {
+			opened, most := 0, 0
+			var mu sync.Mutex
+			counted := func(change int) {
+				mu.Lock()
+				defer mu.Unlock()
+				opened += change
+				most = max(most, opened)
+			}
+			address, _ := startTracked(t, &Guard{MaxConns: limit, Stall: time.Nanosecond}, func(l net.Listener) net.Listener { return &countingListener{l, counted} })
+			for range 20 * limit {
+				c, err := net.Dial("tcp", address)
+				assert.NilError(t, err)
+				defer c.Close()
+				_, _ = c.Write([]byte(text))
+			}
+			time.Sleep(50 * time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			// The last one is being accepted.
+			assert.Assert(t, most <= limit+limit/leavingShare+2, "%d connections", most)
+		})
+	}
+}
+
+// countingListener counts the connections that are open.
+type countingListener struct {
+	net.Listener
+	count func(change int)
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.count(1)
+	return &countedConn{Conn: c, count: l.count}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	count func(change int)
+	once  sync.Once
+}
+
+func (c *countedConn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(func() { c.count(-1) })
+	return err
+}
