Bound the connections of the other listeners of entry hosts

Callers saw 618 descriptors of 256 for 600 silent connections on the readiness, peer or admin address. Cause: only the listeners of callers and of the address list had a bound, although the others use the same descriptors and memory.

All listeners of an entry host now have a guard.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -324,17 +324,17 @@
 	group.Add(func() error { return e.timer.Run(ctx) }, func(error) { cancel() })
 	group.Add(func() error { return e.runDirectory(ctx) }, func(error) { cancel() })
 	e.callerServer = e.newServer(e.callerHandler)
-	e.addGuardedListener(group, e.settings.Caller.Listen, e.callerServer, e.callerGuard)
-	e.addListener(group, e.settings.Peer.Listen, e.newPeerServer())
+	e.addListener(group, e.settings.Caller.Listen, e.callerServer, e.callerGuard)
+	e.addPeerListener(group, e.settings.Peer.Listen, e.newPeerServer(), e.guards.addPeer())
 	directory := &web.DirectoryHandler{
 		View: e.directory.View, Self: e.settings.Caller.Advertise, AddressValidity: e.settings.Caller.AddressValidity, Ready: e.checkReady,
 	}
 	directoryGuard := e.guards.addSide("directory")
 	directoryGuard.Timeout = e.callerIdleTimeout
-	e.addGuardedListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)), directoryGuard)
-	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)))
+	e.addListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)), directoryGuard)
+	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)), e.guards.addSide("readiness"))
 	handler := &admin.Handler{Metrics: e.metrics, Ready: e.checkReady, Explain: e.explain}
-	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()))
+	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()), e.guards.addSide("admin"))
 	group.Add(e.signalActor(ctx))
 }
 
--- a/cmd/entry_listen.go
+++ b/cmd/entry_listen.go
@@ -17,13 +17,8 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: entryReadHeaderTimeout, MaxHeaderBytes: dial.MaxHeaderBytes}
 }
 
-// addListener adds a server to the group; an empty address disables it.
-func (e *entryHost) addListener(group *run.Group, address string, server *http.Server) {
-	e.addListenerFor(group, address, server, dial.Listen)
-}
-
-// addGuardedListener adds a server whose listener is guarded.
-func (e *entryHost) addGuardedListener(group *run.Group, address string, server *http.Server, guard *guard.Guard) {
+// addListener adds a server with a guarded listener to the group; an empty address disables it.
+func (e *entryHost) addListener(group *run.Group, address string, server *http.Server, guard *guard.Guard) {
 	guard.Protect(server)
 	e.addListenerFor(group, address, server, func(ctx context.Context, address string) (net.Listener, error) {
 		listener, err := dial.ListenBounded(ctx, address)
@@ -34,6 +29,19 @@
 	})
 }
 
+// addPeerListener adds the server for other hosts to the group. Whole states are sent to them, over longer
+// distances than to callers, so their send buffers are left to the kernel.
+func (e *entryHost) addPeerListener(group *run.Group, address string, server *http.Server, guard *guard.Guard) {
+	guard.Protect(server)
+	e.addListenerFor(group, address, server, func(ctx context.Context, address string) (net.Listener, error) {
+		listener, err := dial.Listen(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return guard.Listener(listener), nil
+	})
+}
+
 // addListenerFor adds a server to the group, whose listener is opened by listen.
 func (e *entryHost) addListenerFor(group *run.Group, address string, server *http.Server, listen func(context.Context, string) (net.Listener, error)) {
 	if address == "" {
--- a/internal/helper/dial/dial.go
+++ b/internal/helper/dial/dial.go
@@ -46,9 +46,10 @@
 	return dialer.DialContext
 }
 
-// Listen opens a TCP listener whose connections use the same timeouts.
+// Listen opens a TCP listener whose connections use the same timeouts and hold a bounded number of bytes that
+// are received.
 func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout)}
+	config := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, receiveBuffer)}
 	return config.Listen(ctx, "tcp", address)
 }
 
@@ -58,8 +59,8 @@
 	return dialer.DialContext
 }
 
-// ListenBounded opens a listener like Listen, whose connections hold a bounded number of bytes that are
-// received or to be sent.
+// ListenBounded opens a listener like Listen, whose connections also hold a bounded number of bytes that are
+// to be sent.
 func ListenBounded(ctx context.Context, address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, receiveBuffer, sendBuffer)}
 	return config.Listen(ctx, "tcp", address)
