Bound the connections that wait to be accepted

In 1 of 2 runs of TestServeKinds/whole_bodies_over_the_limit, 366 connections that were not accepted yet held 22 MB in the kernel, beside those that the host had accepted. Cause: net.Listen sets the largest backlog that the kernel allows, and the guard counts connections from their acceptance.

The backlog of a listener is now a quarter of its connections. Without the bound, TestBacklogIsBounded fails with 4096 (at most 16).

--- a/cmd/entry_listen.go
+++ b/cmd/entry_listen.go
@@ -21,7 +21,7 @@
 func (e *entryHost) addListener(group *run.Group, address string, server *http.Server, guard *guard.Guard) {
 	guard.Protect(server)
 	e.addListenerFor(group, address, server, func(ctx context.Context, address string) (net.Listener, error) {
-		listener, err := dial.ListenBounded(ctx, address)
+		listener, err := dial.ListenBounded(ctx, address, guard.Backlog())
 		if err != nil {
 			return nil, err
 		}
@@ -34,7 +34,7 @@
 func (e *entryHost) addPeerListener(group *run.Group, address string, server *http.Server, guard *guard.Guard) {
 	guard.Protect(server)
 	e.addListenerFor(group, address, server, func(ctx context.Context, address string) (net.Listener, error) {
-		listener, err := dial.Listen(ctx, address)
+		listener, err := dial.Listen(ctx, address, guard.Backlog())
 		if err != nil {
 			return nil, err
 		}
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -77,7 +77,7 @@
 	}
 	guard.Protect(server)
 	group.Add(func() error {
-		listener, err := dial.ListenBuffered(context.Background(), address)
+		listener, err := dial.ListenBuffered(context.Background(), address, guard.Backlog())
 		if err != nil {
 			return fmt.Errorf("listener %s: %w", address, err)
 		}
--- a/internal/helper/dial/dial.go
+++ b/internal/helper/dial/dial.go
@@ -47,10 +47,9 @@
 }
 
 // Listen opens a TCP listener whose connections use the same timeouts and hold a bounded number of bytes that
-// are received.
-func Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, receiveBuffer)}
-	return config.Listen(ctx, "tcp", address)
+// are received. At most backlog connections wait to be accepted; 0 leaves the number to the kernel.
+func Listen(ctx context.Context, address string, backlog int) (net.Listener, error) {
+	return listen(ctx, address, backlog, net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, receiveBuffer)})
 }
 
 // NewBounded returns a Func like New, whose connections hold a bounded number of received bytes.
@@ -61,15 +60,22 @@
 
 // ListenBounded opens a listener like Listen, whose connections also hold a bounded number of bytes that are
 // to be sent.
-func ListenBounded(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, receiveBuffer, sendBuffer)}
-	return config.Listen(ctx, "tcp", address)
+func ListenBounded(ctx context.Context, address string, backlog int) (net.Listener, error) {
+	return listen(ctx, address, backlog, net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, receiveBuffer, sendBuffer)})
 }
 
 // ListenBuffered opens a listener with the buffers of ListenBounded and the default timeouts of the kernel.
-func ListenBuffered(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{Control: setOptions(receiveBuffer, sendBuffer)}
-	return config.Listen(ctx, "tcp", address)
+func ListenBuffered(ctx context.Context, address string, backlog int) (net.Listener, error) {
+	return listen(ctx, address, backlog, net.ListenConfig{Control: setOptions(receiveBuffer, sendBuffer)})
+}
+
+func listen(ctx context.Context, address string, backlog int, config net.ListenConfig) (net.Listener, error) {
+	listener, err := config.Listen(ctx, "tcp", address)
+	if tcp, ok := listener.(*net.TCPListener); ok && backlog > 0 {
+		// net.Listen has set the largest backlog, and takes no other.
+		control(tcp, func(fd int) error { return unix.Listen(fd, backlog) })
+	}
+	return listener, err
 }
 
 // KeepAlive returns the keep-alive settings for all connections.
--- a/internal/helper/dial/monitor_test.go
+++ b/internal/helper/dial/monitor_test.go
@@ -30,7 +30,7 @@
 // newPair opens a connection. The peer has a small receive buffer.
 func newPair(t *testing.T, limit time.Duration) pair {
 	t.Helper()
-	listener, err := ListenBounded(context.Background(), "127.0.0.1:0")
+	listener, err := ListenBounded(context.Background(), "127.0.0.1:0", 0)
 	assert.NilError(t, err)
 	t.Cleanup(func() { listener.Close() })
 	monitor := &Monitor{Limit: limit}
--- a/internal/helper/dial/state_test.go
+++ b/internal/helper/dial/state_test.go
@@ -1,6 +1,7 @@
 package dial
 
 import (
+	"context"
 	"io"
 	"net"
 	"syscall"
@@ -61,3 +62,16 @@
 		})
 	}
 }
+
+// TestBacklogIsBounded guards against connections that wait to be accepted without a bound, with what was
+// sent on them.
+func TestBacklogIsBounded(t *testing.T) {
+	const backlog = 16
+	listener, err := ListenBounded(context.Background(), "127.0.0.1:0", backlog)
+	assert.NilError(t, err)
+	defer listener.Close()
+	info, ok := tcpInfo(listener.(*net.TCPListener))
+	assert.Assert(t, ok)
+	// The kernel reports the backlog of a listener in this field.
+	assert.Equal(t, info.Sacked, uint32(backlog))
+}
--- a/internal/web/entry/body_test.go
+++ b/internal/web/entry/body_test.go
@@ -114,7 +114,7 @@
 	callers.Memory = &memory.Account{Limit: 2 << 20, StallTime: time.Hour}
 	tracker := &guard.Guard{Timeout: func() time.Duration { return time.Hour }, Metrics: callers.Metrics}
 	server := httptest.NewUnstartedServer(callers)
-	bounded, err := dial.ListenBounded(context.Background(), "127.0.0.1:0")
+	bounded, err := dial.ListenBounded(context.Background(), "127.0.0.1:0", 0)
 	assert.NilError(t, err)
 	_ = server.Listener.Close()
 	server.Listener = tracker.Listener(bounded)
--- a/internal/web/guard/limit.go
+++ b/internal/web/guard/limit.go
@@ -18,6 +18,9 @@
 	// refusedShare is the part of all connections, 1/refusedShare, that may wait for the caller to read
 	// a refusal. Further ones are closed without a response.
 	refusedShare = 16
+	// backlogShare is the part of all connections, 1/backlogShare, that may wait to be accepted besides.
+	backlogShare = 4
+	minBacklog   = 16
 	// leavingShare is the part of all connections, 1/leavingShare, that may be open besides until those that
 	// give way are closed.
 	leavingShare = 8
@@ -27,6 +30,15 @@
 	connRetryDelay = time.Second
 )
 
+// Backlog returns the number of connections that may wait to be accepted; 0 means that it is not bounded. What
+// callers send on them is in the kernel, although no connection of the host is in use.
+func (g *Guard) Backlog() int {
+	if g.MaxConns <= 0 {
+		return 0
+	}
+	return max(g.MaxConns/backlogShare, minBacklog)
+}
+
 // Listener returns a listener whose connections are tracked and bounded. Track must be the ConnState
 // callback of its server, and ConnContext its callback of that name.
 func (g *Guard) Listener(l net.Listener) net.Listener { return &guardedListener{l, g} }
