Account for bodies of the serve command after the credential, with their copies

Callers saw a host that grew to 151 to 210 MB of 128 MB while 64 of them sent whole bodies, and to 461 MB with the bytes in the kernel before the connections were bounded. Cause: a body was accounted once, although it is held four times while its request is served (body, buffer of the decoder, decoded text, request to an upstream), and it was accounted to the workspace that the caller named, before the credential was checked, so that each made-up name had a share of its own.

The credential is now checked before the body is read. Both commands read bodies in guard.ReadBody, which refuses an announced length that can't fit, reserves the copies and marks the connection as one that reads a body, so that a stalled one can give way. Refused bodies are read on within bounds, so that the caller gets the refusal.

--- a/internal/service/memory/account.go
+++ b/internal/service/memory/account.go
@@ -159,8 +159,11 @@
 	return nil
 }
 
-// Release returns all bytes of the holder. It may be called more than once.
+// Release returns all bytes of the holder, which may be nil. It may be called more than once.
 func (h *Holder) Release() {
+	if h == nil {
+		return
+	}
 	a := h.account
 	if a.Limit <= 0 {
 		return
--- a/internal/service/request/request.go
+++ b/internal/service/request/request.go
@@ -89,6 +89,20 @@
 	MaxTokens int               `json:"max_tokens,omitempty"`
 }
 
+// Owner returns the workspace of a caller, or an error if its credential is not valid. The workspace is empty
+// while the host has no configuration.
+func (s *Service) Owner(caller Caller) (api.WorkspaceName, error) {
+	snapshot := s.Snapshot()
+	if snapshot == nil {
+		return "", nil
+	}
+	workspace, err := s.authenticate(snapshot, caller)
+	if err != nil {
+		return "", err
+	}
+	return workspace.Name, nil
+}
+
 // authenticate checks the credential of a caller and returns its workspace.
 func (s *Service) authenticate(snapshot *document.Snapshot, caller Caller) (*document.CompiledWorkspace, error) {
 	if snapshot == nil {
--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -2,6 +2,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,7 +15,6 @@
 	"github.com/google/uuid"
 	"github.com/phuslu/log"
 
-	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/data/trace"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/logging"
@@ -23,6 +23,7 @@
 	"redwingloft/internal/helper/tracing"
 	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/request"
+	"redwingloft/internal/web/guard"
 	"redwingloft/pkg/api"
 )
 
@@ -72,10 +73,10 @@
 		return
 	}
 	var body api.RunRequest
-	holder := h.holder(w, caller)
+	holder, err := h.readJSON(w, r, caller, &body)
 	defer holder.Release()
-	if err := h.readJSON(w, r, holder, &body); err != nil {
-		h.writeError(w, r, caller, err)
+	if err != nil {
+		h.refuse(w, r, caller, err)
 		return
 	}
 	pipeline := api.PipelineName(r.PathValue("pipeline"))
@@ -102,11 +103,10 @@
 		h.writeError(w, r, caller, err)
 		return
 	}
-	holder := h.holder(w, caller)
+	body, holder, err := h.readBody(w, r, caller)
 	defer holder.Release()
-	body, err := h.readBody(w, r, holder)
 	if err != nil {
-		h.writeError(w, r, caller, err)
+		h.refuse(w, r, caller, err)
 		return
 	}
 	service, name := api.ServiceName(r.PathValue("service")), api.CallName(r.PathValue("call"))
@@ -156,43 +156,40 @@
 	return caller, nil
 }
 
-// holder returns an empty holder for the body of a request. A workspace is counted as it is named,
-// before its credential is checked.
-func (h *Handler) holder(w http.ResponseWriter, caller request.Caller) *memory.Holder {
-	account := h.Memory
-	if account == nil {
-		account = &memory.Account{}
+// bodyCopies is the number of bytes that are held for each byte of a body: the body itself, the buffer in which
+// it is decoded, what is decoded, and the request to an upstream.
+const bodyCopies = 4
+
+// readBody reads the body of a request of a caller whose credential is valid. The holder is released when the
+// body is not needed any more; it may be nil.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, caller request.Caller) ([]byte, *memory.Holder, error) {
+	owner, err := h.Service.Owner(caller)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, holder, err := guard.ReadBody(w, r, guard.BodyLimits{Bytes: h.BodyBytes(), Memory: h.Memory, Owner: string(owner), Copies: bodyCopies})
+	if errors.Is(err, guard.ErrIncompleteBody) {
+		err = fault.Wrap(api.KindBadRequest, err, "the body can't be read")
 	}
-	control := http.NewResponseController(w)
-	return account.Open(string(caller.Workspace), time.Now(), func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	return body.Bytes(), holder, err
 }
 
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, holder *memory.Holder) ([]byte, error) {
-	limit := h.BodyBytes()
-	body, err := fleet.ReadBody(http.MaxBytesReader(w, r.Body, limit), -1, limit, func(size int64) error { return holder.Grow(size, time.Now()) })
-	if lost := holder.Complete(); lost != nil {
-		err = lost
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, fault.New(api.KindTooLarge, "the body is larger than %d bytes", tooLarge.Limit)
-	case errors.Is(err, memory.ErrStalled):
-		return nil, fault.Wrap(api.KindBodyStalled, err, "the body did not arrive in time")
-	case errors.Is(err, memory.ErrFull), errors.Is(err, memory.ErrEvicted):
-		return nil, fault.AddRetryAfter(fault.Wrap(api.KindMemoryFull, err, "the host has no memory for the body"), h.Memory.RetryDelay(limit, time.Now()))
-	case err != nil:
-		return nil, fault.Wrap(api.KindBadRequest, err, "the body can't be read")
-	}
-	return body.Bytes(), nil
+// refuse writes the error for a request whose body was not read to its end or is not valid.
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, caller request.Caller, err error) {
+	h.writeError(w, r, caller, err)
+	guard.DiscardBody(w, r)
 }
 
-func (h *Handler) readJSON(w http.ResponseWriter, r *http.Request, holder *memory.Holder, target any) error {
-	body, err := h.readBody(w, r, holder)
+func (h *Handler) readJSON(w http.ResponseWriter, r *http.Request, caller request.Caller, target any) (*memory.Holder, error) {
+	body, holder, err := h.readBody(w, r, caller)
 	if err != nil {
-		return err
+		return holder, err
 	}
-	decoder := json.NewDecoder(strings.NewReader(string(body)))
+	return holder, decodeJSON(body, target)
+}
+
+func decodeJSON(body []byte, target any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
 		return fault.New(api.KindBadRequest, "the body is not valid: %v", err)
--- a/internal/web/caller/caller_test.go
+++ b/internal/web/caller/caller_test.go
@@ -209,6 +209,31 @@
 	assert.Equal(t, h.Memory.Used(), int64(200<<10))
 }
 
+// endlessBody is a body without an end. It counts what is read of it.
+type endlessBody struct{ read int }
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	b.read += len(p)
+	return len(p), nil
+}
+
+// TestCredentialIsCheckedBeforeTheBody guards against callers without a valid credential that use the memory of a
+// host, each under a name of no workspace.
+func TestCredentialIsCheckedBeforeTheBody(t *testing.T) {
+	h := newHandler()
+	h.Memory = &memory.Account{Limit: 1 << 20, StallTime: time.Second}
+	h.Service.Snapshot = func() *document.Snapshot { return &document.Snapshot{} }
+	for _, path := range []string{api.PathPipelines + "p/run", api.PathServices + "s/c"} {
+		body := &endlessBody{}
+		r := httptest.NewRequest("POST", path, body)
+		r.Header.Set(api.HeaderWorkspace, "unknown")
+		_, refused := serve(t, h, r)
+		assert.Equal(t, refused.Kind, api.KindUnauthorized)
+		assert.Equal(t, refused.Run, api.RunNo)
+		assert.Equal(t, body.read, 0)
+	}
+}
+
 func FuzzRun(f *testing.F) {
 	f.Add([]byte(`{"input":"x","stream":true}`), "1000", "high")
 	f.Add([]byte(`{"resume":{"token":"a.b","last_event":1,"text":""}}`), "", "")
--- a/internal/web/entry/body.go
+++ b/internal/web/entry/body.go
@@ -1,9 +1,8 @@
 package entry
 
 import (
-	"errors"
+	"cmp"
 	"net/http"
-	"os"
 	"time"
 
 	"redwingloft/internal/data/fleet"
@@ -27,51 +26,11 @@
 	maxCountedItems = 10_000
 )
 
-// errIncompleteBody means that the body did not arrive completely, so no response can be sent.
-var errIncompleteBody = errors.New("incomplete request body")
-
 // readBody reads the body of a request. The caller releases the holder, if there is one, when the
 // body is not needed any more.
 func (h *CallerHandler) readBody(w http.ResponseWriter, r *http.Request) (fleet.Body, *memory.Holder, error) {
-	if r.ContentLength == 0 {
-		return nil, nil, nil
-	}
 	limit, owner := h.bodyLimit(r)
-	if r.ContentLength > limit {
-		guard.CloseAfterResponse(w)
-		return nil, nil, fault.New(api.KindTooLarge, "the body has more than %d bytes", limit)
-	}
-	if !h.Memory.CanFit(owner, r.ContentLength) {
-		guard.CloseAfterResponse(w)
-		return nil, nil, h.memoryFullError(memory.ErrFull, r.ContentLength)
-	}
-	control := http.NewResponseController(w)
-	timeout := h.BodyTimeout
-	if timeout <= 0 {
-		timeout = defaultBodyTimeout
-	}
-	if err := control.SetReadDeadline(time.Now().Add(timeout)); err != nil {
-		return nil, nil, fault.Wrap(api.KindInternal, err, "set the read timeout of the body")
-	}
-	conn := guard.ConnOf(r)
-	conn.BeginBody()
-	holder := h.Memory.Open(owner, time.Now(), func() { guard.Interrupt(control) })
-	reserved := int64(0)
-	body, err := fleet.ReadBody(r.Body, r.ContentLength, limit, func(size int64) error {
-		reserved += size
-		return holder.Grow(size, time.Now())
-	})
-	if lost := holder.Complete(); lost != nil {
-		err = lost
-	}
-	conn.EndBody()
-	if err != nil {
-		return nil, holder, h.bodyError(w, err, limit, reserved)
-	}
-	if err := control.SetReadDeadline(time.Time{}); err != nil {
-		return nil, holder, fault.Wrap(api.KindInternal, err, "clear the read timeout of the body")
-	}
-	return body, holder, nil
+	return guard.ReadBody(w, r, guard.BodyLimits{Bytes: limit, Memory: h.Memory, Owner: owner, Timeout: cmp.Or(h.BodyTimeout, defaultBodyTimeout)})
 }
 
 // bodyLimit returns the limit of a body and the workspace that it is accounted to. Callers without a
@@ -91,22 +50,6 @@
 	return limit, owner
 }
 
-// bodyError returns the error for a body that was not read. The request has not been sent anywhere.
-func (h *CallerHandler) bodyError(w http.ResponseWriter, err error, limit, reserved int64) error {
-	switch {
-	case errors.Is(err, fleet.ErrBodyTooLarge):
-		err = fault.New(api.KindTooLarge, "the body has more than %d bytes", limit)
-	case errors.Is(err, memory.ErrFull), errors.Is(err, memory.ErrEvicted):
-		err = h.memoryFullError(err, reserved)
-	case errors.Is(err, memory.ErrStalled), errors.Is(err, os.ErrDeadlineExceeded):
-		err = fault.Wrap(api.KindBodyStalled, err, "the body did not arrive in time")
-	default:
-		return errors.Join(errIncompleteBody, err)
-	}
-	guard.CloseAfterResponse(w)
-	return err
-}
-
 func (h *CallerHandler) memoryFullError(cause error, size int64) error {
 	return fault.AddRetryAfter(fault.Wrap(api.KindMemoryFull, cause, "the host has no memory for the body"), h.Memory.RetryDelay(size, time.Now()))
 }
--- a/internal/web/entry/callers.go
+++ b/internal/web/entry/callers.go
@@ -78,7 +78,7 @@
 // writeError writes an error that was not returned by an upstream.
 func (h *CallerHandler) writeError(w http.ResponseWriter, r *http.Request, err error) {
 	kind := fault.KindOf(err)
-	if errors.Is(err, errIncompleteBody) {
+	if errors.Is(err, guard.ErrIncompleteBody) {
 		h.Metrics.Counter("request.body_lost").Inc(1)
 		panic(http.ErrAbortHandler)
 	}
