Account for responses of upstreams in the serve command

TestServeWholeBodies passed with 110 MB of 128 MB, of which much were responses: the stand-in of a retriever returns the query in each passage, so that one request of 4 MB had a response of more than 32 MB. Cause: only bodies were accounted, not what a request makes upstreams return.

A lease in the context of a request reserves three bytes for each byte of a whole response, until the request ends. A response for which there is no room fails its attempt, as at entry hosts. Streams are not held and not accounted.

TestServiceResponseIsAccounted guards the account.

--- a/internal/data/work/work.go
+++ b/internal/data/work/work.go
@@ -34,6 +34,8 @@
 	// MaxTokens is the maximum number of tokens of the complete text, including Partial; 0 means
 	// no limit.
 	MaxTokens int
+	// Reserve reserves memory for bytes of a response before they are read; nil means no limit.
+	Reserve func(size int64) error
 }
 
 // Token is one chunk of streamed text.
--- a/internal/plugin/openai/openai.go
+++ b/internal/plugin/openai/openai.go
@@ -13,6 +13,7 @@
 	"net/url"
 
 	"redwingloft/internal/data/document"
+	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/data/work"
 	"redwingloft/internal/kernel"
 )
@@ -40,15 +41,20 @@
 	return request, nil
 }
 
-func decode(body io.Reader, into any) error {
-	data, err := io.ReadAll(io.LimitReader(body, maxResponse+1))
+func decode(body io.Reader, in work.Input, into any) error {
+	data, err := fleet.ReadBody(body, -1, maxResponse, func(size int64) error {
+		if in.Reserve == nil {
+			return nil
+		}
+		return in.Reserve(size)
+	})
+	if errors.Is(err, fleet.ErrBodyTooLarge) {
+		return fmt.Errorf("the response has more than %d bytes", maxResponse)
+	}
 	if err != nil {
 		return err
 	}
-	if len(data) > maxResponse {
-		return fmt.Errorf("the response has more than %d bytes", maxResponse)
-	}
-	if err := json.Unmarshal(data, into); err != nil {
+	if err := json.Unmarshal(data.Bytes(), into); err != nil {
 		return fmt.Errorf("the response is not valid: %w", err)
 	}
 	return nil
@@ -69,14 +75,14 @@
 	}{string(in.Stage.Model), in.Item.Input})
 }
 
-func readEmbedding(body io.Reader, _ work.Input, _ func(work.Token) error) (work.Output, error) {
+func readEmbedding(body io.Reader, in work.Input, _ func(work.Token) error) (work.Output, error) {
 	var response struct {
 		Data []struct {
 			Embedding []float64 `json:"embedding"`
 		} `json:"data"`
 		Usage usage `json:"usage"`
 	}
-	if err := decode(body, &response); err != nil {
+	if err := decode(body, in, &response); err != nil {
 		return work.Output{}, err
 	}
 	if len(response.Data) != 1 || len(response.Data[0].Embedding) == 0 {
@@ -94,7 +100,7 @@
 	}{in.Item.Input, in.Item.Vector, in.Stage.TopK})
 }
 
-func readSearch(body io.Reader, _ work.Input, _ func(work.Token) error) (work.Output, error) {
+func readSearch(body io.Reader, in work.Input, _ func(work.Token) error) (work.Output, error) {
 	var response struct {
 		Data []struct {
 			FileID  string  `json:"file_id"`
@@ -104,7 +110,7 @@
 			} `json:"content"`
 		} `json:"data"`
 	}
-	if err := decode(body, &response); err != nil {
+	if err := decode(body, in, &response); err != nil {
 		return work.Output{}, err
 	}
 	if response.Data == nil {
@@ -141,7 +147,7 @@
 			Score float64 `json:"relevance_score"`
 		} `json:"results"`
 	}
-	if err := decode(body, &response); err != nil {
+	if err := decode(body, in, &response); err != nil {
 		return work.Output{}, err
 	}
 	if want := rerankSize(in); len(response.Results) < want {
--- a/internal/service/pipeline/attempt.go
+++ b/internal/service/pipeline/attempt.go
@@ -9,6 +9,7 @@
 
 	"redwingloft/internal/data/work"
 	"redwingloft/internal/kernel"
+	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/upstream"
 	"redwingloft/pkg/api"
 )
@@ -30,6 +31,10 @@
 	receivedTokens int
 }
 
+// responseCopies is the number of bytes that are held for each byte of a response: the response itself, what is
+// decoded, and the request of the next stage.
+const responseCopies = 3
+
 type attemptResult struct {
 	output work.Output
 	err    error
@@ -57,6 +62,8 @@
 // run sends the attempt and delivers its result on done.
 func (a *attempt) run(ctx context.Context, send func(context.Context, upstream.Attempt) error, codec kernel.Codec, input work.Input) {
 	defer a.cancel()
+	lease := memory.LeaseOf(ctx)
+	input.Reserve = func(size int64) error { return lease.Reserve(responseCopies * size) }
 	var output work.Output
 	var usage upstream.Usage
 	emit := func(token work.Token) error {
--- a/internal/service/request/request_test.go
+++ b/internal/service/request/request_test.go
@@ -21,6 +21,7 @@
 	_ "redwingloft/internal/plugin/openai"
 	"redwingloft/internal/service/account"
 	"redwingloft/internal/service/admission"
+	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/order"
 	"redwingloft/internal/service/pipeline"
 	"redwingloft/internal/service/retry"
@@ -340,13 +341,28 @@
 // reaches the caller as a complete response.
 func TestLongServiceResponseIsNotCut(t *testing.T) {
 	whole := strings.Repeat("x", maxServiceResponse)
-	data, err := readServiceResponse(strings.NewReader(whole))
+	data, err := readServiceResponse(strings.NewReader(whole), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, len(data), maxServiceResponse)
-	_, err = readServiceResponse(strings.NewReader(whole + "x"))
+	_, err = readServiceResponse(strings.NewReader(whole + "x"), nil)
 	assert.ErrorContains(t, err, "more than")
 }
 
+// TestServiceResponseIsAccounted guards against responses that together exceed the memory of a host, and
+// against memory that stays reserved.
+func TestServiceResponseIsAccounted(t *testing.T) {
+	account := &memory.Account{Limit: 1 << 20}
+	lease := account.NewLease()
+	_, err := readServiceResponse(strings.NewReader(strings.Repeat("x", 100<<10)), lease)
+	assert.NilError(t, err)
+	assert.Assert(t, account.Used() >= responseCopies*100<<10)
+	_, err = readServiceResponse(strings.NewReader(strings.Repeat("x", 400<<10)), lease)
+	assert.Assert(t, errors.Is(err, memory.ErrFull))
+	lease.Release()
+	assert.NilError(t, lease.Reserve(1))
+	assert.Equal(t, account.Used(), int64(0))
+}
+
 // TestWorkspaceWithoutCredentials guards against a workspace that admits everybody once its last
 // credential is removed.
 func TestWorkspaceWithoutCredentials(t *testing.T) {
--- a/internal/service/request/service.go
+++ b/internal/service/request/service.go
@@ -14,10 +14,12 @@
 	"github.com/joomcode/errorx"
 
 	"redwingloft/internal/data/document"
+	"redwingloft/internal/data/fleet"
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/service/account"
 	"redwingloft/internal/service/admission"
+	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/order"
 	"redwingloft/internal/service/retry"
 	"redwingloft/internal/service/route"
@@ -193,7 +195,7 @@
 			return call.request(ctx, base)
 		},
 		Read: func(status int, _ http.Header, body io.Reader) error {
-			data, err := readServiceResponse(body)
+			data, err := readServiceResponse(body, memory.LeaseOf(ctx))
 			outcome = order.Outcome{Status: status, Body: data}
 			return err
 		},
@@ -202,14 +204,18 @@
 	return outcome, err
 }
 
+// responseCopies is the number of bytes that are held for each byte of a response: the response itself, and the
+// one to the caller with the buffer in which it is encoded.
+const responseCopies = 3
+
 // readServiceResponse reads a response body. A body above the limit is an error: a part of it
 // would look complete to the caller.
-func readServiceResponse(body io.Reader) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxServiceResponse+1))
-	if err == nil && len(data) > maxServiceResponse {
+func readServiceResponse(body io.Reader, lease *memory.Lease) ([]byte, error) {
+	data, err := fleet.ReadBody(body, -1, maxServiceResponse, func(size int64) error { return lease.Reserve(responseCopies * size) })
+	if errors.Is(err, fleet.ErrBodyTooLarge) {
 		return nil, fmt.Errorf("the response has more than %d bytes", maxServiceResponse)
 	}
-	return data, err
+	return data.Bytes(), err
 }
 
 func (c callAttempt) request(ctx context.Context, base string) (*http.Request, error) {
--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -87,7 +87,9 @@
 		h.streamPipeline(kw, r, caller, pipeline, body)
 		return
 	}
-	response, err := h.Service.RunPipeline(traceContext(r), caller, pipeline, body, request.StreamCallbacks{})
+	ctx, release := h.serviceContext(r)
+	defer release()
+	response, err := h.Service.RunPipeline(ctx, caller, pipeline, body, request.StreamCallbacks{})
 	h.recordRun(arrived, caller, pipeline, body, response, err)
 	if err != nil {
 		h.writeError(kw, r, caller, err)
@@ -113,7 +115,9 @@
 	arrived := time.Now()
 	kw, end := h.keepalives.add(w)
 	defer end()
-	response, err := h.Service.CallService(traceContext(r), caller, service, name, r.Header.Get(api.HeaderIdempotencyKey), body)
+	ctx, release := h.serviceContext(r)
+	defer release()
+	response, err := h.Service.CallService(ctx, caller, service, name, r.Header.Get(api.HeaderIdempotencyKey), body)
 	h.recordCall(arrived, r, caller, body, response, err)
 	if err != nil {
 		h.writeError(kw, r, caller, err)
@@ -123,9 +127,15 @@
 	writeJSON(kw, http.StatusOK, response)
 }
 
-// traceContext returns the context of r with the caller's trace context.
-func traceContext(r *http.Request) context.Context {
-	return tracing.WithParent(r.Context(), r.Header.Get(tracing.Header))
+// serviceContext returns the context of r with the caller's trace context and a lease of memory for responses of
+// upstreams. The returned function ends the lease.
+func (h *Handler) serviceContext(r *http.Request) (ctx context.Context, release func()) {
+	ctx = tracing.WithParent(r.Context(), r.Header.Get(tracing.Header))
+	if h.Memory == nil {
+		return ctx, func() {}
+	}
+	lease := h.Memory.NewLease()
+	return memory.WithLease(ctx, lease), lease.Release
 }
 
 func requestID(r *http.Request) api.RequestID {
--- a/internal/web/caller/stream.go
+++ b/internal/web/caller/stream.go
@@ -38,7 +38,9 @@
 func (h *Handler) streamPipeline(w *keepaliveWriter, r *http.Request, caller request.Caller, pipeline api.PipelineName, body api.RunRequest) {
 	arrived := time.Now()
 	events := &eventWriter{w: w}
-	response, err := h.Service.RunPipeline(traceContext(r), caller, pipeline, body, request.StreamCallbacks{
+	ctx, release := h.serviceContext(r)
+	defer release()
+	response, err := h.Service.RunPipeline(ctx, caller, pipeline, body, request.StreamCallbacks{
 		OnAccepted: func(event api.AcceptedEvent) error { return events.write(api.EventAccepted, 0, event) },
 		OnToken: func(number uint64, event api.TokenEvent) error {
 			return events.write(api.EventToken, number, event)
