Let connections give way on which nothing is being served

New callers got 503 while 600 clients sent requests without end and read no response, long after the clients had stopped. Cause: a connection counted as being served from the head of a request until it was idle again, whatever happened on it in that time. Such connections are never idle: those with pipelined requests, those of which the rest of a refused body is discarded, and those with a body that no handler reads and for which the server waits.

A connection whose body has not arrived completely now counts as one that receives a body, whoever reads it, and gives way when it stalls. While the rest of a refused body is discarded, it may be closed. Connections with pipelined requests are closed after a response once seven eighths of the connections are in use.

--- a/internal/service/request/request_test.go
+++ b/internal/service/request/request_test.go
@@ -344,7 +344,7 @@
 	data, err := readServiceResponse(strings.NewReader(whole), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, len(data), maxServiceResponse)
-	_, err = readServiceResponse(strings.NewReader(whole + "x"), nil)
+	_, err = readServiceResponse(strings.NewReader(whole+"x"), nil)
 	assert.ErrorContains(t, err, "more than")
 }
 
--- a/internal/web/guard/body.go
+++ b/internal/web/guard/body.go
@@ -136,6 +136,7 @@
 	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
 		return
 	}
+	ConnOf(r).beginDiscard()
 	discarded, err := io.CopyN(io.Discard, r.Body, maxDiscardedBytes)
 	if err == io.EOF {
 		return
--- a/internal/web/guard/conn.go
+++ b/internal/web/guard/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -47,8 +48,17 @@
 	// multiplexed is set if the connection uses HTTP/2. It is idle while it has no requests: what is read
 	// then are mostly frames of the connection.
 	multiplexed bool
-	// readingBody is set while a request body is read, lastRead is when bytes of it were read.
+	// encrypted is set if the connection uses TLS.
+	encrypted bool
+	// pipelined is set once bytes of another request have arrived before the response to the one before it.
+	pipelined bool
+	// discardSince is since when the rest of a refused body is discarded; zero otherwise.
+	discardSince time.Time
+	// readingBody is set while a request body is read, bodyOpen until its end was read. lastRead is when bytes
+	// of it were read, interrupted is set once its reading was ended to make room.
 	readingBody bool
+	bodyOpen    bool
+	interrupted bool
 	lastRead    time.Time
 }
 
@@ -88,16 +98,16 @@
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.received(p[:n]) {
+	if n > 0 && !c.received(p[:n], len(p)) {
 		// The server closes the connection without a response, as no request has arrived.
 		return 0, os.ErrDeadlineExceeded
 	}
 	return n, err
 }
 
-// received records that bytes of a request were read. They may have been read just before the
-// connection expired. It returns false if the connection gives way to others.
-func (c *Conn) received(data []byte) bool {
+// received records that bytes of a request were read into a buffer of a size. They may have been read just
+// before the connection expired. It returns false if the connection gives way to others.
+func (c *Conn) received(data []byte, buffer int) bool {
 	c.mu.Lock()
 	now := time.Now()
 	c.lastRead = now
@@ -105,6 +115,10 @@
 		c.begun, c.multiplexed = true, bytes.HasPrefix(data, []byte(multiplexedPreface))
 	}
 	if c.serving {
+		// While a request is served, the server reads a single byte, to notice that the caller leaves.
+		if !c.readingBody && !c.bodyOpen && !c.multiplexed && (buffer == 1 || c.encrypted) {
+			c.pipelined = true
+		}
 		c.mu.Unlock()
 		return true
 	}
@@ -178,7 +192,8 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.serving, c.betweenRequests, c.idleSince, c.timeout = false, true, now, timeout
-	c.headSince, c.headBytes = now, 0
+	c.headSince, c.headBytes, c.discardSince = now, 0, time.Time{}
+	c.bodyOpen, c.interrupted = false, false
 }
 
 func (c *Conn) becomeActive() {
@@ -193,11 +208,28 @@
 	c.revive()
 }
 
-// setMultiplexed records that the connection uses HTTP/2.
-func (c *Conn) setMultiplexed() {
+// setEncrypted records that the connection uses TLS, with HTTP/2 if it is multiplexed.
+func (c *Conn) setEncrypted(multiplexed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.multiplexed = true
+	c.encrypted, c.multiplexed = true, multiplexed
+}
+
+// isPipelined reports whether requests were sent without waiting for the responses to those before them.
+func (c *Conn) isPipelined() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pipelined
+}
+
+// beginDiscard is called before the rest of a refused body is discarded. The connection may be nil.
+func (c *Conn) beginDiscard() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.discardSince = time.Now()
 }
 
 // isClosed reports whether the connection has been closed to make room.
@@ -219,6 +251,38 @@
 // EndBody is called after a request body was read. The connection may be nil.
 func (c *Conn) EndBody() { c.setReadingBody(false) }
 
+// guardedBody is a request body. Its connection can give way until its end was read, also while the server
+// reads what a handler has left.
+type guardedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// guardBody makes the connection of a request that has a body able to give way until the body is complete.
+func (c *Conn) guardBody(r *http.Request) {
+	// The server sends 100 Continue when the body is read, unless it finds a body of another type than its own.
+	if r.ContentLength == 0 || r.Header.Get("Expect") != "" {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.multiplexed {
+		c.bodyOpen, c.lastRead = true, time.Now()
+		r.Body = &guardedBody{r.Body, c}
+	}
+}
+
+// Read implements io.Reader.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.conn.mu.Lock()
+		defer b.conn.mu.Unlock()
+		b.conn.bodyOpen = false
+	}
+	return n, err
+}
+
 func (c *Conn) setReadingBody(reading bool) {
 	if c == nil {
 		return
@@ -253,6 +317,8 @@
 	standingIdle       standing = "idle"
 	// standingBody: a request body arrives.
 	standingBody standing = "stalled_body"
+	// standingRefused: the rest of the body of a refused request is discarded.
+	standingRefused standing = "refused_body"
 	// standingLeaving: the connection is about to be closed.
 	standingLeaving standing = "leaving"
 )
@@ -265,7 +331,11 @@
 	switch {
 	case c.expired || c.evicted:
 		return standingLeaving, time.Time{}
-	case c.serving && c.readingBody:
+	case c.serving && c.interrupted:
+		return standingLeaving, time.Time{}
+	case c.serving && !c.discardSince.IsZero() && !c.multiplexed:
+		return standingRefused, c.discardSince
+	case c.serving && (c.readingBody || c.bodyOpen):
 		return standingBody, c.lastRead
 	case c.serving:
 		return standingBusy, time.Time{}
@@ -287,13 +357,15 @@
 	case c.expired || c.evicted:
 		return false, false
 	case as == standingIdle && !c.serving && c.idleSince.Equal(since),
-		as == standingUnfinished && !c.serving && c.idleSince.IsZero():
+		as == standingUnfinished && !c.serving && c.idleSince.IsZero(),
+		as == standingRefused && c.serving && c.discardSince.Equal(since):
 		c.evicted, c.closed = true, true
 		// Close returns once the descriptor is free.
 		_ = c.Conn.Close()
 		return true, true
-	case as == standingBody && c.serving && c.readingBody && c.lastRead.Equal(since):
+	case as == standingBody && c.serving && (c.readingBody || c.bodyOpen) && c.lastRead.Equal(since):
 		// The read fails, and its request is refused.
+		c.interrupted = true
 		_ = c.Conn.SetReadDeadline(pastDeadline)
 		return true, false
 	}
--- a/internal/web/guard/guard.go
+++ b/internal/web/guard/guard.go
@@ -50,11 +50,20 @@
 	server.Handler = g.handler(server.Handler)
 }
 
-// handler returns a handler that serves no request whose connection was closed while its head was read.
+// handler returns a handler that serves no request whose connection was closed while its head was read. A
+// connection with pipelined requests is never idle, and so can't give way while it is open: if there are
+// many connections, it is closed after the response.
 func (g *Guard) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := ConnOf(r); c != nil && c.isClosed() {
-			panic(http.ErrAbortHandler)
+		if c := ConnOf(r); c != nil {
+			if c.isClosed() {
+				panic(http.ErrAbortHandler)
+			}
+			if c.isPipelined() && g.isCrowded() {
+				g.Metrics.Counter("clients.closed_pipelined").Inc(1)
+				CloseAfterResponse(w)
+			}
+			c.guardBody(r)
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -73,8 +82,8 @@
 	if tracked == nil {
 		return
 	}
-	if encrypted, ok := c.(*tls.Conn); ok && encrypted.ConnectionState().NegotiatedProtocol == "h2" {
-		tracked.setMultiplexed()
+	if encrypted, ok := c.(*tls.Conn); ok && state == http.StateActive {
+		tracked.setEncrypted(encrypted.ConnectionState().NegotiatedProtocol == "h2")
 	}
 	switch state {
 	case http.StateIdle:
--- a/internal/web/guard/limit.go
+++ b/internal/web/guard/limit.go
@@ -18,6 +18,9 @@
 	// refusedShare is the part of all connections, 1/refusedShare, that may wait for the caller to read
 	// a refusal. Further ones are closed without a response.
 	refusedShare = 16
+	// crowdedShare is the part of all connections, 1/crowdedShare, that connections with pipelined requests leave
+	// to others.
+	crowdedShare = 8
 	// backlogShare is the part of all connections, 1/backlogShare, that may wait to be accepted besides.
 	backlogShare = 4
 	minBacklog   = 16
@@ -63,6 +66,11 @@
 	}
 }
 
+// isCrowded reports whether nearly all connections are in use.
+func (g *Guard) isCrowded() bool {
+	return g.MaxConns > 0 && g.Open() >= g.MaxConns-g.MaxConns/crowdedShare
+}
+
 // Open returns the number of open connections.
 func (g *Guard) Open() int {
 	g.mu.Lock()
@@ -100,7 +108,7 @@
 	if total-leaving < g.MaxConns && total < limit {
 		return true
 	}
-	order := []standing{standingIdle, standingUnfinished, standingBody}
+	order := []standing{standingIdle, standingUnfinished, standingRefused, standingBody}
 	if unfinished > g.MaxConns/unfinishedShare {
 		order[0], order[1] = standingUnfinished, standingIdle
 	}
--- a/internal/web/guard/limit_test.go
+++ b/internal/web/guard/limit_test.go
@@ -191,6 +191,82 @@
 	}
 }
 
+// TestPipelinedConnectionsMakeRoom guards against connections with pipelined requests that hold their places
+// until all are served, and against the close of one without need.
+func TestPipelinedConnectionsMakeRoom(t *testing.T) {
+	const requests = 50
+	for name, others := range map[string]int{"few connections": 1, "many connections": 7} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startTracked(t, &Guard{MaxConns: 8})
+			for range others {
+				dialTracked(t, address, "")
+			}
+			// The requests do not fit into the buffer of the server.
+			request := "GET / HTTP/1.1\r\nHost: h\r\nPadding: " + strings.Repeat("x", 1000) + "\r\n\r\n"
+			pipelined := dialTracked(t, address, strings.Repeat(request, requests))
+			assert.NilError(t, pipelined.SetReadDeadline(time.Now().Add(time.Second)))
+			answers := 0
+			for {
+				response, err := http.ReadResponse(pipelined.reader, nil)
+				if err != nil {
+					break
+				}
+				_, err = io.Copy(io.Discard, response.Body)
+				assert.NilError(t, err)
+				answers++
+				if response.Close {
+					break
+				}
+			}
+			if others == 1 {
+				assert.Equal(t, answers, requests)
+			} else {
+				assert.Assert(t, answers < requests, "%d responses", answers)
+			}
+		})
+	}
+}
+
+// TestRefusedBodiesGiveWay guards against the rest of refused bodies that keeps new connections out.
+func TestRefusedBodiesGiveWay(t *testing.T) {
+	guard := &Guard{MaxConns: 4, Metrics: metric.New(), SetRetryAfter: platform.SetRetryAfter}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength > 0 {
+			CloseAfterResponse(w)
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			DiscardBody(w, r)
+			return
+		}
+		fmt.Fprint(w, "answer")
+	})}
+	guard.Protect(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(guard.Listener(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for range 4 {
+		dialTracked(t, listener.Addr().String(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+	}
+	assert.Equal(t, dialTracked(t, listener.Addr().String(), plainRequest).get(t), "answer")
+}
+
+// TestUnreadBodiesGiveWay guards against bodies that never end and that no handler reads. The server waits for
+// them before or after the response.
+func TestUnreadBodiesGiveWay(t *testing.T) {
+	guard := &Guard{MaxConns: 4, Stall: 50 * time.Millisecond, Metrics: metric.New(), SetRetryAfter: platform.SetRetryAfter}
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "answer") })}
+	guard.Protect(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(guard.Listener(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for range 4 {
+		dialTracked(t, listener.Addr().String(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+	}
+	time.Sleep(100 * time.Millisecond)
+	assert.Equal(t, dialTracked(t, listener.Addr().String(), plainRequest).get(t), "answer")
+}
+
 // countingListener counts the connections that are open.
 type countingListener struct {
 	net.Listener
--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -244,6 +244,19 @@
 	})
 }
 
+// checkListener checks that a listener on which callers send no requests still responds.
+func checkListener(t *testing.T, address, path string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	assert.NilError(t, err)
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Check(t, response.StatusCode < http.StatusInternalServerError, "status %d", response.StatusCode)
+}
+
 // client is the behaviour of one client of a group on its connection.
 type client func(index int, c net.Conn)
 
--- a/test/clients/entry_test.go
+++ b/test/clients/entry_test.go
@@ -436,6 +436,7 @@
 			h := startHost(t)
 			run(t, listener.address(h), crowd, allKinds(head(0, listener.path)))
 			h.check(t)
+			checkListener(t, listener.address(h), listener.path)
 		})
 	}
 }
--- a/test/clients/kinds_test.go
+++ b/test/clients/kinds_test.go
@@ -24,6 +24,12 @@
 		return flood(head+fmt.Sprintf("Content-Length: %d\r\n\r\n", int64(1)<<40), "x")
 	},
 	"head that stops short": headThatStopsShort,
+	"body one byte short": func(head string) client {
+		return func(_ int, c net.Conn) {
+			_, _ = io.WriteString(c, head+"Content-Length: 2\r\n\r\nx")
+			time.Sleep(time.Second)
+		}
+	},
 	"whole bodies over the limit": func(head string) client {
 		return func(_ int, c net.Conn) {
 			_, _ = fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, 2*maxBodyBytes, strings.Repeat("x", 2*maxBodyBytes))
--- a/test/clients/serve_test.go
+++ b/test/clients/serve_test.go
@@ -169,6 +169,7 @@
 			h := startServe(t)
 			run(t, listener.address(h), crowd, allKinds(serveHead(listener.path, workspace)))
 			h.check(t)
+			checkListener(t, listener.address(h), listener.path)
 		})
 	}
 }
