Bound the connections of the serve command to upstreams

A host took 256 to 331 descriptors of 256 while 600 clients sent requests without end, although its callers had at most 115 connections. Cause: 64 idle connections were kept to each upstream, however many upstreams there are.

The connections to all upstreams together are now bounded by two fifths of the descriptors, as many as callers may have. If there are too many, the idle ones are closed; if all are in use, the attempt fails as not sent, with the reason connections_full, which has no effect on the health of the upstream.

--- a/cmd/host.go
+++ b/cmd/host.go
@@ -120,6 +120,7 @@
 
 func newMonitor(h *host, table *upstream.Table) (*upstream.Monitor, error) {
 	monitor := &upstream.Monitor{Table: table, Sender: upstream.NewSender()}
+	monitor.Sender.SetMaxConns(int(connDescriptorRatio * h.settings.Host.DescriptorLimit))
 	if h.settings.HostList.Kind == "none" {
 		return monitor, nil
 	}
--- a/internal/service/upstream/pool.go
+++ b/internal/service/upstream/pool.go
@@ -33,6 +33,7 @@
 // its connections go silent, it is replaced as a whole.
 type generation struct {
 	transport *http.Transport
+	limit     *connLimit
 
 	mu       sync.Mutex
 	attempts map[*inFlight]struct{}
@@ -40,11 +41,12 @@
 }
 
 // addAttempt adds an attempt to the current generation, creating one if necessary.
-func (p *pool) addAttempt(r *inFlight) *generation {
+func (p *pool) addAttempt(r *inFlight, limit *connLimit) *generation {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.current == nil {
-		p.current = newGeneration(r.now)
+		p.current = newGeneration(r.now, limit)
+		limit.add(p.current.transport)
 	}
 	p.current.mu.Lock()
 	defer p.current.mu.Unlock()
@@ -59,6 +61,7 @@
 		p.current = nil
 	}
 	p.mu.Unlock()
+	g.limit.remove(g.transport)
 	g.retire(cause)
 }
 
@@ -71,11 +74,11 @@
 	}
 }
 
-func newGeneration(now func() time.Time) *generation {
-	g := &generation{attempts: map[*inFlight]struct{}{}, conns: map[*connection]struct{}{}}
+func newGeneration(now func() time.Time, limit *connLimit) *generation {
+	g := &generation{limit: limit, attempts: map[*inFlight]struct{}{}, conns: map[*connection]struct{}{}}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	g.transport = newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
-		raw, err := dialer.DialContext(ctx, network, address)
+		raw, err := limit.dial(ctx, dialer, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/service/upstream/probe.go
+++ b/internal/service/upstream/probe.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return probeResult{}
 	}
-	transport := singleUseTransport()
+	transport := singleUseTransport(&connLimit{})
 	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
--- a/internal/service/upstream/sender.go
+++ b/internal/service/upstream/sender.go
@@ -39,6 +39,8 @@
 	ReasonCanceled Reason = "canceled"
 	// ReasonReadFailed means that Attempt.Read returned an error although the body could be read.
 	ReasonReadFailed Reason = "reader"
+	// ReasonConnections means that the host has too many connections to upstreams.
+	ReasonConnections Reason = "connections_full"
 	// ReasonBuild means that Attempt.Build returned an error.
 	ReasonBuild Reason = "build"
 )
@@ -117,6 +119,7 @@
 	// Clock returns the current time; nil means time.Now.
 	Clock func() time.Time
 
+	conns      connLimit
 	mu         sync.Mutex
 	inFlight   map[*inFlight]struct{}
 	waitMeters map[api.GroupName]*waitMeters
@@ -125,6 +128,10 @@
 // NewSender returns a sender that uses the system clock.
 func NewSender() *Sender { return &Sender{} }
 
+// SetMaxConns bounds the connections to all upstreams together; 0 means no limit. It must be called before the
+// first attempt.
+func (s *Sender) SetMaxConns(limit int) { s.conns.max = int64(limit) }
+
 func (s *Sender) now() time.Time {
 	if s.Clock != nil {
 		return s.Clock()
@@ -228,10 +235,10 @@
 // acquireTransport returns the transport of an attempt and a function to release it.
 func (s *Sender) acquireTransport(r *inFlight, exclusive bool) (*http.Transport, func()) {
 	if exclusive {
-		transport := singleUseTransport()
+		transport := singleUseTransport(&s.conns)
 		return transport, transport.CloseIdleConnections
 	}
-	r.generation = r.instance.pool.addAttempt(r)
+	r.generation = r.instance.pool.addAttempt(r, &s.conns)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.inFlight == nil {
@@ -248,10 +255,10 @@
 
 // singleUseTransport returns a transport for one request on a new connection.
 // net/http does not repeat requests on a connection that was not used before.
-func singleUseTransport() *http.Transport {
+func singleUseTransport(limit *connLimit) *http.Transport {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
-		raw, err := dialer.DialContext(ctx, network, address)
+		raw, err := limit.dial(ctx, &dialer, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -345,6 +352,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errSilent):
 		reason = ReasonSilent
+	case errors.Is(err, errTooManyConns):
+		reason = ReasonConnections
 	case !written:
 		reason = ReasonDial
 	}
