Bound the evidence on prompts by the parts that clients choose

Callers saw a host that grew to 215 to 300 MB of 128 MB in 8 seconds while 32 clients sent prompts of 700 new parts each to an engine that breaks off its responses, and to 143 MB with new parts of 6 KB and whole responses. Cause: the evidence was bounded by the number of responses, and the known progress by the number of parts, but a client chooses how many parts a prompt has and how long their ids are. Each remembered id also kept the whole header of its request.

The parts of lost responses are now bounded at each host and at the collecting one. The oldest long prompts are dropped first, so that ordinary prompts keep their evidence. Losses older than the evidence keep no parts but the remembered one, and a part remembers 64 crashes at most.

--- a/internal/service/quarantine/collector.go
+++ b/internal/service/quarantine/collector.go
@@ -46,13 +46,17 @@
 	evaluateInterval = 100 * time.Millisecond
 	// maxSuspects bounds the parts on which hosts report progress.
 	maxSuspects = 128
-	// maxCollected bounds the losses of all hosts that are kept.
-	maxCollected = 512
+	// maxCollected bounds the losses of all hosts that are kept, and maxCollectedParts the parts of their
+	// prompts. Ordinary prompts have a few parts.
+	maxCollected      = 512
+	maxCollectedParts = 4096
 	// memoryTime is how long the crashes of a part count if no response with it is known to have passed
 	// the place of the crashes.
 	memoryTime = 10 * time.Minute
 	// maxRemembered bounds the parts, for each milestone, whose crashes are remembered longer than all losses.
 	maxRemembered = 16
+	// maxRememberedLosses bounds the crashes of such a part; many fewer are enough to quarantine it.
+	maxRememberedLosses = 64
 )
 
 // Collector finds the parts of prompts that crash engines in the evidence of all hosts. The zero
@@ -233,10 +237,13 @@
 
 // expire drops old evidence.
 func (c *Collector) expire(now time.Time) {
+	before := slices.Clone(c.losses)
 	c.losses = slices.DeleteFunc(c.losses, func(l *collected) bool { return now.Sub(l.lost) > evidenceTime })
 	if excess := len(c.losses) - maxCollected; excess > 0 {
 		c.losses = slices.Delete(c.losses, 0, excess)
 	}
+	c.losses = trimParts(c.losses, maxCollectedParts, func(l *collected) int { return len(l.parts) })
+	dropParts(before, c.losses)
 	parts := map[string]bool{}
 	for _, l := range c.losses {
 		for _, part := range l.parts {
@@ -364,7 +371,7 @@
 	for part, crashes := range c.remembered[m] {
 		for l := range crashes {
 			if now.Sub(l.lost) > evidenceTime {
-				add(l, part, slices.Index(l.parts, part))
+				add(l, part, crashes[l].position)
 			}
 		}
 	}
--- a/internal/service/quarantine/memory.go
+++ b/internal/service/quarantine/memory.go
@@ -27,6 +27,8 @@
 	before, after lossCount
 	// complete is set once after is known.
 	complete bool
+	// position is the position of the part in the prompt.
+	position int
 }
 
 // rate returns the rate of other losses around the crash, the higher one if it differs before and after.
@@ -58,8 +60,10 @@
 			switch {
 			case age < settleTime || age > evidenceTime:
 				continue
+			case !found && len(crashes) >= maxRememberedLosses:
+				continue
 			case !found:
-				known.before = c.countUnexplained(d)
+				known.before, known.position = c.countUnexplained(d), slices.Index(l.parts, d.part)
 			case age >= evidenceTime-afterMargin && !known.complete:
 				known.after, known.complete = c.countUnexplained(d), true
 			default:
@@ -109,3 +113,42 @@
 		delete(c.remembered[m], o.part)
 	}
 }
+
+// longPromptParts is the number of parts from which a prompt is long.
+const longPromptParts = 32
+
+// trimParts drops losses until their prompts together have at most limit parts: the oldest of those with a long
+// prompt, and then the oldest ones. The losses are in order of arrival.
+func trimParts[L any](losses []L, limit int, count func(L) int) []L {
+	total := 0
+	for _, l := range losses {
+		total += count(l)
+	}
+	if total <= limit {
+		return losses
+	}
+	for _, least := range []int{longPromptParts, 0} {
+		losses = slices.DeleteFunc(losses, func(l L) bool {
+			if total <= limit || count(l) < least {
+				return false
+			}
+			total -= count(l)
+			return true
+		})
+	}
+	return losses
+}
+
+// dropParts drops the parts of the losses that are not kept any more. Those that are remembered for one of their
+// parts need no others.
+func dropParts(before, kept []*collected) {
+	current := make(map[*collected]bool, len(kept))
+	for _, l := range kept {
+		current[l] = true
+	}
+	for _, l := range before {
+		if !current[l] {
+			l.parts = nil
+		}
+	}
+}
--- a/internal/service/quarantine/tracker.go
+++ b/internal/service/quarantine/tracker.go
@@ -7,6 +7,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,8 +20,9 @@
 	evidenceTime = 30 * time.Second
 	// recentTime is the time for which the losses of all parts are compared.
 	recentTime = 5 * time.Second
-	// maxLosses bounds the lost responses that a host keeps.
-	maxLosses = 64
+	// maxLosses bounds the lost responses that a host keeps, and maxLossParts the parts of their prompts.
+	maxLosses    = 64
+	maxLossParts = 2048
 	// maxParts bounds each generation of the parts with known progress. The time of the last
 	// progress is remembered for one to two generations.
 	maxParts = 4096
@@ -184,7 +186,8 @@
 			if t.recent == nil || len(t.recent) >= maxParts {
 				t.recent, t.older = make(map[string]*progress), t.recent
 			}
-			t.recent[part.ID] = known
+			// The id is a part of the whole header of its request.
+			t.recent[strings.Clone(part.ID)] = known
 		}
 		for m := first; m < end; m++ {
 			known[m] = now
@@ -197,9 +200,9 @@
 	if len(parts) == 0 {
 		return
 	}
-	ids := make([]string, len(parts))
-	for i, part := range parts {
-		ids[i] = part.ID
+	ids := make([]string, min(len(parts), maxLossParts))
+	for i := range ids {
+		ids[i] = strings.Clone(parts[i].ID)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -208,6 +211,7 @@
 	if len(t.losses) > maxLosses {
 		t.losses = t.losses[1:]
 	}
+	t.losses = trimParts(t.losses, maxLossParts, func(l loss) int { return len(l.parts) })
 }
 
 // passedMs returns the times since responses with a part passed each milestone, and whether any
