Bound the lines of the log and their queue in bytes

A lost response logged all parts of its prompt, and each line the ids that its caller chose, up to the size of a request head; 2,048 such lines waited while the log could not be written, 32 MB with heads of 16 KB. Cause: the queue was bounded by its lines, and a line by nothing.

A value of more than 1,024 bytes is cut, and the queue holds at most 512 bytes for each of its lines. TestLongValuesAreTruncated and TestQueueIsBoundedInBytes failed before: 20,047 bytes in a line (at most 1,224), and no line dropped of 100 with 5 KB each.

--- a/internal/helper/logging/logging.go
+++ b/internal/helper/logging/logging.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"unicode/utf8"
 
 	"github.com/phuslu/log"
 )
@@ -28,11 +29,26 @@
 	return &log.Logger{Level: log.PanicLevel, Writer: &log.IOWriter{Writer: io.Discard}}
 }
 
+// maxValueBytes is the largest length of a value. Callers choose some of them, such as ids.
+const maxValueBytes = 1024
+
+// truncate cuts a long value at the start of a character and marks the place.
+func truncate(value string) string {
+	if len(value) <= maxValueBytes {
+		return value
+	}
+	end := maxValueBytes
+	for end > maxValueBytes-utf8.UTFMax && !utf8.RuneStart(value[end]) {
+		end--
+	}
+	return value[:end] + "..."
+}
+
 func formatLine(out io.Writer, args *log.FormatterArgs) (int, error) {
 	line := make([]byte, 0, 256)
 	line = fmt.Appendf(line, "time=%s level=%s event=%s", args.Time, args.Level, quote(args.Message))
 	for _, pair := range args.KeyValues {
-		line = fmt.Appendf(line, " %s=%s", pair.Key, quote(pair.Value))
+		line = fmt.Appendf(line, " %s=%s", pair.Key, quote(truncate(pair.Value)))
 	}
 	line = append(line, '\n')
 	return out.Write(line)
--- a/internal/helper/logging/logging_test.go
+++ b/internal/helper/logging/logging_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"unicode/utf8"
 
 	"gotest.tools/v3/assert"
 )
@@ -24,3 +25,11 @@
 	New(&out, "warn", "").Info().Msg("quiet")
 	assert.Equal(t, out.String(), "")
 }
+
+// TestLongValuesAreTruncated guards against lines whose length a caller chooses.
+func TestLongValuesAreTruncated(t *testing.T) {
+	var out bytes.Buffer
+	New(&out, "info", "").Info().Str("request", strings.Repeat("é", 10_000)).Msg("x")
+	assert.Assert(t, out.Len() < maxValueBytes+200, "%d bytes", out.Len())
+	assert.Assert(t, utf8.Valid(out.Bytes()) && strings.HasSuffix(out.String(), "é...\n"), "%q", out.String()[out.Len()-20:])
+}
--- a/internal/helper/logging/queue.go
+++ b/internal/helper/logging/queue.go
@@ -6,10 +6,16 @@
 	"sync/atomic"
 )
 
+// queuedLineBytes is the mean length of the queued lines up to which a queue holds its number of lines.
+const queuedLineBytes = 512
+
 // Queue is a non-blocking writer. Lines are written to the underlying writer through a
 // bounded queue; lines are dropped and counted while the queue is full.
 type Queue struct {
-	lines    chan []byte
+	lines chan []byte
+	// bytes is the sum of the lengths of the queued lines, at most limit.
+	bytes    atomic.Int64
+	limit    int64
 	dropped  atomic.Int64
 	done     chan struct{}
 	mu       sync.RWMutex
@@ -17,9 +23,9 @@
 	writeErr error
 }
 
-// NewQueue returns a Queue that writes to out and holds at most size lines.
+// NewQueue returns a Queue that writes to out and holds at most size lines, and fewer if they are long.
 func NewQueue(out io.Writer, size int) *Queue {
-	q := &Queue{lines: make(chan []byte, size), done: make(chan struct{})}
+	q := &Queue{lines: make(chan []byte, size), limit: int64(size) * queuedLineBytes, done: make(chan struct{})}
 	go func() {
 		defer close(q.done)
 		for line := range q.lines {
@@ -27,6 +33,7 @@
 				q.dropped.Add(1)
 				q.writeErr = err
 			}
+			q.bytes.Add(-int64(len(line)))
 		}
 	}()
 	return q
@@ -40,11 +47,16 @@
 		q.dropped.Add(1)
 		return len(line), nil
 	}
-	select {
-	case q.lines <- append([]byte(nil), line...):
-	default:
-		q.dropped.Add(1)
+	size := int64(len(line))
+	if q.bytes.Add(size) <= q.limit {
+		select {
+		case q.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	q.bytes.Add(-size)
+	q.dropped.Add(1)
 	return len(line), nil
 }
 
--- a/internal/helper/logging/queue_test.go
+++ b/internal/helper/logging/queue_test.go
@@ -27,3 +27,19 @@
 	close(out)
 	assert.NilError(t, q.Close())
 }
+
+// TestQueueIsBoundedInBytes guards against long lines that use the memory of a host while the log can't be
+// written.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	out := make(blockedWriter)
+	q := NewQueue(out, 100)
+	line := make([]byte, 10*queuedLineBytes)
+	for range 100 {
+		_, err := q.Write(line)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, q.Dropped() >= 89, "dropped %d", q.Dropped())
+	close(out)
+	assert.NilError(t, q.Close())
+	assert.Equal(t, q.bytes.Load(), int64(0))
+}
