Account for messages of other hosts

Callers saw a host that grew to 717 MB of 128 MB while 600 clients sent messages of 1 MB to the peer address that did not end. Cause: messages of other hosts were decoded from the connection, without an account of what is held until they are complete.

They are now read as bodies of callers are, on behalf of an owner of their own. What one HTTP/2 connection may send ahead is bounded to 256 KiB.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -41,6 +41,8 @@
 	// response-time objective at another one.
 	peerDialTimeout = 300 * time.Millisecond
 	peerPingTimeout = stage.MaxSchedulerPause / 2
+	// peerReceiveBuffer bounds what is received and not read on a connection of another host.
+	peerReceiveBuffer = 256 << 10
 	// sweepInterval is the interval at which idle connections and unused state are removed.
 	sweepInterval = time.Second
 	// slowLogInterval is the least interval between two log lines on slow upstreams, whose number may
@@ -134,7 +136,7 @@
 		Lifted: func() []fleet.QuarantinedPart { return e.directory.View().LiftedQuarantines },
 		Log:    logger, Metrics: e.metrics,
 	}
-	e.peerHandler = &web.PeerHandler{Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
+	e.peerHandler = &web.PeerHandler{Memory: e.guards.memory, Scheduler: e.scheduler, Directory: e.directory, Outliers: e.outliers.Collector}
 	e.callerGuard = e.guards.addCaller()
 	e.callerGuard.Timeout = e.callerIdleTimeout
 	return e, nil
@@ -358,6 +360,7 @@
 
 func (e *entryHost) newPeerServer() *http.Server {
 	server := e.newServer(e.peerHandler.Routes())
+	server.HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerConnection: peerReceiveBuffer, MaxReceiveBufferPerStream: peerReceiveBuffer}
 	server.Protocols = &http.Protocols{}
 	server.Protocols.SetUnencryptedHTTP2(true)
 	server.Protocols.SetHTTP1(true)
--- a/internal/web/entry/peers.go
+++ b/internal/web/entry/peers.go
@@ -14,8 +14,10 @@
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/memory"
 	"redwingloft/internal/service/outlier"
 	"redwingloft/internal/service/stage"
+	"redwingloft/internal/web/guard"
 	"redwingloft/pkg/api"
 )
 
@@ -25,6 +27,11 @@
 const (
 	// maxMessageBytes limits the request body of a call of another host.
 	maxMessageBytes = 1 << 20
+	// messageCopies is the number of bytes that are held for each byte of a message: the message and what is
+	// decoded.
+	messageCopies = 2
+	// messageOwner is the owner of messages in the account.
+	messageOwner = "other hosts"
 )
 
 // PeerHandler holds the HTTP handlers of the calls of other hosts.
@@ -35,6 +42,8 @@
 	Directory *directory.Service
 	// Outliers collects the observations of upstreams from all hosts.
 	Outliers *outlier.Collector
+	// Memory accounts for the messages; nil means no limit.
+	Memory *memory.Account
 	// updates encodes the changes of the directory.
 	updates updateEncoder
 	// InProgress is the number of jobs of other hosts in progress.
@@ -51,20 +60,33 @@
 	return mux
 }
 
-func decodeBody(w http.ResponseWriter, r *http.Request, value any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessageBytes)).Decode(value); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
+// decodeBody decodes the message of another host. If it returns false, it has written an error. The message is
+// released when the function returned with it is called.
+func (p *PeerHandler) decodeBody(w http.ResponseWriter, r *http.Request, value any) (release func(), ok bool) {
+	body, holder, err := guard.ReadBody(w, r, guard.BodyLimits{Bytes: maxMessageBytes, Memory: p.Memory, Owner: messageOwner, Copies: messageCopies})
+	status := http.StatusBadRequest
+	if err == nil {
+		err = json.Unmarshal(body.Bytes(), value)
+	} else if !errors.Is(err, guard.ErrIncompleteBody) {
+		status = api.Kinds[fault.KindOf(err)].Status
+	}
+	if err != nil {
+		holder.Release()
+		http.Error(w, err.Error(), status)
+		guard.DiscardBody(w, r)
+		return nil, false
 	}
-	return true
+	return holder.Release, true
 }
 
 // handleJob runs a job of another host and writes its progress and outcome.
 func (p *PeerHandler) handleJob(w http.ResponseWriter, r *http.Request) {
 	var message stage.Message
-	if !decodeBody(w, r, &message) {
+	release, ok := p.decodeBody(w, r, &message)
+	if !ok {
 		return
 	}
+	defer release()
 	p.InProgress.Add(1)
 	defer p.InProgress.Add(-1)
 	encoder := json.NewEncoder(w)
@@ -93,15 +115,18 @@
 
 func (p *PeerHandler) handleRelease(w http.ResponseWriter, r *http.Request) {
 	var message stage.ReleaseMessage
-	if !decodeBody(w, r, &message) {
+	release, ok := p.decodeBody(w, r, &message)
+	if !ok {
 		return
 	}
+	defer release()
 	p.Scheduler(message.Group).Release(message.Results)
 }
 
 func (p *PeerHandler) handleOutliers(w http.ResponseWriter, r *http.Request) {
 	var message outlier.Message
-	if decodeBody(w, r, &message) {
+	if release, ok := p.decodeBody(w, r, &message); ok {
+		defer release()
 		writeJSON(w, http.StatusOK, p.Outliers.Exchange(&message, clock.Now()))
 	}
 }
--- a/internal/web/guard/body.go
+++ b/internal/web/guard/body.go
@@ -41,7 +41,7 @@
 		return nil, nil, nil
 	}
 	if r.ContentLength > limits.Bytes {
-		CloseAfterResponse(w)
+		closeUnread(w, r)
 		return nil, nil, tooLarge(limits)
 	}
 	account, copies := limits.Memory, limits.copies()
@@ -49,7 +49,7 @@
 		account = &memory.Account{}
 	}
 	if !account.CanFit(limits.Owner, r.ContentLength*copies) {
-		CloseAfterResponse(w)
+		closeUnread(w, r)
 		return nil, nil, memoryFull(account, memory.ErrFull, r.ContentLength*copies)
 	}
 	control := http.NewResponseController(w)
@@ -71,7 +71,7 @@
 	}
 	conn.EndBody()
 	if err != nil {
-		return nil, holder, bodyError(w, err, limits, account, reserved)
+		return nil, holder, bodyError(w, r, err, limits, account, reserved)
 	}
 	if limits.Timeout > 0 {
 		if err := control.SetReadDeadline(time.Time{}); err != nil {
@@ -90,7 +90,7 @@
 }
 
 // bodyError returns the error for a body that was not read. The request has not been sent anywhere.
-func bodyError(w http.ResponseWriter, err error, limits BodyLimits, account *memory.Account, reserved int64) error {
+func bodyError(w http.ResponseWriter, r *http.Request, err error, limits BodyLimits, account *memory.Account, reserved int64) error {
 	switch {
 	case errors.Is(err, fleet.ErrBodyTooLarge):
 		err = tooLarge(limits)
@@ -101,10 +101,17 @@
 	default:
 		return errors.Join(ErrIncompleteBody, err)
 	}
-	CloseAfterResponse(w)
+	closeUnread(w, r)
 	return err
 }
 
+// closeUnread makes the server close the connection after the response, unless it carries other requests.
+func closeUnread(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor == 1 {
+		CloseAfterResponse(w)
+	}
+}
+
 func tooLarge(limits BodyLimits) error {
 	return fault.New(api.KindTooLarge, "the body has more than %d bytes", limits.Bytes)
 }
@@ -133,7 +140,7 @@
 // DiscardBody reads what is left of the body of a refused request, within bounds, after the response.
 func DiscardBody(w http.ResponseWriter, r *http.Request) {
 	control := http.NewResponseController(w)
-	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+	if r.ProtoMajor != 1 || control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
 		return
 	}
 	ConnOf(r).beginDiscard()
