Bound the names of failed sign-ins

The console counted failed sign-ins under the name that was sent, of up to 16 KB, for 10,000 names. Cause: the table is bounded by the number of its keys, and a client chooses their length. Names that no operator can have now share one key for each address. TestLongNamesAreNotRemembered failed before with 1,002,270 bytes for 100 names.

--- a/internal/web/console/console_test.go
+++ b/internal/web/console/console_test.go
@@ -661,3 +661,19 @@
 		editor.submit("/serving", values, "review", http.StatusOK)
 	}
 }
+
+// TestLongNamesAreNotRemembered guards against failed sign-ins whose names use the memory of a host.
+func TestLongNamesAreNotRemembered(t *testing.T) {
+	var limiter signInLimiter
+	now := time.Unix(1_700_000_000, 0)
+	for i := range 100 {
+		limiter.countFailure(now, fmt.Sprint(i, strings.Repeat("x", 10_000)), fmt.Sprint("192.0.2.", i))
+	}
+	total := 0
+	for key := range limiter.counts {
+		total += len(key)
+	}
+	assert.Assert(t, total < 100*100, "%d bytes", total)
+	limiter.uncountFailure(strings.Repeat("x", 10_000), "192.0.2.1")
+	assert.Equal(t, limiter.counts["192.0.2.1"].count, 0)
+}
--- a/internal/web/console/session.go
+++ b/internal/web/console/session.go
@@ -33,6 +33,8 @@
 	failureWindow      = 15 * time.Minute
 	// maxTrackedKeys limits the memory of the limiter.
 	maxTrackedKeys = 10_000
+	// maxNameLength is the largest length in bytes of the name of an operator.
+	maxNameLength = 63
 	// maxConcurrentHashes limits concurrent bcrypt comparisons; one takes about 60 ms of CPU time.
 	maxConcurrentHashes = 2
 )
@@ -79,7 +81,7 @@
 	if l.counts == nil || len(l.counts) > maxTrackedKeys {
 		l.counts = l.unexpired(now)
 	}
-	byName, byAddress := address+" "+name, address
+	byName, byAddress := failureKey(address, name), address
 	if l.get(byName, now).count >= failuresPerName || l.get(byAddress, now).count >= failuresPerAddress {
 		return false
 	}
@@ -91,6 +93,15 @@
 	return true
 }
 
+// failureKey returns the key of the failures for an operator from an address. Names that no operator can have
+// share one key.
+func failureKey(address, name string) string {
+	if len(name) > maxNameLength {
+		name = ""
+	}
+	return address + " " + name
+}
+
 func (l *signInLimiter) get(key string, now time.Time) failureCount {
 	failures := l.counts[key]
 	if now.After(failures.expires) {
@@ -118,7 +129,7 @@
 func (l *signInLimiter) uncountFailure(name, address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, key := range []string{address + " " + name, address} {
+	for _, key := range []string{failureKey(address, name), address} {
 		if failures, exists := l.counts[key]; exists && failures.count > 0 {
 			failures.count--
 			l.counts[key] = failures
