Close stalled heads before idle connections

With 2 connections without a request among 16, new ones displaced idle connections of callers and of other hosts, the oldest first. Cause: only the number of connections without a complete head decided on the order, so that a few silent ones stayed for the header timeout of 10 s.

TestStalledHeadsGiveWayFirst failed before.

--- a/internal/web/guard/limit.go
+++ b/internal/web/guard/limit.go
@@ -13,7 +13,7 @@
 
 const (
 	// unfinishedShare is the part of all connections, 1/unfinishedShare, that may wait for a request
-	// head before idle connections give way to them. Ordinary callers send it at once.
+	// head while idle connections give way to new ones. Ordinary callers send it at once.
 	unfinishedShare = 4
 	// refusedShare is the part of all connections, 1/refusedShare, that may wait for the caller to read
 	// a refusal. Further ones are closed without a response.
@@ -125,14 +125,16 @@
 // is refused before it is closed still has its descriptor. If mustClose is set, there is room only once a
 // connection is closed. The caller holds mu.
 func (g *Guard) makeRoom(mustClose bool) bool {
-	oldest, leaving, unfinished := g.candidates(time.Now())
+	now := time.Now()
+	oldest, leaving, unfinished := g.candidates(now)
 	total := len(g.open) + g.refused
 	limit := g.MaxConns + LeavingConns(g.MaxConns)
 	if !mustClose && total-leaving < g.MaxConns && total < limit {
 		return true
 	}
 	order := []standing{standingIdle, standingUnfinished, standingRefused, standingBody}
-	if unfinished > g.MaxConns/unfinishedShare {
+	stalled := g.Stall > 0 && unfinished > 0 && now.Sub(oldest[standingUnfinished].since) >= g.Stall
+	if stalled || unfinished > g.MaxConns/unfinishedShare {
 		order[0], order[1] = standingUnfinished, standingIdle
 	}
 	for _, as := range order {
--- a/internal/web/guard/limit_test.go
+++ b/internal/web/guard/limit_test.go
@@ -118,6 +118,30 @@
 	}
 }
 
+// TestStalledHeadsGiveWayFirst guards against connections without a request that displace those on which
+// callers have sent some.
+func TestStalledHeadsGiveWayFirst(t *testing.T) {
+	address, _ := startTracked(t, &Guard{MaxConns: 16, Stall: 50 * time.Millisecond})
+	var idle []*keptConnection
+	for range 14 {
+		c := dialTracked(t, address, plainRequest)
+		assert.Equal(t, c.get(t), "answer")
+		idle = append(idle, c)
+	}
+	silent := []*keptConnection{dialTracked(t, address, ""), dialTracked(t, address, plainRequest[:20])}
+	time.Sleep(100 * time.Millisecond)
+	for range 2 {
+		c := dialTracked(t, address, plainRequest)
+		assert.Equal(t, c.get(t), "answer")
+	}
+	for _, c := range silent {
+		assert.Assert(t, c.isClosed(t))
+	}
+	for _, c := range idle {
+		assert.Assert(t, !c.isClosed(t))
+	}
+}
+
 // TestBusyConnectionsAreKept guards against a request that is lost because there are too many
 // connections, and against a refusal without a time to retry.
 func TestBusyConnectionsAreKept(t *testing.T) {
