Bound what the serve command receives from upstreams and does not read

Suspected from the code, not shown with a crowd: while a caller does not read a stream, its upstream is not read, and the kernel held up to some megabytes for each connection, beyond all accounts. Entry hosts bound these buffers. TestReceivedBytesAreBounded failed before: 128 KiB that grow (a fixed 256 KiB now).

--- a/internal/helper/dial/dial.go
+++ b/internal/helper/dial/dial.go
@@ -46,6 +46,12 @@
 	return dialer.DialContext
 }
 
+// BoundReceived is the Control function of a dialer whose connections hold a bounded number of received bytes, as
+// those of NewBounded, and keep its other timeouts.
+func BoundReceived(network, address string, raw syscall.RawConn) error {
+	return setOptions(upstreamReceiveBuffer)(network, address, raw)
+}
+
 // Listen opens a TCP listener whose connections use the same timeouts and hold a bounded number of bytes that
 // are received. At most backlog connections wait to be accepted; 0 leaves the number to the kernel.
 func Listen(ctx context.Context, address string, backlog int) (net.Listener, error) {
@@ -54,7 +60,7 @@
 
 // NewBounded returns a Func like New, whose connections hold a bounded number of received bytes.
 func NewBounded(timeout time.Duration) Func {
-	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, option{unix.SOL_SOCKET, unix.SO_RCVBUF, upstreamBuffer})}
+	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, upstreamReceiveBuffer)}
 	return dialer.DialContext
 }
 
@@ -90,6 +96,8 @@
 	userTimeout   = option{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds())}
 	receiveBuffer = option{unix.SOL_SOCKET, unix.SO_RCVBUF, callerBuffer}
 	sendBuffer    = option{unix.SOL_SOCKET, unix.SO_SNDBUF, callerBuffer}
+
+	upstreamReceiveBuffer = option{unix.SOL_SOCKET, unix.SO_RCVBUF, upstreamBuffer}
 )
 
 // setOptions returns a function that sets options before a socket is connected or listens.
--- a/internal/service/upstream/limit_test.go
+++ b/internal/service/upstream/limit_test.go
@@ -5,9 +5,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 )
 
@@ -68,3 +70,20 @@
 	}
 	assert.NilError(t, upstreams[limit].send(context.Background(), Attempt{Exclusive: true}))
 }
+
+// TestReceivedBytesAreBounded guards against responses that are not read, because their callers don't read, and
+// that pile up in the kernel.
+func TestReceivedBytesAreBounded(t *testing.T) {
+	f := newFakeUpstream(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	assert.NilError(t, f.send(context.Background(), Attempt{}))
+	for c := range f.instance.pool.current.conns {
+		raw, err := c.Conn.(syscall.Conn).SyscallConn()
+		assert.NilError(t, err)
+		var size int
+		var optionErr error
+		assert.NilError(t, raw.Control(func(fd uintptr) { size, optionErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) }))
+		assert.NilError(t, optionErr)
+		// The kernel doubles the size that is set. Without a limit it starts with 128 KiB and grows to some megabytes.
+		assert.Equal(t, size, 256<<10)
+	}
+}
--- a/internal/service/upstream/pool.go
+++ b/internal/service/upstream/pool.go
@@ -76,7 +76,7 @@
 
 func newGeneration(now func() time.Time, limit *connLimit) *generation {
 	g := &generation{limit: limit, attempts: map[*inFlight]struct{}{}, conns: map[*connection]struct{}{}}
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: dial.BoundReceived}
 	g.transport = newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := limit.dial(ctx, dialer, network, address)
 		if err != nil {
--- a/internal/service/upstream/sender.go
+++ b/internal/service/upstream/sender.go
@@ -256,7 +256,7 @@
 // singleUseTransport returns a transport for one request on a new connection.
 // net/http does not repeat requests on a connection that was not used before.
 func singleUseTransport(limit *connLimit) *http.Transport {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: dial.BoundReceived}
 	return newTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
 		raw, err := limit.dial(ctx, &dialer, network, address)
 		if err != nil {
