Close stalled bodies at once when too many are being refused

Traced: 600 clients with bodies that are one byte short held all places; each new connection made one of them refuse its body, which then stayed for up to 1.5 s while the rest of the body was awaited. Cause: a connection whose body was interrupted counted as leaving even then, and could not be closed, so that 13 places turned over in that time and further callers were refused.

While the rest of a refused body is awaited, the connection may be closed, and once an eighth of the limit is open besides, a stalled body gives way without a refusal. TestStalledBodiesGiveWayToMany failed before.

--- a/internal/web/guard/conn.go
+++ b/internal/web/guard/conn.go
@@ -331,10 +331,10 @@
 	switch {
 	case c.expired || c.evicted:
 		return standingLeaving, time.Time{}
-	case c.serving && c.interrupted:
-		return standingLeaving, time.Time{}
 	case c.serving && !c.discardSince.IsZero() && !c.multiplexed:
 		return standingRefused, c.discardSince
+	case c.serving && c.interrupted:
+		return standingLeaving, time.Time{}
 	case c.serving && (c.readingBody || c.bodyOpen):
 		return standingBody, c.lastRead
 	case c.serving:
@@ -349,25 +349,28 @@
 }
 
 // giveWay makes a connection leave if it still has a standing. It reports whether the connection leaves, and
-// whether it is closed already.
-func (c *Conn) giveWay(as standing, since time.Time) (leaves, closed bool) {
+// whether it is closed already. A stalled body gets its refusal first, unless mustClose is set.
+func (c *Conn) giveWay(as standing, since time.Time, mustClose bool) (leaves, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.expired || c.evicted:
 		return false, false
+	case as == standingBody && c.serving && (c.readingBody || c.bodyOpen) && c.lastRead.Equal(since):
+		if !mustClose {
+			// The read fails, and its request is refused.
+			c.interrupted = true
+			_ = c.Conn.SetReadDeadline(pastDeadline)
+			return true, false
+		}
 	case as == standingIdle && !c.serving && c.idleSince.Equal(since),
 		as == standingUnfinished && !c.serving && c.idleSince.IsZero(),
 		as == standingRefused && c.serving && c.discardSince.Equal(since):
-		c.evicted, c.closed = true, true
-		// Close returns once the descriptor is free.
-		_ = c.Conn.Close()
-		return true, true
-	case as == standingBody && c.serving && (c.readingBody || c.bodyOpen) && c.lastRead.Equal(since):
-		// The read fails, and its request is refused.
-		c.interrupted = true
-		_ = c.Conn.SetReadDeadline(pastDeadline)
-		return true, false
+	default:
+		return false, false
 	}
-	return false, false
+	c.evicted, c.closed = true, true
+	// Close returns once the descriptor is free.
+	_ = c.Conn.Close()
+	return true, true
 }
--- a/internal/web/guard/limit.go
+++ b/internal/web/guard/limit.go
@@ -122,14 +122,15 @@
 }
 
 // makeRoom makes a connection give way. It reports whether there is room for another one: a connection that
-// is refused before it is closed still has its descriptor. If mustClose is set, there is room only once a
-// connection is closed. The caller holds mu.
+// is refused before it is closed still has its descriptor. If mustClose is set, or too many are about to be
+// closed, there is room only once a connection is closed. The caller holds mu.
 func (g *Guard) makeRoom(mustClose bool) bool {
 	now := time.Now()
 	oldest, leaving, unfinished := g.candidates(now)
 	total := len(g.open) + g.refused
 	limit := g.MaxConns + LeavingConns(g.MaxConns)
-	if !mustClose && total-leaving < g.MaxConns && total < limit {
+	mustClose = mustClose || total >= limit
+	if !mustClose && total-leaving < g.MaxConns {
 		return true
 	}
 	order := []standing{standingIdle, standingUnfinished, standingRefused, standingBody}
@@ -142,7 +143,7 @@
 		if !ok {
 			continue
 		}
-		leaves, closed := found.conn.giveWay(as, found.since)
+		leaves, closed := found.conn.giveWay(as, found.since, mustClose)
 		if !leaves {
 			continue
 		}
@@ -151,7 +152,7 @@
 		}
 		g.Metrics.Counter("clients.closed_" + string(as)).Inc(1)
 		g.Refusals.Report(g.Name, found.conn.RemoteAddr().String(), "connection_"+string(as), nil)
-		return closed || !mustClose && total < limit
+		return true
 	}
 	return false
 }
--- a/internal/web/guard/limit_test.go
+++ b/internal/web/guard/limit_test.go
@@ -274,6 +274,39 @@
 	assert.Equal(t, dialTracked(t, listener.Addr().String(), plainRequest).get(t), "answer")
 }
 
+// TestStalledBodiesGiveWayToMany guards against stalled bodies that keep new connections out after they were refused,
+// while the rest of them is awaited.
+func TestStalledBodiesGiveWayToMany(t *testing.T) {
+	guard := &Guard{MaxConns: 16, Stall: 50 * time.Millisecond, Metrics: metric.New(), SetRetryAfter: platform.SetRetryAfter}
+	release := make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, _, err := ReadBody(w, r, BodyLimits{Bytes: 1 << 10}); err != nil {
+			w.WriteHeader(http.StatusRequestTimeout)
+			DiscardBody(w, r)
+			return
+		}
+		<-release
+		fmt.Fprint(w, "answer")
+	})}
+	guard.Protect(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(guard.Listener(listener)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for range 16 {
+		dialTracked(t, listener.Addr().String(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+	}
+	time.Sleep(100 * time.Millisecond)
+	var list []*keptConnection
+	for range 12 {
+		list = append(list, dialTracked(t, listener.Addr().String(), plainRequest))
+	}
+	close(release)
+	for _, c := range list {
+		assert.Equal(t, c.get(t), "answer")
+	}
+}
+
 // TestUnreadBodiesGiveWay guards against bodies that never end and that no handler reads. The server waits for
 // them before or after the response.
 func TestUnreadBodiesGiveWay(t *testing.T) {
