Let no response wait for a long body that no handler reads

A caller that announced 10 MB and sent none of it got no 404: the response came only after 256 KB of the body, or when its connection gave way. Cause: the guard replaced the body in the request that the server keeps, and the server decides by the type of that body whether it reads the rest or closes the connection.

Handlers get a copy of the request with the guarded body. The server finds its own, also that of a request with Expect: 100-continue, so that the separate marks around the reading of a body are not needed any more.

TestLongUnreadBodyDelaysNoResponse failed before (no response within 5 s). TestCompleteBodiesAreKept passed before and after.

--- a/internal/web/guard/body.go
+++ b/internal/web/guard/body.go
@@ -58,8 +58,6 @@
 			return nil, nil, fault.Wrap(api.KindInternal, err, "set the read timeout of the body")
 		}
 	}
-	conn := ConnOf(r)
-	conn.BeginBody()
 	holder := account.Open(limits.Owner, time.Now(), func() { Interrupt(control) })
 	reserved := int64(0)
 	body, err := fleet.ReadBody(r.Body, r.ContentLength, limits.Bytes, func(size int64) error {
@@ -69,7 +67,6 @@
 	if lost := holder.Complete(); lost != nil {
 		err = lost
 	}
-	conn.EndBody()
 	if err != nil {
 		return nil, holder, bodyError(w, r, err, limits, account, reserved)
 	}
--- a/internal/web/guard/conn.go
+++ b/internal/web/guard/conn.go
@@ -54,9 +54,8 @@
 	pipelined bool
 	// discardSince is since when the rest of a refused body is discarded; zero otherwise.
 	discardSince time.Time
-	// readingBody is set while a request body is read, bodyOpen until its end was read. lastRead is when bytes
-	// of it were read, interrupted is set once its reading was ended to make room.
-	readingBody bool
+	// bodyOpen is set until the end of a request body was read. lastRead is when bytes of it were read,
+	// interrupted is set once its reading was ended to make room.
 	bodyOpen    bool
 	interrupted bool
 	lastRead    time.Time
@@ -116,7 +115,7 @@
 	}
 	if c.serving {
 		// While a request is served, the server reads a single byte, to notice that the caller leaves.
-		if !c.readingBody && !c.bodyOpen && !c.multiplexed && (buffer == 1 || c.encrypted) {
+		if !c.bodyOpen && !c.multiplexed && (buffer == 1 || c.encrypted) {
 			c.pipelined = true
 		}
 		c.mu.Unlock()
@@ -245,12 +244,6 @@
 	return c.betweenRequests
 }
 
-// BeginBody is called before a request body is read. The connection may be nil.
-func (c *Conn) BeginBody() { c.setReadingBody(true) }
-
-// EndBody is called after a request body was read. The connection may be nil.
-func (c *Conn) EndBody() { c.setReadingBody(false) }
-
 // guardedBody is a request body. Its connection can give way until its end was read, also while the server
 // reads what a handler has left.
 type guardedBody struct {
@@ -258,18 +251,18 @@
 	conn *Conn
 }
 
-// guardBody makes the connection of a request that has a body able to give way until the body is complete.
-func (c *Conn) guardBody(r *http.Request) {
-	// The server sends 100 Continue when the body is read, unless it finds a body of another type than its own.
-	if r.ContentLength == 0 || r.Header.Get("Expect") != "" {
-		return
-	}
+// guardBody returns a request whose connection can give way until its body is complete. It is a copy if there is
+// a body: the server has to find its own in the request that it passes, to know what a handler has left.
+func (c *Conn) guardBody(r *http.Request) *http.Request {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.multiplexed {
-		c.bodyOpen, c.lastRead = true, time.Now()
-		r.Body = &guardedBody{r.Body, c}
+	if r.ContentLength == 0 || c.multiplexed {
+		return r
 	}
+	c.bodyOpen, c.lastRead = true, time.Now()
+	guarded := *r
+	guarded.Body = &guardedBody{r.Body, c}
+	return &guarded
 }
 
 // Read implements io.Reader.
@@ -283,15 +276,6 @@
 	return n, err
 }
 
-func (c *Conn) setReadingBody(reading bool) {
-	if c == nil {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.readingBody, c.lastRead = reading && !c.multiplexed, time.Now()
-}
-
 // expire ends the reading of an idle connection that due selects, upon which the server closes it.
 // It reports whether it did.
 func (c *Conn) expire(due func(idleSince time.Time, timeout time.Duration) bool) bool {
@@ -335,7 +319,7 @@
 		return standingRefused, c.discardSince
 	case c.serving && c.interrupted:
 		return standingLeaving, time.Time{}
-	case c.serving && (c.readingBody || c.bodyOpen):
+	case c.serving && c.bodyOpen:
 		return standingBody, c.lastRead
 	case c.serving:
 		return standingBusy, time.Time{}
@@ -356,7 +340,7 @@
 	switch {
 	case c.expired || c.evicted:
 		return false, false
-	case as == standingBody && c.serving && (c.readingBody || c.bodyOpen) && c.lastRead.Equal(since):
+	case as == standingBody && c.serving && c.bodyOpen && c.lastRead.Equal(since):
 		if !mustClose {
 			// The read fails, and its request is refused.
 			c.interrupted = true
--- a/internal/web/guard/guard.go
+++ b/internal/web/guard/guard.go
@@ -18,8 +18,8 @@
 const Caller = "caller"
 
 // Guard bounds the connections of a listener and closes those that exceed the idle timeout, which may
-// change while connections are open. It closes none on which a request is being served. Set the exported
-// fields before use.
+// change while connections are open. It closes none on which a complete request is being
+// served. Set the exported fields before use.
 type Guard struct {
 	// Name is the name of the listener in logs.
 	Name string
@@ -32,7 +32,8 @@
 	// connections that this one may have nevertheless.
 	Total      *Total
 	Guaranteed int
-	// Stall is how long a body may not arrive until its connection is closed if there are too many.
+	// Stall is how long bytes of a head or body may not arrive until their connection is closed if there are
+	// too many.
 	Stall time.Duration
 	// Memory accounts for long request heads; it may be nil.
 	Memory *memory.Account
@@ -67,7 +68,7 @@
 				g.Metrics.Counter("clients.closed_pipelined").Inc(1)
 				CloseAfterResponse(w)
 			}
-			c.guardBody(r)
+			r = c.guardBody(r)
 		}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/web/guard/limit_test.go
+++ b/internal/web/guard/limit_test.go
@@ -29,11 +29,7 @@
 	server := &http.Server{
 		ReadHeaderTimeout: 10 * time.Second,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			conn := ConnOf(r)
-			conn.BeginBody()
-			_, err := io.Copy(io.Discard, r.Body)
-			conn.EndBody()
-			if err != nil {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
 				w.WriteHeader(http.StatusRequestTimeout)
 				return
 			}
@@ -371,3 +367,70 @@
 	c.once.Do(func() { c.count(-1) })
 	return err
 }
+
+// TestLongUnreadBodyDelaysNoResponse guards against a response that waits for a body that no handler reads.
+func TestLongUnreadBodyDelaysNoResponse(t *testing.T) {
+	for name, framing := range map[string]string{
+		"announced":     "Content-Length: 10000000\r\n\r\n",
+		"with continue": "Content-Length: 10000000\r\nExpect: 100-continue\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard := &Guard{MaxConns: 4, Stall: time.Hour, Metrics: metric.New(), SetRetryAfter: platform.SetRetryAfter}
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })}
+			guard.Protect(server)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			go func() { _ = server.Serve(guard.Listener(listener)) }()
+			t.Cleanup(func() { _ = server.Close() })
+			c := dialTracked(t, listener.Addr().String(), "POST / HTTP/1.1\r\nHost: h\r\n"+framing)
+			assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+			response, err := http.ReadResponse(c.reader, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusNotFound)
+		})
+	}
+}
+
+// TestCompleteBodiesAreKept guards against a request that is lost because its body counts as one that stalls after
+// it has arrived.
+func TestCompleteBodiesAreKept(t *testing.T) {
+	for name, framing := range map[string]string{
+		"length":   "Content-Length: 4\r\n\r\nbody",
+		"chunked":  "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"continue": "Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard := &Guard{MaxConns: 4, Stall: time.Millisecond, Metrics: metric.New(), SetRetryAfter: platform.SetRetryAfter}
+			release := make(chan struct{})
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if body, _, err := ReadBody(w, r, BodyLimits{Bytes: 1 << 10}); err != nil || string(body.Bytes()) != "body" {
+					w.WriteHeader(http.StatusBadRequest)
+					return
+				}
+				<-release
+				fmt.Fprint(w, "answer")
+			})}
+			guard.Protect(server)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			go func() { _ = server.Serve(guard.Listener(listener)) }()
+			t.Cleanup(func() { _ = server.Close() })
+			var list []*keptConnection
+			for range 4 {
+				list = append(list, dialTracked(t, listener.Addr().String(), "POST / HTTP/1.1\r\nHost: h\r\n"+framing))
+			}
+			for range 4 {
+				dialTracked(t, listener.Addr().String(), plainRequest)
+			}
+			close(release)
+			for _, c := range list {
+				response, err := http.ReadResponse(c.reader, nil)
+				for err == nil && response.StatusCode == http.StatusContinue {
+					response, err = http.ReadResponse(c.reader, nil)
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, response.StatusCode, http.StatusOK)
+			}
+		})
+	}
+}
