Bound the evidence on prompts also between evaluations

Reports of many hosts were only trimmed when the evidence was evaluated, at most once in 100 ms: 100 reports of 700 parts left 70,002 parts. Found by reading. Cause: the bound stood at the place that drops old evidence, not at the one that adds to it.

The collector now trims after each report, and drops the other parts of a loss when it expires. TestReportsAreBoundedBetweenEvaluations failed before; TestPartsAreBounded no longer allows for the latest reports.

--- a/internal/service/quarantine/bound_test.go
+++ b/internal/service/quarantine/bound_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"redwingloft/internal/data/fleet"
+	"redwingloft/pkg/api"
 )
 
 // newParts returns parts that no other prompt has.
@@ -46,10 +47,8 @@
 			remembered = max(remembered, len(collector.remembered[m]))
 			suspected = max(suspected, len(collector.suspectedAt[m]))
 		}
-		// Evidence is dropped when the next report is evaluated.
-		const latest = 3 * maxLossParts
-		assert.Assert(t, collected <= maxCollectedParts+latest, "%d parts", collected)
-		assert.Assert(t, remembered <= maxCollectedParts+latest && suspected <= maxCollectedParts+latest, "%d and %d parts", remembered, suspected)
+		assert.Assert(t, collected <= maxCollectedParts, "%d parts", collected)
+		assert.Assert(t, remembered <= maxCollectedParts && suspected <= maxCollectedParts, "%d and %d parts", remembered, suspected)
 	}
 }
 
@@ -79,3 +78,24 @@
 	assert.Assert(t, tracker.Find([]fleet.PromptPart{other}, now) == nil)
 	assert.Assert(t, tracker.Find([]fleet.PromptPart{other, long}, now) != nil)
 }
+
+// TestReportsAreBoundedBetweenEvaluations guards against reports of many hosts that pile up until the evidence is
+// evaluated.
+func TestReportsAreBoundedBetweenEvaluations(t *testing.T) {
+	collector := &Collector{}
+	now := time.Unix(1_700_000_000, 0)
+	collector.Exchange(&Report{Host: "first", Losses: []Loss{{Number: 1, Parts: []string{"a", "b"}}}}, now)
+	for i := range 100 {
+		parts := make([]string, 700)
+		for j := range parts {
+			parts[j] = fmt.Sprint(i, "-", j)
+		}
+		collector.Exchange(&Report{Host: api.HostID(fmt.Sprint("host-", i)), Losses: []Loss{{Number: 1, Parts: parts}}}, now)
+	}
+	kept := 0
+	for _, l := range collector.losses {
+		kept += len(l.parts)
+	}
+	assert.Assert(t, kept <= maxCollectedParts, "%d parts", kept)
+	assert.DeepEqual(t, collector.losses[0].parts, []string{"a", "b"})
+}
--- a/internal/service/quarantine/collector.go
+++ b/internal/service/quarantine/collector.go
@@ -182,6 +182,7 @@
 			l.Number, l.Upstream, now.Add(-milliseconds(l.SentMs)), now.Add(-milliseconds(l.LostMs)), l.Events, l.Retried, l.Parts,
 		}})
 	}
+	c.trim()
 	for part, ages := range report.PassedMs {
 		known := c.progress[part]
 		if known == nil {
@@ -237,13 +238,15 @@
 
 // expire drops old evidence.
 func (c *Collector) expire(now time.Time) {
-	before := slices.Clone(c.losses)
-	c.losses = slices.DeleteFunc(c.losses, func(l *collected) bool { return now.Sub(l.lost) > evidenceTime })
-	if excess := len(c.losses) - maxCollected; excess > 0 {
-		c.losses = slices.Delete(c.losses, 0, excess)
-	}
-	c.losses = trimParts(c.losses, maxCollectedParts, func(l *collected) int { return len(l.parts) })
-	dropParts(before, c.losses)
+	c.losses = slices.DeleteFunc(c.losses, func(l *collected) bool {
+		expired := now.Sub(l.lost) > evidenceTime
+		if expired {
+			// The loss may be remembered for one of its parts, which needs no others.
+			l.parts = nil
+		}
+		return expired
+	})
+	c.trim()
 	parts := map[string]bool{}
 	for _, l := range c.losses {
 		for _, part := range l.parts {
@@ -259,6 +262,14 @@
 	maps.DeleteFunc(c.passed, func(_ api.HostID, count passedCount) bool { return now.Sub(count.at) > evidenceTime })
 }
 
+// trim drops losses that are too many or have too many parts.
+func (c *Collector) trim() {
+	if excess := len(c.losses) - maxCollected; excess > 0 {
+		c.losses = slices.Delete(c.losses, 0, excess)
+	}
+	c.losses = trimParts(c.losses, maxCollectedParts, func(l *collected) int { return len(l.parts) })
+}
+
 // candidate is a part with the evidence that it crashes engines before a milestone.
 type candidate struct {
 	part      string
--- a/internal/service/quarantine/memory.go
+++ b/internal/service/quarantine/memory.go
@@ -138,17 +138,3 @@
 	}
 	return losses
 }
-
-// dropParts drops the parts of the losses that are not kept any more. Those that are remembered for one of their
-// parts need no others.
-func dropParts(before, kept []*collected) {
-	current := make(map[*collected]bool, len(kept))
-	for _, l := range kept {
-		current[l] = true
-	}
-	for _, l := range before {
-		if !current[l] {
-			l.parts = nil
-		}
-	}
-}
