Bound the connections of other hosts where only the memory is known

With [host] memory_limit and no descriptor_limit the peer listener had no bound. Found by reading. Cause: its bound was derived from the descriptors alone, although the memory bounds the others too. It now has as many connections as callers may have in that case. TestListenersAreBounded failed before; it also checks that the bounds of all listeners fit the descriptors.

--- a/cmd/guards.go
+++ b/cmd/guards.go
@@ -93,7 +93,7 @@
 
 // addPeer returns the guard of the listener for other hosts.
 func (g *listenerGuards) addPeer() *guard.Guard {
-	added := g.add("peer", int(peerDescriptorRatio*g.settings.Host.DescriptorLimit))
+	added := g.add("peer", peerConns(g.settings))
 	added.Total, added.Guaranteed = &g.others, guaranteedPeer
 	return added
 }
@@ -140,6 +140,15 @@
 	return max(limit/sideConnShare, minSideConns)
 }
 
+// peerConns returns the largest number of connections of other hosts: those that fit the memory if the
+// descriptors are not known; 0 means no limit.
+func peerConns(s *settings.Settings) int {
+	if s.Host.DescriptorLimit > 0 {
+		return int(peerDescriptorRatio * s.Host.DescriptorLimit)
+	}
+	return maxCallerConns(s)
+}
+
 // otherConns returns the largest number of connections on all listeners but that of callers, besides those that
 // are guaranteed; 0 means no limit. It is what callers' connections and those to their upstreams leave.
 func otherConns(s *settings.Settings) int64 {
