Report a backlog that can't be bounded

The error of the call that bounds the connections that wait to be accepted was ignored, so that a host would run without the bound and say nothing. Found by reading. A host that can't set it now ends with the error. TestFailedBacklogIsReported guards the error; the code before had no place that returned it.

--- a/internal/helper/dial/dial.go
+++ b/internal/helper/dial/dial.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -77,11 +78,24 @@
 
 func listen(ctx context.Context, address string, backlog int, config net.ListenConfig) (net.Listener, error) {
 	listener, err := config.Listen(ctx, "tcp", address)
-	if tcp, ok := listener.(*net.TCPListener); ok && backlog > 0 {
-		// net.Listen has set the largest backlog, and takes no other.
-		control(tcp, func(fd int) error { return unix.Listen(fd, backlog) })
+	if err != nil || backlog <= 0 {
+		return listener, err
 	}
-	return listener, err
+	// net.Listen has set the largest backlog, and takes no other.
+	if err := setBacklog(listener.(*net.TCPListener), backlog); err != nil {
+		return nil, errors.Join(fmt.Errorf("bound the connections that wait to be accepted: %w", err), listener.Close())
+	}
+	return listener, nil
+}
+
+func setBacklog(listener *net.TCPListener, backlog int) error {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var listenErr error
+	err = raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), backlog) })
+	return errors.Join(err, listenErr)
 }
 
 // KeepAlive returns the keep-alive settings for all connections.
--- a/internal/helper/dial/state_test.go
+++ b/internal/helper/dial/state_test.go
@@ -75,3 +75,12 @@
 	// The kernel reports the backlog of a listener in this field.
 	assert.Equal(t, info.Sacked, uint32(backlog))
 }
+
+// TestFailedBacklogIsReported guards against a listener without a bound of the connections that wait because the
+// error is ignored.
+func TestFailedBacklogIsReported(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	assert.Assert(t, setBacklog(listener.(*net.TCPListener), 16) != nil)
+}
