Keep connections whose refused request has no body

A caller with a wrong credential lost its connection with each answer, also where nothing was left to be read, and one of HTTP/2 all its requests. Found by reading. Cause: the connection was to close wherever the body is not read, without a look at whether there is one. TestRefusedCredentialKeepsConnection failed before.

--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -175,7 +175,7 @@
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, caller request.Caller) ([]byte, *memory.Holder, error) {
 	owner, err := h.Service.Owner(caller)
 	if err != nil {
-		guard.CloseAfterResponse(w)
+		guard.CloseUnread(w, r)
 		return nil, nil, err
 	}
 	body, holder, err := guard.ReadBody(w, r, guard.BodyLimits{Bytes: h.BodyBytes(), Memory: h.Memory, Owner: string(owner), Copies: bodyCopies})
--- a/internal/web/caller/caller_test.go
+++ b/internal/web/caller/caller_test.go
@@ -234,6 +234,23 @@
 	}
 }
 
+// TestRefusedCredentialKeepsConnection guards against a connection that is closed although nothing is left to be
+// read on it.
+func TestRefusedCredentialKeepsConnection(t *testing.T) {
+	h := newHandler()
+	h.Service.Snapshot = func() *document.Snapshot { return &document.Snapshot{} }
+	for body, closes := range map[string]bool{"": false, "{}": true} {
+		r := httptest.NewRequest("GET", api.PathServices+"s/c", strings.NewReader(body))
+		w, refused := serve(t, h, r)
+		assert.Equal(t, refused.Kind, api.KindUnauthorized)
+		assert.Equal(t, w.Header().Get("Connection") == "close", closes, "%q", body)
+	}
+	r := httptest.NewRequest("GET", api.PathServices+"s/c", strings.NewReader("{}"))
+	r.ProtoMajor = 2
+	w, _ := serve(t, h, r)
+	assert.Equal(t, w.Header().Get("Connection"), "")
+}
+
 func FuzzRun(f *testing.F) {
 	f.Add([]byte(`{"input":"x","stream":true}`), "1000", "high")
 	f.Add([]byte(`{"resume":{"token":"a.b","last_event":1,"text":""}}`), "", "")
--- a/internal/web/guard/body.go
+++ b/internal/web/guard/body.go
@@ -41,7 +41,7 @@
 		return nil, nil, nil
 	}
 	if r.ContentLength > limits.Bytes {
-		closeUnread(w, r)
+		CloseUnread(w, r)
 		return nil, nil, tooLarge(limits)
 	}
 	account, copies := limits.Memory, limits.copies()
@@ -49,7 +49,7 @@
 		account = &memory.Account{}
 	}
 	if !account.CanFit(limits.Owner, r.ContentLength*copies) {
-		closeUnread(w, r)
+		CloseUnread(w, r)
 		return nil, nil, memoryFull(account, memory.ErrFull, r.ContentLength*copies)
 	}
 	control := http.NewResponseController(w)
@@ -98,14 +98,15 @@
 	default:
 		return errors.Join(ErrIncompleteBody, err)
 	}
-	closeUnread(w, r)
+	CloseUnread(w, r)
 	return err
 }
 
-// closeUnread makes the server close the connection after the response, unless it carries other requests.
-func closeUnread(w http.ResponseWriter, r *http.Request) {
-	if r.ProtoMajor == 1 {
-		CloseAfterResponse(w)
+// CloseUnread makes the server close the connection after the response to a request whose body is not read, unless
+// there is no body or the connection carries other requests.
+func CloseUnread(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		closeAfterResponse(w, r)
 	}
 }
 
@@ -131,8 +132,12 @@
 // Interrupt ends the reading of a request body. Its error means that the connection is closed.
 func Interrupt(control *http.ResponseController) { _ = control.SetReadDeadline(pastDeadline) }
 
-// CloseAfterResponse makes the server close the connection after the response.
-func CloseAfterResponse(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
+// closeAfterResponse makes the server close the connection after the response, unless it carries other requests.
+func closeAfterResponse(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+}
 
 // DiscardBody reads what is left of the body of a refused request, within bounds, after the response.
 func DiscardBody(w http.ResponseWriter, r *http.Request) {
--- a/internal/web/guard/guard.go
+++ b/internal/web/guard/guard.go
@@ -66,7 +66,7 @@
 			}
 			if c.isPipelined() && g.isCrowded() {
 				g.Metrics.Counter("clients.closed_pipelined").Inc(1)
-				CloseAfterResponse(w)
+				closeAfterResponse(w, r)
 			}
 			r = c.guardBody(r)
 		}
--- a/internal/web/guard/limit_test.go
+++ b/internal/web/guard/limit_test.go
@@ -252,7 +252,7 @@
 	guard := &Guard{MaxConns: 4, Metrics: metric.New(), SetRetryAfter: platform.SetRetryAfter}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength > 0 {
-			CloseAfterResponse(w)
+			CloseUnread(w, r)
 			w.WriteHeader(http.StatusRequestEntityTooLarge)
 			DiscardBody(w, r)
 			return
