Close refused connections with TLS without a response in plain text

The refusal of a connection for which there is no room was written before any handshake, so that a caller with TLS read HTTP in plain text where it expects a record of TLS. Found by reading. Such a connection is now closed. TestRefusalWithTLSIsNoPlainText failed before with the refusal.

--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -75,6 +75,7 @@
 			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: streamBuffer, MaxReceiveBufferPerStream: streamBuffer,
 		},
 	}
+	guard.Encrypted = tls.CertFile != ""
 	guard.Protect(server)
 	group.Add(func() error {
 		listener, err := dial.ListenBuffered(context.Background(), address, guard.Backlog())
--- a/internal/web/guard/guard.go
+++ b/internal/web/guard/guard.go
@@ -39,6 +39,8 @@
 	Memory *memory.Account
 	// Refusals logs the connections that are closed because there are too many.
 	Refusals *RefusalLog
+	// Encrypted is set if the connections use TLS, so that refused ones are closed without a response.
+	Encrypted bool
 	// SetRetryAfter sets the time to retry in the header of a refusal.
 	SetRetryAfter func(header http.Header, wait time.Duration)
 
--- a/internal/web/guard/limit.go
+++ b/internal/web/guard/limit.go
@@ -190,7 +190,7 @@
 	g.Metrics.Counter(info.Counter).Inc(1)
 	g.Refusals.Report(g.Name, c.RemoteAddr().String(), string(api.KindConnectionsFull), nil)
 	g.mu.Lock()
-	if g.refused >= g.MaxConns/refusedShare || !g.Total.acquire(false) {
+	if g.Encrypted || g.refused >= g.MaxConns/refusedShare || !g.Total.acquire(false) {
 		g.mu.Unlock()
 		_ = c.Close()
 		return
--- a/internal/web/guard/multiplex_test.go
+++ b/internal/web/guard/multiplex_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -88,3 +89,30 @@
 	}
 	assert.Equal(t, get(t, client, server.URL), "HTTP/1.1")
 }
+
+// TestRefusalWithTLSIsNoPlainText guards against a response in plain text on a connection that uses TLS.
+func TestRefusalWithTLSIsNoPlainText(t *testing.T) {
+	release := make(chan struct{})
+	g := &Guard{MaxConns: 16, Encrypted: true, Metrics: metric.New(), SetRetryAfter: platform.SetRetryAfter}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	server.Listener = g.Listener(server.Listener)
+	g.Protect(server.Config)
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(release) })
+	for range 16 {
+		c, err := tls.Dial("tcp", server.Listener.Addr().String(), server.Client().Transport.(*http.Transport).TLSClientConfig)
+		assert.NilError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, plainRequest)
+		assert.NilError(t, err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	c, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	data, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "")
+}
