Refuse sealed values that are spelled otherwise

TestSessionEnds failed once, without a change that it could notice: a cookie whose last two characters were replaced was accepted. Traced: the last character of the code carries two bits that decoding ignores, so that the replaced ending stands for the same code if the true one ends in xw, in one of 1,024 runs. No forged value was accepted; the text differed, the bytes did not.

Open now compares the whole text with the one that Seal returns. The check of TestSessionEnds stays as it is.

--- a/internal/helper/secret/secret.go
+++ b/internal/helper/secret/secret.go
@@ -48,16 +48,13 @@
 
 // Open verifies a value returned by Seal and returns its payload, or ErrSeal.
 func Open(key []byte, sealed string) ([]byte, error) {
-	encodedPayload, encodedMAC, found := strings.Cut(sealed, ".")
+	encodedPayload, _, found := strings.Cut(sealed, ".")
 	if !found {
 		return nil, ErrSeal
 	}
 	payload, err := base64.RawURLEncoding.DecodeString(encodedPayload)
-	if err != nil {
-		return nil, ErrSeal
-	}
-	mac, err := base64.RawURLEncoding.DecodeString(encodedMAC)
-	if err != nil || !hmac.Equal(mac, sign(key, payload)) {
+	// The whole text is compared: several texts decode to the same bytes.
+	if err != nil || !hmac.Equal([]byte(sealed), []byte(Seal(key, payload))) {
 		return nil, ErrSeal
 	}
 	return payload, nil
--- a/internal/helper/secret/secret_test.go
+++ b/internal/helper/secret/secret_test.go
@@ -1,6 +1,8 @@
 package secret
 
 import (
+	"errors"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -36,3 +38,21 @@
 	assert.Assert(t, !PasswordMatches("wrong", hash))
 	assert.Assert(t, !TokenMatches("wrong", HashToken("right")))
 }
+
+// TestOtherSpellingOfASealIsRefused guards against a value that is accepted although it differs from the one that was
+// sealed, in bits that its encoding does not use.
+func TestOtherSpellingOfASealIsRefused(t *testing.T) {
+	const alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_"
+	key := []byte("key")
+	sealed := Seal(key, []byte("payload"))
+	_, err := Open(key, sealed)
+	assert.NilError(t, err)
+	last := len(sealed) - 1
+	value := strings.IndexByte(alphabet, sealed[last])
+	for unused := 1; unused < 4; unused++ {
+		_, err := Open(key, sealed[:last]+string(alphabet[value+unused]))
+		assert.Assert(t, errors.Is(err, ErrSeal), "%d", unused)
+	}
+	_, err = Open(key, sealed+"\n")
+	assert.Assert(t, errors.Is(err, ErrSeal))
+}
