Compare the whole response to the ordinary request again

The body is compared whole again, that of the serve command with the text that the stand-in of the engine makes of the input.

--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -83,9 +83,10 @@
 	memoryLimit float64
 	// listeners are the addresses on which the process accepts connections.
 	listeners []string
-	// ordinary returns a small request that has to be served, and answer is a part of its whole response.
+	// ordinary returns a small request that has to be served, and isWhole reports whether the body of a response is
+	// complete.
 	ordinary func() (*http.Request, error)
-	answer   string
+	isWhole  func(body []byte) bool
 
 	mu sync.Mutex
 	// descriptors is the largest number of open descriptors that was seen.
@@ -220,7 +221,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	if err == nil && response.StatusCode == http.StatusOK && !strings.Contains(string(body), p.answer) {
+	if err == nil && response.StatusCode == http.StatusOK && !p.isWhole(body) {
 		err = errors.New("the body of the response is incomplete")
 	}
 	return response.StatusCode, err
--- a/test/clients/entry_test.go
+++ b/test/clients/entry_test.go
@@ -144,7 +144,10 @@
 			printLog(t, logPath)
 		}
 	})
-	h.process = &process{pid: command.Process.Pid, exited: exited, memoryLimit: float64(options.memory), listeners: addresses, ordinary: h.newOrdinary, answer: "booked"}
+	h.process = &process{
+		pid: command.Process.Pid, exited: exited, memoryLimit: float64(options.memory), listeners: addresses, ordinary: h.newOrdinary,
+		isWhole: func(body []byte) bool { return string(body) == "booked" },
+	}
 	for end := time.Now().Add(answerTime); ; time.Sleep(20 * time.Millisecond) {
 		select {
 		case <-exited:
--- a/test/clients/serve_test.go
+++ b/test/clients/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 	"redwingloft/internal/data/document"
 	"redwingloft/internal/service/member"
 	"redwingloft/pkg/api"
+	"redwingloft/standin/engine"
 	"redwingloft/standin/site"
 )
 
@@ -30,6 +32,8 @@
 	workspace    = "port-of-spain"
 	credential   = workspace + "-token-for-local-use-only"
 	pipelinePath = api.PathPipelines + "visit-plan/run"
+	// ordinaryInput is the input of the ordinary request.
+	ordinaryInput = "check the gate"
 )
 
 func startServe(t *testing.T) *servingHost {
@@ -47,7 +51,7 @@
 	h := &servingHost{Host: s.Hosts[0]}
 	exited := make(chan struct{})
 	h.process = &process{
-		pid: h.PID(), exited: exited, memoryLimit: memoryMegabytes, ordinary: h.newOrdinary, answer: `"text"`,
+		pid: h.PID(), exited: exited, memoryLimit: memoryMegabytes, ordinary: h.newOrdinary, isWhole: isWholeAnswer,
 		listeners: []string{h.CallerAddress, h.PeerAddress, h.OperatorAddress, h.AdminAddress},
 	}
 	go func() {
@@ -65,9 +69,15 @@
 	return h
 }
 
+// isWholeAnswer reports whether a body is the whole answer of the stand-ins to the ordinary request.
+func isWholeAnswer(body []byte) bool {
+	var answer api.RunAnswer
+	return json.Unmarshal(body, &answer) == nil && answer.Text == engine.Text(ordinaryInput, answer.Tokens) && answer.Tokens > 0
+}
+
 // newOrdinary returns a small request that a caller may send.
 func (h *servingHost) newOrdinary() (*http.Request, error) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+h.CallerAddress+pipelinePath, strings.NewReader(`{"input":"check the gate"}`))
+	request, err := http.NewRequest(http.MethodPost, "http://"+h.CallerAddress+pipelinePath, strings.NewReader(`{"input":"`+ordinaryInput+`"}`))
 	if err != nil {
 		return nil, err
 	}
