Rename reservations, auxiliary listeners and a listener without timeouts

A lease is a time-limited claim in the store, so what is reserved for a request in the account of memory is a reservation. The listeners on which callers send no requests are auxiliary. The console takes the length of a name from the document. No change of behaviour.

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -331,12 +331,12 @@
 	directory := &web.DirectoryHandler{
 		View: e.directory.View, Self: e.settings.Caller.Advertise, AddressValidity: e.settings.Caller.AddressValidity, Ready: e.checkReady,
 	}
-	directoryGuard := e.guards.addSide("directory")
+	directoryGuard := e.guards.addAuxiliary("directory")
 	directoryGuard.Timeout = e.callerIdleTimeout
 	e.addListener(group, e.settings.Directory.Listen, e.newServer(http.HandlerFunc(directory.Addresses)), directoryGuard)
-	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)), e.guards.addSide("readiness"))
+	e.addListener(group, e.settings.Directory.ReadyListen, e.newServer(http.HandlerFunc(directory.Readiness)), e.guards.addAuxiliary("readiness"))
 	handler := &admin.Handler{Metrics: e.metrics, Ready: e.checkReady, Explain: e.explain}
-	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()), e.guards.addSide("admin"))
+	e.addListener(group, e.settings.Admin.Listen, e.newServer(handler.Routes()), e.guards.addAuxiliary("admin"))
 	group.Add(e.signalActor(ctx))
 }
 
--- a/cmd/guards.go
+++ b/cmd/guards.go
@@ -28,15 +28,15 @@
 	connBytes       = 96 << 10
 	// ownDescriptors are those of a host without any connections of others: listeners, the store, and the log.
 	ownDescriptors = 20
-	// guaranteedSide and guaranteedPeer are the numbers of connections that a listener without requests of
+	// guaranteedAuxiliary and guaranteedPeer are the numbers of connections that a listener without requests of
 	// callers, and the one for other hosts, may have in any case.
-	guaranteedSide = 2
-	guaranteedPeer = 4
-	// sideConnShare is the part of the callers' connections, 1/sideConnShare, that each listener without
+	guaranteedAuxiliary = 2
+	guaranteedPeer      = 4
+	// auxiliaryConnShare is the part of the callers' connections, 1/auxiliaryConnShare, that each listener without
 	// requests of callers may have besides.
-	sideConnShare = 8
-	// minSideConns is the least bound of such a listener: checks of several kinds keep a connection each.
-	minSideConns = 2
+	auxiliaryConnShare = 8
+	// minAuxiliaryConns is the least bound of such a listener: checks of several kinds keep a connection each.
+	minAuxiliaryConns = 2
 	// peerDescriptorRatio is the part of the descriptors that connections of other hosts may use. Each host
 	// has one or two.
 	peerDescriptorRatio = 0.2
@@ -84,10 +84,10 @@
 	return added
 }
 
-// addSide returns the guard of a listener on which callers send no requests.
-func (g *listenerGuards) addSide(name string) *guard.Guard {
-	added := g.add(name, sideConns(g.settings))
-	added.Total, added.Guaranteed = &g.others, guaranteedSide
+// addAuxiliary returns the guard of a listener on which callers send no requests.
+func (g *listenerGuards) addAuxiliary(name string) *guard.Guard {
+	added := g.add(name, auxiliaryConns(g.settings))
+	added.Total, added.Guaranteed = &g.others, guaranteedAuxiliary
 	return added
 }
 
@@ -130,14 +130,14 @@
 	return limit
 }
 
-// sideConns returns the largest number of connections of a listener on which callers send no requests; 0
+// auxiliaryConns returns the largest number of connections of a listener on which callers send no requests; 0
 // means no limit.
-func sideConns(s *settings.Settings) int {
+func auxiliaryConns(s *settings.Settings) int {
 	limit := maxCallerConns(s)
 	if limit == 0 {
 		return 0
 	}
-	return max(limit/sideConnShare, minSideConns)
+	return max(limit/auxiliaryConnShare, minAuxiliaryConns)
 }
 
 // peerConns returns the largest number of connections of other hosts: those that fit the memory if the
@@ -156,6 +156,6 @@
 		return 0
 	}
 	callers := maxCallerConns(s)
-	used := 2*callers + guard.LeavingConns(callers) + ownDescriptors + 3*guaranteedSide + guaranteedPeer
+	used := 2*callers + guard.LeavingConns(callers) + ownDescriptors + 3*guaranteedAuxiliary + guaranteedPeer
 	return max(int64(s.Host.DescriptorLimit)-int64(used), 1)
 }
--- a/cmd/guards_test.go
+++ b/cmd/guards_test.go
@@ -26,7 +26,7 @@
 			caller := guards.addCaller()
 			guards.addPeer()
 			for _, listener := range []string{"directory", "readiness", "admin"} {
-				guards.addSide(listener)
+				guards.addAuxiliary(listener)
 			}
 			guaranteed := 0
 			for _, g := range guards.list {
--- a/cmd/host.go
+++ b/cmd/host.go
@@ -216,11 +216,11 @@
 		addServer(group, h.settings.Peer.Listen, settings.TLS{}, writeTimeout, h.guards.addPeer(), h.newPeerHandler().Routes())
 	}
 	if h.settings.Operator.Listen != "" {
-		addServer(group, h.settings.Operator.Listen, h.settings.Operator.TLS, writeTimeout, h.guards.addSide("operator"), h.newConsoleHandler().Routes())
+		addServer(group, h.settings.Operator.Listen, h.settings.Operator.TLS, writeTimeout, h.guards.addAuxiliary("operator"), h.newConsoleHandler().Routes())
 	}
 	if h.settings.Admin.Listen != "" {
 		handler := &admin.Handler{Metrics: h.metrics, Ready: h.checkReady}
-		addServer(group, h.settings.Admin.Listen, settings.TLS{}, writeTimeout, h.guards.addSide("admin"), handler.Routes())
+		addServer(group, h.settings.Admin.Listen, settings.TLS{}, writeTimeout, h.guards.addAuxiliary("admin"), handler.Routes())
 	}
 	h.guards.start(h.timer)
 }
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -78,7 +78,7 @@
 	guard.Encrypted = tls.CertFile != ""
 	guard.Protect(server)
 	group.Add(func() error {
-		listener, err := dial.ListenBuffered(context.Background(), address, guard.Backlog())
+		listener, err := dial.ListenWithoutTimeouts(context.Background(), address, guard.Backlog())
 		if err != nil {
 			return fmt.Errorf("listener %s: %w", address, err)
 		}
--- a/internal/data/document/validate.go
+++ b/internal/data/document/validate.go
@@ -18,7 +18,10 @@
 	maxSlots    = 100_000
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+// MaxNameLength is the largest length of a name in bytes.
+const MaxNameLength = 63
+
+var namePattern = regexp.MustCompile(fmt.Sprintf(`^[a-z0-9][a-z0-9._-]{0,%d}$`, MaxNameLength-1))
 
 // checker collects validation errors.
 type checker struct {
@@ -31,7 +34,7 @@
 
 func (c *checker) name(path, name string) {
 	if !namePattern.MatchString(name) {
-		c.addf(path, "%q is not a valid name: use 1 to 63 lower-case letters, digits, '.', '_' or '-', starting with a letter or digit", name)
+		c.addf(path, "%q is not a valid name: use 1 to %d lower-case letters, digits, '.', '_' or '-', starting with a letter or digit", name, MaxNameLength)
 	}
 }
 
--- a/internal/helper/dial/dial.go
+++ b/internal/helper/dial/dial.go
@@ -71,8 +71,9 @@
 	return listen(ctx, address, backlog, net.ListenConfig{KeepAliveConfig: KeepAlive(), Control: setOptions(userTimeout, receiveBuffer, sendBuffer)})
 }
 
-// ListenBuffered opens a listener with the buffers of ListenBounded and the default timeouts of the kernel.
-func ListenBuffered(ctx context.Context, address string, backlog int) (net.Listener, error) {
+// ListenWithoutTimeouts opens a listener like ListenBounded, whose connections keep the default timeouts of the
+// kernel.
+func ListenWithoutTimeouts(ctx context.Context, address string, backlog int) (net.Listener, error) {
 	return listen(ctx, address, backlog, net.ListenConfig{Control: setOptions(receiveBuffer, sendBuffer)})
 }
 
--- a/internal/service/pipeline/attempt.go
+++ b/internal/service/pipeline/attempt.go
@@ -62,8 +62,8 @@
 // run sends the attempt and delivers its result on done.
 func (a *attempt) run(ctx context.Context, send func(context.Context, upstream.Attempt) error, codec kernel.Codec, input work.Input) {
 	defer a.cancel()
-	lease := memory.LeaseOf(ctx)
-	input.Reserve = func(size int64) error { return lease.Reserve(responseCopies * size) }
+	reservation := memory.ReservationOf(ctx)
+	input.Reserve = func(size int64) error { return reservation.Reserve(responseCopies * size) }
 	var output work.Output
 	var usage upstream.Usage
 	emit := func(token work.Token) error {
--- a/internal/service/request/request_test.go
+++ b/internal/service/request/request_test.go
@@ -352,14 +352,14 @@
 // against memory that stays reserved.
 func TestServiceResponseIsAccounted(t *testing.T) {
 	account := &memory.Account{Limit: 1 << 20}
-	lease := account.NewLease()
-	_, err := readServiceResponse(strings.NewReader(strings.Repeat("x", 100<<10)), lease)
+	reservation := account.NewReservation()
+	_, err := readServiceResponse(strings.NewReader(strings.Repeat("x", 100<<10)), reservation)
 	assert.NilError(t, err)
 	assert.Assert(t, account.Used() >= responseCopies*100<<10)
-	_, err = readServiceResponse(strings.NewReader(strings.Repeat("x", 400<<10)), lease)
+	_, err = readServiceResponse(strings.NewReader(strings.Repeat("x", 400<<10)), reservation)
 	assert.Assert(t, errors.Is(err, memory.ErrFull))
-	lease.Release()
-	assert.NilError(t, lease.Reserve(1))
+	reservation.Release()
+	assert.NilError(t, reservation.Reserve(1))
 	assert.Equal(t, account.Used(), int64(0))
 }
 
--- a/internal/service/request/service.go
+++ b/internal/service/request/service.go
@@ -195,7 +195,7 @@
 			return call.request(ctx, base)
 		},
 		Read: func(status int, _ http.Header, body io.Reader) error {
-			data, err := readServiceResponse(body, memory.LeaseOf(ctx))
+			data, err := readServiceResponse(body, memory.ReservationOf(ctx))
 			outcome = order.Outcome{Status: status, Body: data}
 			return err
 		},
@@ -210,8 +210,8 @@
 
 // readServiceResponse reads a response body. A body above the limit is an error: a part of it
 // would look complete to the caller.
-func readServiceResponse(body io.Reader, lease *memory.Lease) ([]byte, error) {
-	data, err := fleet.ReadBody(body, -1, maxServiceResponse, func(size int64) error { return lease.Reserve(responseCopies * size) })
+func readServiceResponse(body io.Reader, reservation *memory.Reservation) ([]byte, error) {
+	data, err := fleet.ReadBody(body, -1, maxServiceResponse, func(size int64) error { return reservation.Reserve(responseCopies * size) })
 	if errors.Is(err, fleet.ErrBodyTooLarge) {
 		return nil, fmt.Errorf("the response has more than %d bytes", maxServiceResponse)
 	}
--- a/internal/service/upstream/limit.go
+++ b/internal/service/upstream/limit.go
@@ -38,8 +38,8 @@
 	delete(l.transports, t)
 }
 
-// dial opens a connection. If there are too many, it closes all idle ones first, since it can't be known
-// which of them is needed last.
+// dial opens a connection. If there are too many, it closes all idle ones first; a transport can't close a
+// single one.
 func (l *connLimit) dial(ctx context.Context, dialer *net.Dialer, network, address string) (net.Conn, error) {
 	if !l.reserve() {
 		l.closeIdle()
--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -127,15 +127,15 @@
 	writeJSON(kw, http.StatusOK, response)
 }
 
-// serviceContext returns the context of r with the caller's trace context and a lease of memory for responses of
-// upstreams. The returned function ends the lease.
+// serviceContext returns the context of r with the caller's trace context and a reservation of memory for responses of
+// upstreams. The returned function ends the reservation.
 func (h *Handler) serviceContext(r *http.Request) (ctx context.Context, release func()) {
 	ctx = tracing.WithParent(r.Context(), r.Header.Get(tracing.Header))
 	if h.Memory == nil {
 		return ctx, func() {}
 	}
-	lease := h.Memory.NewLease()
-	return memory.WithLease(ctx, lease), lease.Release
+	reservation := h.Memory.NewReservation()
+	return memory.WithReservation(ctx, reservation), reservation.Release
 }
 
 func requestID(r *http.Request) api.RequestID {
--- a/internal/web/console/session.go
+++ b/internal/web/console/session.go
@@ -33,8 +33,6 @@
 	failureWindow      = 15 * time.Minute
 	// maxTrackedKeys limits the memory of the limiter.
 	maxTrackedKeys = 10_000
-	// maxNameLength is the largest length in bytes of the name of an operator.
-	maxNameLength = 63
 	// maxConcurrentHashes limits concurrent bcrypt comparisons; one takes about 60 ms of CPU time.
 	maxConcurrentHashes = 2
 )
@@ -96,7 +94,7 @@
 // failureKey returns the key of the failures for an operator from an address. Names that no operator can have
 // share one key.
 func failureKey(address, name string) string {
-	if len(name) > maxNameLength {
+	if len(name) > document.MaxNameLength {
 		name = ""
 	}
 	return address + " " + name
