Review cases 11 and 12: read answers that come early, measure all channels

Cause: the ordinary clients of net/http lost a refusal that the host writes before it has read the request, so that a channel could count as not taken. Change: they write and read by themselves, and a channel of the other clients that stays open for a second counts as taken too.

--- a/review/loft3/callers.go
+++ b/review/loft3/callers.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -62,26 +61,24 @@
 	text   string
 }
 
-// sendOrdinary sends one small proper request on a new channel.
+// sendOrdinary sends one small proper request on a new channel, and reads the answer also where the host has
+// sent it before the request, or has reset the channel since.
 func sendOrdinary(h *host, id string) outcome {
 	o := outcome{at: time.Now()}
-	dialer := net.Dialer{Timeout: connectTime}
-	client := http.Client{Timeout: callerTime, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
-	request, err := http.NewRequest(http.MethodPost, "http://"+h.address+"/book/1", strings.NewReader("gate"))
+	c, err := net.DialTimeout("tcp", h.address, connectTime)
 	if err != nil {
-		o.text = err.Error()
+		o.text = shortError(err)
 		return o
 	}
-	request.Host = virtualHost
-	request.Header.Set(wire.HeaderRequestID, id)
-	request.Header.Set(wire.HeaderDeadline, fmt.Sprint(callerTime.Milliseconds()))
-	request.Header.Set("Authorization", "Bearer "+apiKey)
-	response, err := client.Do(request)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(callerTime))
+	_, writeErr := fmt.Fprintf(c, "POST /book/1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n\r\ngate",
+		virtualHost, wire.HeaderRequestID, id, wire.HeaderDeadline, callerTime.Milliseconds(), apiKey)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		o.text = shortError(err)
+		o.text = shortError(errors.Join(err, writeErr))
 		return o
 	}
-	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		o.text = shortError(err)
@@ -93,6 +90,10 @@
 
 // shortError returns an error without the addresses.
 func shortError(err error) string {
+	var failed *net.OpError
+	if errors.As(err, &failed) {
+		err = failed.Err
+	}
 	for next := errors.Unwrap(err); next != nil; next = errors.Unwrap(err) {
 		err = next
 	}
@@ -126,6 +127,28 @@
 	}
 }
 
+// tried returns the times of all requests, and answered those that got an answer of any status, the host's
+// refusal of the channel included.
+func (o *ordinary) tried() []time.Time {
+	return o.timesOf(func(outcome) bool { return true })
+}
+
+func (o *ordinary) answered() []time.Time {
+	return o.timesOf(func(seen outcome) bool { return seen.status != 0 })
+}
+
+func (o *ordinary) timesOf(matches func(outcome) bool) []time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var times []time.Time
+	for _, seen := range o.outcomes {
+		if matches(seen) {
+			times = append(times, seen.at)
+		}
+	}
+	return times
+}
+
 // counts returns the number of requests and of those that were served.
 func (o *ordinary) counts() (sent, served int) {
 	o.mu.Lock()
--- a/review/loft3/heads.go
+++ b/review/loft3/heads.go
@@ -122,13 +122,15 @@
 	}
 }
 
-// holdChannel opens a channel, sends a text and reads until the host closes it, for at most the given time.
-func holdChannel(address, text string, open time.Duration, stop <-chan struct{}) {
+// holdChannel opens a channel, sends a text and reads until the host closes it, for at most the given time. It
+// returns the time at which the channel was open; zero if it was not.
+func holdChannel(address, text string, open time.Duration, stop <-chan struct{}) (opened time.Time) {
 	c, err := net.DialTimeout("tcp", address, connectTime)
 	if err != nil {
-		return
+		return time.Time{}
 	}
 	defer c.Close()
+	opened = time.Now()
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
@@ -142,4 +144,5 @@
 	if _, err := io.WriteString(c, text); err == nil {
 		_, _ = io.Copy(io.Discard, c)
 	}
+	return opened
 }
