Review case 13: bodies of very small chunks keep new callers out

Cause: a channel whose body arrives gives way only if no byte has come for a second, and is held for ten otherwise; its client needs no key.

--- a/review/loft3/main.go
+++ b/review/loft3/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(*run) (broken bool, err error){
 	"heads":   playHeads,
 	"preface": playPreface,
+	"trickle": playTrickle,
 }
 
 // run is one play of a case.
