--- a/review/loft3/main.go
+++ b/review/loft3/main.go
@@ -16,9 +16,10 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*run) (broken bool, err error){
-	"heads":   playHeads,
-	"preface": playPreface,
-	"trickle": playTrickle,
+	"asterisk": playAsterisk,
+	"heads":    playHeads,
+	"preface":  playPreface,
+	"trickle":  playTrickle,
 }
 
 // run is one play of a case.
