Review case: bodies of very small chunks close the directory

Cause: the directory's listener has no bound for the time of a body, and net/http reads the body of a question before it sends the answer. Change: a case with its claim and script; the plays of crowds take a plan.

--- a/review/loft3/callers.go
+++ b/review/loft3/callers.go
@@ -61,19 +61,32 @@
 	text   string
 }
 
-// sendOrdinary sends one small proper request on a new channel, and reads the answer also where the host has
-// sent it before the request, or has reset the channel since.
+// sendFunc sends one request on a new channel.
+type sendFunc func(h *host, id string) outcome
+
+// sendOrdinary sends one small proper request to the callers' address.
 func sendOrdinary(h *host, id string) outcome {
+	return exchange(h.address, fmt.Sprintf("POST /book/1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n\r\ngate",
+		virtualHost, wire.HeaderRequestID, id, wire.HeaderDeadline, callerTime.Milliseconds(), apiKey))
+}
+
+// askDirectory asks for the addresses to connect to.
+func askDirectory(h *host, _ string) outcome {
+	return exchange(h.directory, fmt.Sprintf("GET %s?name=%s&region=r&zone=a HTTP/1.1\r\nHost: %s\r\n\r\n", wire.PathAddresses, virtualHost, h.directory))
+}
+
+// exchange sends a request on a new channel, and reads the answer also where the host has sent it before the
+// request, or has reset the channel since.
+func exchange(address, request string) outcome {
 	o := outcome{at: time.Now()}
-	c, err := net.DialTimeout("tcp", h.address, connectTime)
+	c, err := net.DialTimeout("tcp", address, connectTime)
 	if err != nil {
 		o.text = shortError(err)
 		return o
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(callerTime))
-	_, writeErr := fmt.Fprintf(c, "POST /book/1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: 4\r\n\r\ngate",
-		virtualHost, wire.HeaderRequestID, id, wire.HeaderDeadline, callerTime.Milliseconds(), apiKey)
+	_, writeErr := io.WriteString(c, request)
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		o.text = shortError(errors.Join(err, writeErr))
@@ -107,7 +120,7 @@
 	group    sync.WaitGroup
 }
 
-func (o *ordinary) start(r *run, h *host, clients int, pause time.Duration, stop <-chan struct{}) {
+func (o *ordinary) start(r *run, h *host, send sendFunc, clients int, pause time.Duration, stop <-chan struct{}) {
 	for c := range clients {
 		o.group.Go(func() {
 			for i := 0; ; i++ {
@@ -117,7 +130,7 @@
 				case <-time.After(pause):
 				}
 				id := fmt.Sprintf("%s-%d-%d", h.name, c, i)
-				seen := sendOrdinary(h, id)
+				seen := send(h, id)
 				r.note("ordinary %s: %d %s", id, seen.status, seen.text)
 				o.mu.Lock()
 				o.outcomes = append(o.outcomes, seen)
--- a/review/loft3/crowd.go
+++ b/review/loft3/crowd.go
@@ -9,10 +9,11 @@
 )
 
 const (
-	// crowdClients is the number of clients that the site does not control. A host of the site takes 1,213
-	// channels of callers.
-	crowdClients = 1700
-	crowdTime    = 30 * time.Second
+	// crowdClients is the number of clients at the callers' address that the site does not control, and
+	// directoryClients that at the directory. A host of the site takes 1,213 and 151 channels there.
+	crowdClients     = 1700
+	directoryClients = 200
+	crowdTime        = 30 * time.Second
 	// takenTime is how long a channel of such a client has to stay open to count as taken.
 	takenTime = time.Second
 	// tryingClients is the number of ordinary clients; the rule needs seven.
@@ -25,9 +26,19 @@
 // it was not.
 type holdFunc func(address string, stop <-chan struct{}) (opened time.Time)
 
-// playCrowd lets clients at one host use their channels as hold does, again and again, while ordinary clients
-// try new channels.
-func playCrowd(r *run, what string, hold holdFunc) (bool, error) {
+// crowdPlan is what clients that the site does not control do, while ordinary clients try new channels.
+type crowdPlan struct {
+	what    string
+	clients int
+	// hold is how each of them uses its channels, again and again, at the given address.
+	hold    holdFunc
+	address func(*host) string
+	// send is what ordinary clients do.
+	send sendFunc
+}
+
+// playCrowd plays a plan at one host.
+func playCrowd(r *run, plan crowdPlan) (bool, error) {
 	s := &site{program: "target/redwingloft", template: "deploy/entry.ini", document: document}
 	defer s.close()
 	if err := startBookings(s, "frontend-1"); err != nil {
@@ -38,15 +49,15 @@
 	stop := make(chan struct{})
 	var callers ordinary
 	var group sync.WaitGroup
-	callers.start(r, h, tryingClients, 200*time.Millisecond, stop)
+	callers.start(r, h, plan.send, tryingClients, 200*time.Millisecond, stop)
 	var notReady atomic.Int64
 	group.Go(func() { watchReadiness(r, h, &notReady, stop) })
 	time.Sleep(contactTime)
 	var crowd takenChannels
 	if r.trouble {
-		r.note("%d clients at once: %s", crowdClients, what)
-		for range crowdClients {
-			group.Go(func() { crowd.repeat(h.address, hold, stop) })
+		r.note("%d clients at once: %s", plan.clients, plan.what)
+		for range plan.clients {
+			group.Go(func() { crowd.repeat(plan.address(h), plan.hold, stop) })
 		}
 	}
 	time.Sleep(crowdTime)
@@ -65,6 +76,8 @@
 	return longest >= contactTime && tries >= tryingClients && notReady.Load() == 0, nil
 }
 
+func callersAddress(h *host) string { return h.address }
+
 // takenChannels holds the times at which the host took channels of the crowd.
 type takenChannels struct {
 	mu    sync.Mutex
--- a/review/loft3/heads.go
+++ b/review/loft3/heads.go
@@ -51,7 +51,7 @@
 	ends := make([]int, len(s.hosts))
 	peaks := make([]float64, len(s.hosts))
 	for i, h := range s.hosts {
-		callers.start(r, h, 1, 500*time.Millisecond, stop)
+		callers.start(r, h, sendOrdinary, 1, 500*time.Millisecond, stop)
 		group.Go(func() { ends[i], peaks[i] = superviseMemory(r, h, float64(s.memoryMb), stop) })
 		if r.trouble {
 			group.Go(func() { sendHeads(h, headWithoutEnd(headBytes), stop) })
--- a/review/loft3/main.go
+++ b/review/loft3/main.go
@@ -16,10 +16,11 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*run) (broken bool, err error){
-	"asterisk": playAsterisk,
-	"heads":    playHeads,
-	"preface":  playPreface,
-	"trickle":  playTrickle,
+	"asterisk":  playAsterisk,
+	"directory": playDirectory,
+	"heads":     playHeads,
+	"preface":   playPreface,
+	"trickle":   playTrickle,
 }
 
 // run is one play of a case.
