--- a/review/loft3/main.go
+++ b/review/loft3/main.go
@@ -16,7 +16,6 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(*run) (broken bool, err error){
-	"asterisk":  playAsterisk,
 	"directory": playDirectory,
 	"heads":     playHeads,
 	"preface":   playPreface,
