--- a/cmd/entry_drain.go
+++ b/cmd/entry_drain.go
@@ -9,22 +9,24 @@
 
 	"redwingloft/internal/data/settings"
 	"redwingloft/internal/helper/clock"
+	"redwingloft/internal/service/drain"
 )
 
 const (
 	// minDrainDuration is how long a draining host serves at least: callers that fetched the
 	// address list just before the drain connect within this time.
 	minDrainDuration = 1500 * time.Millisecond
-	// maxDrainAcceptDuration is how long a draining host accepts new requests at most. Later ones
-	// might not finish within the platform's grace period.
-	maxDrainAcceptDuration = 3 * time.Second
+	// maxDrainAcceptDuration is how long a draining host accepts new requests at most: callers that
+	// fetched the address list before the drain have moved to other hosts by then.
+	maxDrainAcceptDuration = 2500 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 600 * time.Millisecond
+	// responseMargin is the part of the drain in which responses that have not begun are given up, so that
+	// their callers get an error in place of a closed connection.
+	responseMargin = 200 * time.Millisecond
 	// lastResponsesTimeout bounds the wait for the connections that were accepted before the
 	// caller listener closes. Their requests are refused at once.
 	lastResponsesTimeout = 500 * time.Millisecond
-	// drainRetryAfter is the delay after which a caller refused by a draining host may retry at another.
-	drainRetryAfter = 10 * time.Millisecond
 	// settingsPollInterval is the interval between checks of the settings file, which may change without a signal.
 	settingsPollInterval = 2 * time.Second
 )
@@ -91,11 +93,12 @@
 	started := time.Now()
 	maxDuration := e.settings.Host.ShutdownTimeout - exitMargin
 	acceptDuration := min(maxDrainAcceptDuration, maxDuration/2)
-	end := clock.Now().Add(maxDuration)
-	e.drainEnd.Store(&end)
+	now := clock.Now()
+	e.drainSchedule.Begin(drain.Times{AcceptUntil: now.Add(acceptDuration), End: now.Add(maxDuration - responseMargin)})
 	e.draining.Store(true)
 	e.log.Info().Int64("in_progress", e.callerHandler.InProgress.Load()).Int64("grace_ms", e.settings.Host.ShutdownTimeout.Milliseconds()).Msg("drain_started")
 	go e.deregister(ctx)
+	e.stages.ShortenDeadlines()
 	for time.Since(started) < maxDuration {
 		elapsed := time.Since(started)
 		idle := elapsed >= minDrainDuration && e.inProgress() == 0
--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -16,10 +16,10 @@
 	"redwingloft/internal/data/store"
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/dial"
-	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/helper/timer"
 	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/drain"
 	"redwingloft/internal/service/forward"
 	"redwingloft/internal/service/outlier"
 	"redwingloft/internal/service/quarantine"
@@ -93,8 +93,8 @@
 	// draining is set on the first signal to stop, refusing once new requests are refused.
 	draining atomic.Bool
 	refusing atomic.Bool
-	// drainEnd is the end of the drain; nil before the first signal to stop.
-	drainEnd atomic.Pointer[time.Time]
+	// drainSchedule begins with draining.
+	drainSchedule drain.Schedule
 }
 
 func newEntryHost(s *settings.Settings, path string, logger *log.Logger) (*entryHost, error) {
@@ -175,11 +175,12 @@
 func (e *entryHost) newService() *forward.Service {
 	e.stages = &stage.Client{
 		Self: e.settings.Host.ID, View: e.directory.View, HTTP: e.peerClient, Log: e.log, Metrics: e.metrics, Local: e.scheduler, Forecasts: &e.forecasts,
+		Drain: &e.drainSchedule,
 	}
 	return &forward.Service{
 		View: e.directory.View, Pool: e.pool, Codec: e.codec, Health: e.health, Budget: e.newRetryBudget(e.hostCount), Log: e.log, Metrics: e.metrics,
 		WriteStall: e.settings.Clients.WriteStall,
-		DataCentre: e.settings.Host.DataCentre, RunStages: e.stages.Prepare, RefusalError: e.refusalError, Prompts: e.prompts,
+		DataCentre: e.settings.Host.DataCentre, RunStages: e.stages.Prepare, RefusalError: e.refusalError, Prompts: e.prompts, Drain: &e.drainSchedule,
 	}
 }
 
@@ -209,6 +210,7 @@
 func (e *entryHost) newScheduler(group stage.Group) *stage.Scheduler {
 	return &stage.Scheduler{
 		Pool: e.pool, Forward: &e.codec, Throttle: e.throttle, Forecasts: &e.forecasts, Log: e.log, Metrics: e.metrics, View: e.directory.View,
+		Drain:     &e.drainSchedule,
 		Budget:    e.newRetryBudget(func() int { return len(stage.Groups(e.directory.View())) }),
 		Upstreams: func(view *directory.View) []*fleet.Upstream { return stage.UpstreamsInGroup(view, group) },
 		Role:      func(view *directory.View) stage.Role { return stage.RoleOf(view, group, e.settings.Host.ID) },
@@ -302,11 +304,15 @@
 // Requests with a single response are refused if they may be in progress at the end of the drain.
 // Streams last much shorter than their deadlines allow.
 func (e *entryHost) refusalError(route *fleet.Route, deadline time.Time) error {
-	end := e.drainEnd.Load()
-	if end == nil || !e.refusing.Load() && (route.Kind == fleet.KindStreaming || !deadline.After(*end)) {
+	times, draining := e.drainSchedule.Times()
+	if !draining {
 		return nil
 	}
-	return fault.AddRetryAfter(fault.New(api.KindDraining, "the host is draining"), drainRetryAfter)
+	accepts := !e.refusing.Load() && clock.Now().Before(times.AcceptUntil)
+	if accepts && (route.Kind == fleet.KindStreaming || !deadline.After(times.End)) {
+		return nil
+	}
+	return drain.Refusal(nil)
 }
 
 // newPeerClient returns the client for other hosts. One HTTP/2 connection carries all
--- a/internal/service/forward/exchange.go
+++ b/internal/service/forward/exchange.go
@@ -169,7 +169,7 @@
 		x.outOfSync = true
 		skipped++
 		x.conn.bounded.limit(limitSkippedBody, wireRatio*maxSkippedBodyBytes)
-		if err := drain(response.Body, maxSkippedBodyBytes); err != nil {
+		if err := discard(response.Body, maxSkippedBodyBytes); err != nil {
 			return fmt.Errorf("skip response to another request: %w", err)
 		}
 		x.conn.bounded.limit(limitHead, maxHeadBytes)
--- a/internal/service/forward/explain.go
+++ b/internal/service/forward/explain.go
@@ -128,7 +128,7 @@
 		e.Stages, stageErr = stages(work, c.Pool.Throttle)
 		return &StageResults{Release: func() {}}, nil
 	}
-	_, err := c.runStages(ctx, c.request.Received.Add(c.route.Objective), c.eventDeadline(c.request.Received))
+	_, err := c.runStages(ctx, c.request.Received.Add(c.route.Objective), c.eventDeadline(c.request.Received), 0)
 	if err == nil {
 		err = stageErr
 	}
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -50,7 +50,7 @@
 			}
 			last = response
 		}
-		action := NextAction(c.route, c.history, result, c.left())
+		action := NextAction(c.route, c.history, result, c.attemptTime())
 		if ctx.Err() != nil && action == ActionRetry {
 			action = finalAction(c.history)
 		}
@@ -199,6 +199,7 @@
 		header.Set("Content-Length", strconv.FormatInt(response.body.Len(), 10))
 	}
 	c.started, c.status = true, response.status
+	c.keepAfterDrain()
 	c.writer.WriteHeader(response.status)
 	if c.request.Method == http.MethodHead {
 		return nil
--- a/internal/service/forward/pool.go
+++ b/internal/service/forward/pool.go
@@ -209,8 +209,8 @@
 	return err == nil && reusable
 }
 
-// drain discards a body of at most limit bytes.
-func drain(body io.Reader, limit int64) error {
+// discard discards a body of at most limit bytes.
+func discard(body io.Reader, limit int64) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, limit+1))
 	if err == nil && n > limit {
 		return &limitError{limitSkippedBody, limit}
--- a/internal/service/forward/prepare.go
+++ b/internal/service/forward/prepare.go
@@ -8,6 +8,7 @@
 
 	"redwingloft/internal/helper/clock"
 	"redwingloft/internal/helper/fault"
+	"redwingloft/internal/service/drain"
 	"redwingloft/pkg/api"
 )
 
@@ -18,8 +19,8 @@
 var errInputsGone = errors.New("an input of the request no longer exists")
 
 // runStages runs the stages of the request. Results should be ready at target and are useless after
-// deadline.
-func (c *call) runStages(ctx context.Context, target, deadline time.Time) (*StageResults, error) {
+// deadline. If the host drains, they are also useless later than reserve before its end.
+func (c *call) runStages(ctx context.Context, target, deadline time.Time, reserve time.Duration) (*StageResults, error) {
 	items := 0
 	for _, count := range c.request.Items {
 		if count > maxItems-items {
@@ -38,11 +39,21 @@
 		return nil, err
 	}
 	defer leave()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer c.Drain.BeforeEnd(reserve, func() { cancel(drain.ErrEnded) })()
 	now := clock.Now()
-	return c.RunStages(ctx, &StageWork{
-		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Workspace: c.workspace, Target: target, Deadline: deadline,
+	results, err := c.RunStages(ctx, &StageWork{
+		Request: c.request, Route: c.route, Snapshot: c.view.Snapshot, Rank: c.rank, Workspace: c.workspace, Target: target, Deadline: deadline, Reserve: reserve,
 		EngineDataCentre: PrefixDataCentre(c.candidates(), c.request, c.prefixRate(now), now),
 	})
+	bounded := c.Drain.Bound(deadline, reserve).Before(deadline)
+	if err != nil && (errors.Is(context.Cause(ctx), drain.ErrEnded) || bounded && fault.Is(err, api.KindDeadlineUnreachable)) {
+		// The caller has more time at another host.
+		c.Metrics.Counter("drain.stages_given_up").Inc(1)
+		return nil, drain.Refusal(err)
+	}
+	return results, err
 }
 
 // preparing counts the requests whose stages run, by service. The zero value is ready to use.
@@ -83,10 +94,10 @@
 // event; zero if there was none.
 func (s *streamCall) rerunStages(ctx context.Context, lastEvent time.Time) (*StageResults, error) {
 	if lastEvent.IsZero() {
-		return s.runStages(ctx, s.request.Received.Add(s.route.Objective), s.eventDeadline(s.request.Received))
+		return s.runStages(ctx, s.request.Received.Add(s.route.Objective), s.eventDeadline(s.request.Received), s.responseTime())
 	}
 	deadline := s.eventDeadline(lastEvent)
-	return s.runStages(ctx, deadline, deadline)
+	return s.runStages(ctx, deadline, deadline, 0)
 }
 
 // prepareRetry provides the inputs of another attempt.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -14,6 +14,7 @@
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/drain"
 	"redwingloft/internal/service/prefix"
 	"redwingloft/internal/service/quarantine"
 	"redwingloft/pkg/api"
@@ -43,6 +44,8 @@
 	Target time.Time
 	// Deadline is when the caller is expected to give up on the next event.
 	Deadline time.Time
+	// Reserve is the time that must be left after the stages if the host drains, for the response.
+	Reserve time.Duration
 }
 
 // Service forwards callers' requests to upstreams. Set the exported fields before use.
@@ -62,10 +65,13 @@
 	// RefusalError returns the error with which a new request with the given deadline is refused, or
 	// nil. It may be nil.
 	RefusalError func(route *fleet.Route, deadline time.Time) error
+	// Drain bounds the waits of accepted requests once the host drains; nil means that it never does.
+	Drain *drain.Schedule
 	// WriteStall is how long a caller may read nothing of a response; 0 means until its request times out.
 	WriteStall time.Duration
 
-	preparing preparing
+	preparing   preparing
+	streamTimes streamTimes
 	// prefixes counts the shared parts of prompts that were sent to engines.
 	prefixes prefix.Table
 }
@@ -101,6 +107,8 @@
 	writeEnd time.Time
 	// unread is set if the response was lost because its caller did not read it.
 	unread bool
+	// keepAfterDrain lets the request go on after the end of the drain; it is called when the response begins.
+	keepAfterDrain func()
 }
 
 // eventDeadline returns when the caller of a stream is expected to give up if it gets no event
@@ -147,6 +155,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.left())
 	defer cancel()
+	ctx, cancelDrained := context.WithCancelCause(ctx)
+	defer cancelDrained(nil)
+	c.keepAfterDrain = s.Drain.BeforeEnd(0, func() { cancelDrained(drain.ErrEnded) })
+	defer c.keepAfterDrain()
 	// A caller that reads slowly must not hold the response for ever. Writers in tests have no
 	// deadline.
 	c.writeEnd = time.Now().Add(c.left() + deliveryGrace)
@@ -225,12 +237,36 @@
 	if c.left() <= 0 {
 		return fault.New(api.KindDeadlineUnreachable, "the deadline had passed when the request arrived")
 	}
+	if err := c.checkDrain(); err != nil {
+		return err
+	}
 	return c.checkPrompt()
 }
 
 // left returns the time until the deadline. Time in which the machine was suspended counts.
 func (c *call) left() time.Duration { return c.deadline.Sub(clock.Now()) }
 
+// attemptTime returns the time until an attempt has to end, which is the deadline or the end of the drain.
+func (c *call) attemptTime() time.Duration { return c.Drain.Bound(c.deadline, 0).Sub(clock.Now()) }
+
+// checkDrain returns the error for a request that was not run and whose response is not expected to end
+// before the drain does.
+func (c *call) checkDrain() error {
+	times, draining := c.Drain.Times()
+	if !draining || c.started || c.history.MayHaveRun > 0 || clock.Now().Add(c.responseTime()).Before(times.End) {
+		return nil
+	}
+	return drain.Refusal(nil)
+}
+
+// responseTime returns the time that the response to the request is expected to take from its engine.
+func (c *call) responseTime() time.Duration {
+	if c.route.Kind != fleet.KindStreaming {
+		return 0
+	}
+	return c.streamTimes.expected(c.route)
+}
+
 // candidates returns the ready upstreams of the service with their health, without those that
 // may get no request now because of their rate limits or pauses. It uses the current view, so upstreams
 // that are no longer ready are not tried.
@@ -287,7 +323,7 @@
 func (c *call) newAttempt(upstream *fleet.Upstream) *fleet.Attempt {
 	c.upstream = upstream.ID
 	return &fleet.Attempt{
-		Request: c.request, Upstream: upstream, Remaining: c.left(), Workspace: c.workspace, LastEventID: c.request.LastEventID,
+		Request: c.request, Upstream: upstream, Remaining: c.attemptTime(), Workspace: c.workspace, LastEventID: c.request.LastEventID,
 	}
 }
 
@@ -314,6 +350,8 @@
 // wrapContextError wraps err with the kind that fits a cancelled or expired context.
 func (c *call) wrapContextError(ctx context.Context, err error) error {
 	switch {
+	case errors.Is(context.Cause(ctx), drain.ErrEnded):
+		return c.afterDrain(err)
 	case errors.Is(ctx.Err(), context.Canceled):
 		return fault.Wrap(api.KindCallerGone, err, "the caller disconnected")
 	case ctx.Err() != nil:
@@ -322,6 +360,15 @@
 	return err
 }
 
+// afterDrain returns the error for a request that is given up because its host stops.
+func (c *call) afterDrain(err error) error {
+	c.Metrics.Counter("drain.given_up").Inc(1)
+	if c.history.MayHaveRun > 0 {
+		return fault.Wrap(api.KindStageFailed, err, "the host stops before the upstream has responded")
+	}
+	return drain.Refusal(err)
+}
+
 // logRefused counts and logs a request that failed before any attempt.
 func (s *Service) logRefused(request *fleet.Request, err error) {
 	s.Metrics.Counter("request.refused").Inc(1)
--- a/internal/service/forward/stall.go
+++ b/internal/service/forward/stall.go
@@ -232,7 +232,7 @@
 // or too little time.
 func (c *call) completeReplacement(r *replacement, current *fleet.Upstream, choose func([]Candidate) *fleet.Upstream) (*replacement, error) {
 	// NextAction would not use the replacement.
-	if c.left() < minAttemptTime {
+	if c.attemptTime() < minAttemptTime {
 		c.discard(r)
 		return nil, errNoTime
 	}
--- a/internal/service/forward/stream.go
+++ b/internal/service/forward/stream.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	c.countPrefix()
-	prepared, err := c.runStages(ctx, c.request.Received.Add(c.route.Objective), c.eventDeadline(c.request.Received))
+	prepared, err := c.runStages(ctx, c.request.Received.Add(c.route.Objective), c.eventDeadline(c.request.Received), c.responseTime())
 	c.prepareTime = clock.Now().Sub(c.request.Received)
 	if err != nil {
 		return err
@@ -50,6 +50,9 @@
 	defer func() { s.prepared.Release() }()
 	defer s.dropReplacement()
 	for {
+		if err := s.checkDrain(); err != nil {
+			return err
+		}
 		upstream, err := s.nextUpstream(s.selectEngine(s.prepared))
 		if err != nil {
 			return s.fail(err)
@@ -60,7 +63,7 @@
 			return nil
 		}
 		c.exclude[upstream.ID] = true
-		action := NextAction(c.route, c.history, result, c.left())
+		action := NextAction(c.route, c.history, result, c.attemptTime())
 		if action == ActionRetry && (ctx.Err() != nil || s.unplaced.Load() || errors.Is(err, errCallerWrite) || c.unread) {
 			action = finalAction(c.history)
 		}
@@ -280,6 +283,9 @@
 	first, err := s.forwardEvents(x, stall, startTime, upstream)
 	if err == nil {
 		s.recordEnd(s.events)
+		if !s.continues && s.request.LastEventID == "" {
+			s.streamTimes.observe(s.route.Name, clock.Now().Sub(startTime))
+		}
 		x.finish()
 		return ResultAnswered, first, nil
 	}
@@ -399,5 +405,6 @@
 	s.Codec.CopyResponseHeader(header, x.response.Header)
 	disableContentTypeSniffing(header)
 	s.started, s.status = true, x.response.StatusCode
+	s.keepAfterDrain()
 	s.writer.WriteHeader(s.status)
 }
--- a/internal/service/stage/client.go
+++ b/internal/service/stage/client.go
@@ -16,6 +16,7 @@
 	"redwingloft/internal/helper/hashing"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/drain"
 	"redwingloft/internal/service/forward"
 	"redwingloft/internal/service/peer"
 	"redwingloft/pkg/api"
@@ -24,12 +25,16 @@
 const (
 	// avoidDuration is how long a host is skipped as scheduler after a failure.
 	avoidDuration = 2 * time.Second
-	// maxSubmitAttempts bounds the submissions of one job within a group.
+	// maxSubmitAttempts bounds the submissions of one job within a group that fail, and maxHandBacks those
+	// that are handed back, which hosts do that stop one after another.
 	maxSubmitAttempts = 3
+	maxHandBacks      = 8
 	// releaseInterval is how long releases for another host are collected into one call.
 	releaseInterval = 100 * time.Millisecond
 	// releaseTimeout bounds a call that releases results.
 	releaseTimeout = time.Second
+	// deadlinesTimeout bounds a call that shortens deadlines.
+	deadlinesTimeout = time.Second
 	// engineReserve is the part of the remaining time that is reserved for the engine.
 	engineReserve = 50 * time.Millisecond
 	// drawSteps is the number of values that the hash of a request can take when it chooses a group.
@@ -38,8 +43,9 @@
 
 // Paths of the calls between hosts.
 const (
-	PathJobs    = "/v1/stage/jobs"
-	PathRelease = "/v1/stage/release"
+	PathJobs      = "/v1/stage/jobs"
+	PathRelease   = "/v1/stage/release"
+	PathDeadlines = "/v1/stage/deadlines"
 )
 
 // Message is a job as submitted to another host. Times are sent as durations, because the hosts'
@@ -85,6 +91,18 @@
 	Results []StoredResults `json:"made"`
 }
 
+// DeadlineMessage moves the deadlines of jobs to an earlier time, because their submitting host stops.
+type DeadlineMessage struct {
+	Group Group         `json:"group"`
+	Jobs  []JobDeadline `json:"jobs"`
+}
+
+// JobDeadline is the deadline of a job, sent as a duration like those of Message.
+type JobDeadline struct {
+	Request    api.RequestID `json:"request"`
+	DeadlineMs int64         `json:"deadline_ms"`
+}
+
 // Job converts a message that was received at now to a job.
 func (m *Message) Job(now time.Time) Job {
 	return Job{
@@ -106,12 +124,23 @@
 	Local func(group Group) *Scheduler
 	// Forecasts holds the known forecasts of the groups; it may be nil.
 	Forecasts *GroupForecasts
+	// Drain bounds the deadlines of jobs once this host drains; nil means that it never does.
+	Drain *drain.Schedule
 
 	mu sync.Mutex
 	// avoidUntil maps failed hosts to the time from which they may be used again.
 	avoidUntil map[api.HostID]time.Time
 	// pendingReleases holds the results to release, by group.
 	pendingReleases map[Group][]StoredResults
+	// submitted holds the jobs in progress.
+	submitted map[*submission]struct{}
+}
+
+// submission is a job in progress at the host that schedules it; a zero host stands for this one.
+type submission struct {
+	host  fleet.Host
+	group Group
+	work  *forward.StageWork
 }
 
 // Prepare runs the preparatory stages of a request.
@@ -163,14 +192,17 @@
 func (c *Client) prepareInGroup(ctx context.Context, work *forward.StageWork, group Group, known *knownResults) (*forward.StageResults, error) {
 	var lastErr error
 	var host fleet.Host
-	retrySameHost, skipped, handedBack := false, false, false
-	for range maxSubmitAttempts {
+	retrySameHost, skipped := false, false
+	for failures, handBacks := 0, 0; failures < maxSubmitAttempts && handBacks <= maxHandBacks; {
 		if !retrySameHost {
 			host, skipped = c.pickHost(group)
 		}
-		message := newMessage(work, group, clock.Now())
-		message.Pinned = skipped || handedBack
+		done := c.track(&submission{host, group, work})
+		message := c.newMessage(work, group, clock.Now())
+		message.Pinned = skipped || handBacks > 0
 		if message.DeadlineMs <= 0 {
+			done()
+			c.release(group, known.live(clock.Now()))
 			return nil, errDeadlineUnreachable
 		}
 		message.Stored = known.live(clock.Now())
@@ -179,6 +211,7 @@
 			message.Known = c.Forecasts.Known(kind, clock.Now())
 		}
 		outcome, err := c.submit(ctx, host, message, known)
+		done()
 		c.Forecasts.Learn(kind, outcome.Known, clock.Now())
 		if err == nil {
 			return c.newPrepared(group, outcome), nil
@@ -191,13 +224,15 @@
 			if !slices.Contains(Groups(c.View()), group) {
 				return nil, err
 			}
-			lastErr, retrySameHost, handedBack = err, false, true
+			lastErr, retrySameHost = err, false
+			handBacks++
 			continue
 		}
 		if !peer.IsPeerError(err) {
 			return nil, err
 		}
 		lastErr = err
+		failures++
 		// A connection reset doesn't mean that the host failed. It is tried once more on a new
 		// connection, since a second scheduling host would not know which calls the first one has
 		// started.
@@ -210,10 +245,65 @@
 	return nil, fault.Wrap(api.KindNoUpstream, lastErr, "no host could run the stages")
 }
 
-func newMessage(work *forward.StageWork, group Group, now time.Time) *Message {
+// track records a job in progress until done is called.
+func (c *Client) track(s *submission) (done func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.submitted == nil {
+		c.submitted = map[*submission]struct{}{}
+	}
+	c.submitted[s] = struct{}{}
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.submitted, s)
+	}
+}
+
+// timeLeft returns the time until the deadline of a job, which leaves the engine its reserve.
+func (c *Client) timeLeft(work *forward.StageWork, now time.Time) time.Duration {
+	return c.Drain.Bound(work.Deadline, work.Reserve).Sub(now) - engineReserve
+}
+
+// ShortenDeadlines tells the hosts that schedule the jobs in progress that these have to end before the drain
+// of this host does. It is called once the drain has begun. A job whose host does not get the message is
+// given up by its request.
+func (c *Client) ShortenDeadlines() {
+	type target struct {
+		host  api.Address
+		group Group
+	}
+	now := clock.Now()
+	lists := map[target][]JobDeadline{}
+	c.mu.Lock()
+	for s := range c.submitted {
+		to := target{s.host.PeerAddress, s.group}
+		lists[to] = append(lists[to], JobDeadline{s.work.Request.ID, c.timeLeft(s.work, now).Milliseconds()})
+	}
+	c.mu.Unlock()
+	for to, list := range lists {
+		c.Log.Info().Str("peer", string(to.host)).Str("group", string(to.group)).Int("jobs", len(list)).Msg("job_deadlines_shortened")
+		if to.host == "" {
+			c.Local(to.group).ShortenDeadlines(list)
+			continue
+		}
+		go c.sendDeadlines(to.host, &DeadlineMessage{to.group, list})
+	}
+}
+
+func (c *Client) sendDeadlines(host api.Address, message *DeadlineMessage) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadlinesTimeout)
+	defer cancel()
+	if err := peer.Post(ctx, c.HTTP, host, PathDeadlines, message, nil); err != nil {
+		c.Metrics.Counter("stage.deadline_failures").Inc(1)
+		c.Log.Info().Str("peer", string(host)).Int("jobs", len(message.Jobs)).Err(err).Msg("job_deadlines_not_sent")
+	}
+}
+
+func (c *Client) newMessage(work *forward.StageWork, group Group, now time.Time) *Message {
 	m := &Message{
 		Request: work.Request.ID, Key: work.Request.ItemKey, Rank: int(work.Rank), Workspace: work.Workspace, Group: group, Home: work.EngineDataCentre,
-		DeadlineMs: (work.Deadline.Sub(now) - engineReserve).Milliseconds(),
+		DeadlineMs: c.timeLeft(work, now).Milliseconds(),
 		TargetMs:   work.Target.Sub(now).Milliseconds(),
 	}
 	m.Stages = specs(work)
--- a/internal/service/stage/explain.go
+++ b/internal/service/stage/explain.go
@@ -38,7 +38,7 @@
 func (c *Client) explainGroup(work *forward.StageWork, group Group, limits *throttle.Table, scheduler func(Group) *Scheduler) (*forward.StageReport, error) {
 	now := clock.Now()
 	host, _ := c.pickHost(group)
-	message := newMessage(work, group, now)
+	message := c.newMessage(work, group, now)
 	report := &forward.StageReport{
 		Group: string(group), Scheduler: host.ID, Local: host.ID == "", TargetMs: message.TargetMs, LeftMs: message.DeadlineMs,
 		Forecasts: c.explainForecasts(jobKind(message.Rank, message.Stages), message, now),
--- a/internal/service/stage/forecast.go
+++ b/internal/service/stage/forecast.go
@@ -130,9 +130,10 @@
 	return f
 }
 
-// meetsTarget reports whether a new job can meet its target.
+// meetsTarget reports whether a new job can meet its target. The deadline comes earlier if the submitting
+// host stops.
 func (f forecast) meetsTarget(job *Job, now time.Time) bool {
-	return !now.Add(f.onTime + firstEventTime).After(job.Target)
+	return !now.Add(f.onTime+firstEventTime).After(job.Target) && !now.Add(f.onTime).After(job.Deadline)
 }
 
 // accepts reports whether to start a new job: it can meet its target, or it can be done well within
--- a/internal/service/stage/order.go
+++ b/internal/service/stage/order.go
@@ -104,7 +104,7 @@
 }
 
 // sorted returns the items of a queue whose jobs are active, most urgent first. It fails late and begun jobs
-// that can't meet their deadline.
+// that can't meet their deadline, and others whose deadline was moved before their target.
 func (p *plan) sorted(queue []*item, now time.Time) []*item {
 	queue = slices.DeleteFunc(queue, func(it *item) bool { return it.job.ended || it.phase != phaseQueued })
 	var runs []run
@@ -121,7 +121,7 @@
 	var rate float64
 	for i := range runs {
 		it := runs[i].items[0]
-		judged := runs[i].late || runs[i].begun
+		judged := runs[i].late || runs[i].begun || it.job.Deadline.Before(it.job.Target)
 		if rate == 0 && judged {
 			rate, _ = p.rate(it.job.stages[it.stage].Service, now)
 		}
--- a/internal/service/stage/plan.go
+++ b/internal/service/stage/plan.go
@@ -166,6 +166,31 @@
 	return j
 }
 
+// shortenDeadlines moves the deadlines of jobs to an earlier time and fails those that can't be done by then.
+// It returns the number of jobs that were found and of those that failed.
+func (p *plan) shortenDeadlines(list []JobDeadline, now time.Time) (found, failed int) {
+	var jobs []*jobState
+	for _, entry := range list {
+		j := p.jobs[entry.Request]
+		if j == nil {
+			continue
+		}
+		if deadline := now.Add(time.Duration(entry.DeadlineMs) * time.Millisecond); deadline.Before(j.Deadline) {
+			j.Deadline = deadline
+		}
+		jobs = append(jobs, j)
+	}
+	for service := range p.queues {
+		p.queues[service] = p.sorted(p.queues[service], now)
+	}
+	for _, j := range jobs {
+		if j.ended {
+			failed++
+		}
+	}
+	return len(jobs), failed
+}
+
 // unblock queues the blocked items of the stages whose inputs are all done.
 func (p *plan) unblock(j *jobState, now time.Time) {
 	for i := range j.stages {
--- a/internal/service/stage/scheduler.go
+++ b/internal/service/stage/scheduler.go
@@ -15,6 +15,7 @@
 	"redwingloft/internal/helper/fault"
 	"redwingloft/internal/helper/metric"
 	"redwingloft/internal/service/directory"
+	"redwingloft/internal/service/drain"
 	"redwingloft/internal/service/forward"
 	"redwingloft/internal/service/throttle"
 	"redwingloft/pkg/api"
@@ -72,6 +73,8 @@
 	// Role returns the role of this host in the group.
 	Role func(*directory.View) Role
 	View func() *directory.View
+	// Drain is that of this host; nil means that it never drains.
+	Drain *drain.Schedule
 
 	mu   sync.Mutex
 	plan *plan
@@ -244,6 +247,19 @@
 	s.startCalls(calls)
 }
 
+// ShortenDeadlines moves the deadlines of jobs to an earlier time, and ends at once those that can't be done
+// by then.
+func (s *Scheduler) ShortenDeadlines(list []JobDeadline) {
+	s.mu.Lock()
+	s.refresh()
+	now := clock.Now()
+	jobs, failed := s.plan.shortenDeadlines(list, now)
+	calls := s.plan.dispatch(now)
+	s.mu.Unlock()
+	s.Log.Info().Int("jobs", jobs).Int("refused", failed).Msg("job_deadlines_received")
+	s.startCalls(calls)
+}
+
 // Release marks results as no longer needed.
 func (s *Scheduler) Release(list []StoredResults) {
 	s.mu.Lock()
@@ -415,6 +431,10 @@
 	match := (*jobState).movable
 	if s.role == RoleNone {
 		match = (*jobState).idle
+	} else if _, draining := s.Drain.Times(); draining {
+		// Jobs that were pinned later come from hosts that reach no other one.
+		until := s.replacedAt.Add(handBackDelay)
+		match = func(j *jobState) bool { return j.idle() && (!j.Pinned || j.started.Before(until)) }
 	}
 	if jobs := s.plan.handBack(match, clock.Now()); jobs > 0 {
 		s.Metrics.Counter("stage.handed_back").Inc(int64(jobs))
--- a/internal/web/entry/peers.go
+++ b/internal/web/entry/peers.go
@@ -55,6 +55,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+stage.PathJobs, p.handleJob)
 	mux.HandleFunc("POST "+stage.PathRelease, p.handleRelease)
+	mux.HandleFunc("POST "+stage.PathDeadlines, p.handleDeadlines)
 	mux.HandleFunc("POST "+outlier.Path, p.handleOutliers)
 	mux.HandleFunc("GET "+pathUpdates, p.handleUpdates)
 	return mux
@@ -123,6 +124,16 @@
 	p.Scheduler(message.Group).Release(message.Results)
 }
 
+func (p *PeerHandler) handleDeadlines(w http.ResponseWriter, r *http.Request) {
+	var message stage.DeadlineMessage
+	release, ok := p.decodeBody(w, r, &message)
+	if !ok {
+		return
+	}
+	defer release()
+	p.Scheduler(message.Group).ShortenDeadlines(message.Jobs)
+}
+
 func (p *PeerHandler) handleOutliers(w http.ResponseWriter, r *http.Request) {
 	var message outlier.Message
 	if release, ok := p.decodeBody(w, r, &message); ok {
