Leave responses more time at the end of a drain, and test its bounds apart

Cause: 0.2 s before the end of the drain is little for a busy small host to write the responses of all requests that it gives up; and a request that waits at its upstream was given up at the moment of its upstream's deadline, so that the statement that it was not run came too late. Change: requests without a response are given up 0.4 s before the end (their upstreams have that as the deadline) and 50 ms later. A second signal does not move the schedule.

--- a/cmd/entry_drain.go
+++ b/cmd/entry_drain.go
@@ -23,7 +23,7 @@
 	exitMargin = 600 * time.Millisecond
 	// responseMargin is the part of the drain in which responses that have not begun are given up, so that
 	// their callers get an error in place of a closed connection.
-	responseMargin = 200 * time.Millisecond
+	responseMargin = 400 * time.Millisecond
 	// lastResponsesTimeout bounds the wait for the connections that were accepted before the
 	// caller listener closes. Their requests are refused at once.
 	lastResponsesTimeout = 500 * time.Millisecond
--- a/cmd/entry_drain_test.go
+++ b/cmd/entry_drain_test.go
@@ -14,6 +14,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"redwingloft/internal/helper/clock"
+	"redwingloft/internal/service/drain"
 	wire "redwingloft/platform"
 	"redwingloft/standin/platform"
 )
@@ -212,3 +214,17 @@
 	w.stop(t)
 	<-stopped
 }
+
+// TestDrainingHostRefusesByArrival guards against a request that is accepted later than a draining host
+// accepts any, because the host looks at the time in intervals, and that is cut at the end.
+func TestDrainingHostRefusesByArrival(t *testing.T) {
+	s := startSite(t)
+	now := clock.Now()
+	s.host.drainSchedule.Begin(drain.Times{AcceptUntil: now, End: now.Add(time.Minute)})
+	for _, path := range []string{"/plan/1", "/book/1"} {
+		status, _, header := s.call(t, path, path, map[string]string{wire.HeaderItems: "1,1", wire.HeaderItemKey: "k"})
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Assert(t, header.Get("Retry-After") != "")
+	}
+	assert.Equal(t, len(s.engine.Requests())+len(s.plain.Requests()), 0)
+}
--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -305,16 +305,21 @@
 // Streams last much shorter than their deadlines allow.
 func (e *entryHost) refusalError(route *fleet.Route, deadline time.Time) error {
 	times, draining := e.drainSchedule.Times()
-	if !draining {
-		return nil
-	}
-	accepts := !e.refusing.Load() && clock.Now().Before(times.AcceptUntil)
-	if accepts && (route.Kind == fleet.KindStreaming || !deadline.After(times.End)) {
+	if !draining || e.accepts() && (route.Kind == fleet.KindStreaming || !deadline.After(times.End)) {
 		return nil
 	}
 	return drain.Refusal(nil)
 }
 
+// accepts reports whether the host accepts new requests, apart from those that it can't finish in time.
+func (e *entryHost) accepts() bool {
+	times, draining := e.drainSchedule.Times()
+	if draining && (e.refusing.Load() || !clock.Now().Before(times.AcceptUntil)) {
+		return false
+	}
+	return e.directory.View().Snapshot != nil
+}
+
 // newPeerClient returns the client for other hosts. One HTTP/2 connection carries all
 // calls to a host, and pings detect a stalled one.
 func newPeerClient() *http.Client {
--- a/internal/service/drain/drain.go
+++ b/internal/service/drain/drain.go
@@ -40,9 +40,10 @@
 // Schedule holds the times of a host's drain, which are unknown until it begins. The zero value is ready to
 // use, and a nil Schedule is that of a host that never drains.
 type Schedule struct {
-	once  sync.Once
-	begun context.Context
-	begin context.CancelFunc
+	once      sync.Once
+	beginOnce sync.Once
+	begun     context.Context
+	begin     context.CancelFunc
 	// times is set before begun is cancelled and does not change after it.
 	times Times
 }
@@ -51,11 +52,13 @@
 	s.once.Do(func() { s.begun, s.begin = context.WithCancel(context.Background()) })
 }
 
-// Begin starts the drain. It must be called only once.
+// Begin starts the drain. Further calls change nothing.
 func (s *Schedule) Begin(times Times) {
 	s.init()
-	s.times = times
-	s.begin()
+	s.beginOnce.Do(func() {
+		s.times = times
+		s.begin()
+	})
 }
 
 // Times returns the times of the drain, and whether it has begun.
--- a/internal/service/drain/drain_test.go
+++ b/internal/service/drain/drain_test.go
@@ -58,6 +58,8 @@
 	s.Begin(Times{End: now.Add(4 * time.Second)})
 	assert.Equal(t, s.Bound(deadline, time.Second), now.Add(3*time.Second))
 	assert.Equal(t, s.Bound(now, time.Second), now)
+	s.Begin(Times{End: now.Add(time.Minute)})
+	assert.Equal(t, s.Bound(deadline, time.Second), now.Add(3*time.Second), "a second signal moved the end")
 }
 
 // TestRefusalIsNotRun guards against a refusal that callers don't take as one that may be repeated elsewhere.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -131,6 +131,10 @@
 	callerWaitGapFactor       = 8
 )
 
+// notRunWait is how long after the end of the drain, which is the deadline of its attempt, a request
+// waits for its upstream to state that it was not run.
+const notRunWait = 50 * time.Millisecond
+
 // deliveryGrace is how long after its deadline a response that was complete in time may still be
 // written to its caller.
 const deliveryGrace = 3 * time.Second
@@ -157,7 +161,7 @@
 	defer cancel()
 	ctx, cancelDrained := context.WithCancelCause(ctx)
 	defer cancelDrained(nil)
-	c.keepAfterDrain = s.Drain.BeforeEnd(0, func() { cancelDrained(drain.ErrEnded) })
+	c.keepAfterDrain = s.Drain.BeforeEnd(-notRunWait, func() { cancelDrained(drain.ErrEnded) })
 	defer c.keepAfterDrain()
 	// A caller that reads slowly must not hold the response for ever. Writers in tests have no
 	// deadline.
