List a draining host that accepts requests while no other is registered

Cause: a host leaves the list with SIGTERM, while it accepts requests for some time after it. Change: a draining host lists itself if there is no other and it still accepts requests. Test: TestAddressList (503 before).

--- a/cmd/entry_host.go
+++ b/cmd/entry_host.go
@@ -341,6 +341,7 @@
 	e.addPeerListener(group, e.settings.Peer.Listen, e.newPeerServer(), e.guards.addPeer())
 	directory := &web.DirectoryHandler{
 		View: e.directory.View, Self: e.settings.Caller.Advertise, AddressValidity: e.settings.Caller.AddressValidity, Ready: e.checkReady,
+		Accepts: e.accepts,
 	}
 	directoryGuard := e.guards.addAuxiliary("directory")
 	directoryGuard.Timeout = e.callerIdleTimeout
--- a/internal/web/entry/directory.go
+++ b/internal/web/entry/directory.go
@@ -20,6 +20,9 @@
 	AddressValidity time.Duration
 	// Ready returns nil if the host accepts requests.
 	Ready func() error
+	// Accepts reports whether the host accepts requests, which it still does when it begins to drain; nil
+	// means that it never does without being ready.
+	Accepts func() bool
 }
 
 // maxAddresses limits the address list; callers use no more.
@@ -33,6 +36,10 @@
 	}
 	query := platform.DecodeAddressQuery(r)
 	list := AddressesFor(d.View(), query.DataCentre, d.Self, d.Ready() == nil)
+	if len(list) == 0 && d.Accepts != nil && d.Accepts() {
+		// While all hosts drain, callers would find none.
+		list = []api.Address{d.Self}
+	}
 	if len(list) == 0 {
 		http.Error(w, "no host is ready", http.StatusServiceUnavailable)
 		return
--- a/internal/web/entry/entry_test.go
+++ b/internal/web/entry/entry_test.go
@@ -142,8 +142,8 @@
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
-// TestAddressList guards against a list with draining hosts, and one that is empty
-// although this host is ready.
+// TestAddressList guards against a list with draining hosts, and one that is empty although this host is
+// ready, or still accepts requests while no other does.
 func TestAddressList(t *testing.T) {
 	host := func(id, centre string, draining bool) string {
 		return fmt.Sprintf(`{"id":%q,"data_centre":%q,"caller":%q,"draining":%t}`, id, centre, id, draining)
@@ -158,6 +158,14 @@
 	d.Addresses(recorder, httptest.NewRequest(http.MethodGet, wire.PathAddresses+"?name=h&zone=b&region=r", nil))
 	assert.Equal(t, recorder.Body.String(), `{"addresses":["far:1","near:1"],"ttlS":1.5}`)
 	d.Ready = func() error { return context.Canceled }
+	// While no host is ready, a draining one that still accepts requests lists itself.
+	for accepts, status := range map[bool]int{true: http.StatusOK, false: http.StatusServiceUnavailable} {
+		last := *d
+		last.View, last.Accepts = func() *directory.View { return &directory.View{} }, func() bool { return accepts }
+		recorder = httptest.NewRecorder()
+		last.Addresses(recorder, httptest.NewRequest(http.MethodGet, wire.PathAddresses+"?name=h&zone=a&region=r", nil))
+		assert.Equal(t, recorder.Code, status)
+	}
 	recorder = httptest.NewRecorder()
 	d.Readiness(recorder, httptest.NewRequest(http.MethodGet, wire.PathReadiness, nil))
 	assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
