Give up requests in progress when redwingloft serve has waited for them

What callers saw: a request that lasted for longer than its host waits when it stops (30 s by default) got neither a response nor an error. Requests that wait for a handover were among them; they have not run. Change: 0.3 s before the end all requests in progress are cancelled. One that has not run is refused as such, others end with stage_failed and what is known of their run; a stream ends with its error event.

--- a/cmd/drain.go
+++ b/cmd/drain.go
@@ -19,6 +19,9 @@
 	// deregisterTimeout bounds the last write to the key-value service. If it fails, the
 	// other hosts remove this one later.
 	deregisterTimeout = 3 * time.Second
+	// giveUpTime is the part of the shutdown time in which requests that have not ended are given up and
+	// their responses written.
+	giveUpTime = 300 * time.Millisecond
 )
 
 // signalActor returns an actor that drains the host on the first signal and stops it at once on the second.
@@ -72,13 +75,15 @@
 }
 
 // awaitRequests waits until the requests in progress are done and their responses written,
-// for the shutdown time of the settings at most.
+// for the shutdown time of the settings at most. Those that have not ended by then are given up.
 func (h *host) awaitRequests(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, h.settings.Host.ShutdownTimeout)
 	defer cancel()
-	if err := h.requests.Drain(ctx); err != nil {
-		h.log.Warn().Int("in_progress", h.requests.InProgress()).Msg("requests_cut_off")
-		return
+	running, stop := context.WithTimeout(ctx, h.settings.Host.ShutdownTimeout-giveUpTime)
+	defer stop()
+	if err := h.requests.Drain(running); err != nil {
+		h.log.Warn().Int("in_progress", h.requests.InProgress()).Msg("requests_given_up")
+		h.requests.GiveUp()
 	}
 	for h.inProgress.Load() > 0 && sleep(ctx, drainPollInterval) {
 		continue
--- a/internal/service/request/progress.go
+++ b/internal/service/request/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"redwingloft/internal/helper/fault"
@@ -15,24 +16,63 @@
 	draining bool
 	// idle is closed once the host is draining and no request is in progress.
 	idle chan struct{}
+	// cancels ends the requests in progress, by their number of arrival.
+	cancels map[uint64]context.CancelCauseFunc
+	entered uint64
 }
 
-// enter counts a request, or returns an error if the host is draining.
-func (t *requestTracker) enter() error {
+// errGivenUp is the cancel cause of requests that have not ended when the host stops.
+var errGivenUp = errors.New("the host stops before the request has ended")
+
+// enter counts a request, or returns an error if the host is draining. The request runs with the returned
+// context until exit is called.
+func (t *requestTracker) enter(parent context.Context) (ctx context.Context, exit func(), err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.draining {
-		return newDrainingError()
+		return nil, nil, newDrainingError()
+	}
+	ctx, cancel := context.WithCancelCause(parent)
+	if t.cancels == nil {
+		t.cancels = map[uint64]context.CancelCauseFunc{}
 	}
+	t.entered++
+	number := t.entered
+	t.cancels[number] = cancel
 	t.count++
-	return nil
+	return ctx, func() {
+		cancel(nil)
+		t.exit(number)
+	}, nil
+}
+
+// giveUp cancels the requests in progress.
+func (t *requestTracker) giveUp() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, cancel := range t.cancels {
+		cancel(errGivenUp)
+	}
+}
+
+// givenUpError returns the error for the caller of a request that ended with err. One that was given up and
+// has not run is refused as not run.
+func givenUpError(ctx context.Context, err error) error {
+	switch {
+	case err == nil || !errors.Is(context.Cause(ctx), errGivenUp):
+		return err
+	case fault.RunStateOf(err) == api.RunNo:
+		return fault.Wrap(api.KindDraining, err, "this host is shutting down")
+	}
+	return fault.WithRunState(fault.Wrap(api.KindStageFailed, err, "this host is shutting down"), fault.RunStateOf(err))
 }
 
 func newDrainingError() error { return fault.New(api.KindDraining, "this host is shutting down") }
 
-func (t *requestTracker) exit() {
+func (t *requestTracker) exit(number uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.cancels, number)
 	t.count--
 	if t.draining && t.count == 0 {
 		close(t.idle)
@@ -75,3 +115,6 @@
 	}
 	return ctx.Err()
 }
+
+// GiveUp ends all requests in progress, which then return an error that says whether they ran.
+func (s *Service) GiveUp() { s.tracker.giveUp() }
--- a/internal/service/request/request.go
+++ b/internal/service/request/request.go
@@ -122,10 +122,16 @@
 
 // RunPipeline runs a pipeline for a caller.
 func (s *Service) RunPipeline(ctx context.Context, caller Caller, name api.PipelineName, body api.RunRequest, stream StreamCallbacks) (*RunResponse, error) {
-	if err := s.tracker.enter(); err != nil {
+	ctx, exit, err := s.tracker.enter(ctx)
+	if err != nil {
 		return nil, err
 	}
-	defer s.tracker.exit()
+	defer exit()
+	answer, err := s.runPipeline(ctx, caller, name, body, stream)
+	return answer, givenUpError(ctx, err)
+}
+
+func (s *Service) runPipeline(ctx context.Context, caller Caller, name api.PipelineName, body api.RunRequest, stream StreamCallbacks) (*RunResponse, error) {
 	run, err := s.prepare(s.Snapshot(), caller, name, body)
 	if err != nil {
 		return nil, err
--- a/internal/service/request/request_test.go
+++ b/internal/service/request/request_test.go
@@ -376,3 +376,37 @@
 		}
 	}
 }
+
+// TestGiveUpRefusesHeldRequests guards against requests that a stopping host leaves without a response because
+// they wait for a handover, which no queue ends, and against one that has run and is refused as not run.
+func TestGiveUpRefusesHeldRequests(t *testing.T) {
+	r := newFixture(t, 1)
+	held := make(chan struct{})
+	defer close(held)
+	var asked atomic.Int64
+	r.Gate = func(*admission.Ticket) (func(), <-chan struct{}, error) {
+		asked.Add(1)
+		return nil, held, nil
+	}
+	answer := r.runInBackground(t.Context())
+	waitFor(t, func() bool { return asked.Load() == 1 })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, r.Drain(ctx), context.Canceled)
+	r.GiveUp()
+	err := <-answer
+	assert.Equal(t, fault.KindOf(err), api.KindDraining, "%v", err)
+	assert.Equal(t, fault.RunStateOf(err), api.RunNo)
+	assert.NilError(t, r.Drain(t.Context()))
+
+	ran := givenUpError(givenUpContext(), fault.WithRunState(fault.New(api.KindCallerGone, "cut"), api.RunYes))
+	assert.Equal(t, api.Kinds[fault.KindOf(ran)].Status, 502)
+	assert.Equal(t, fault.RunStateOf(ran), api.RunYes)
+}
+
+// givenUpContext returns the context of a request that was given up.
+func givenUpContext() context.Context {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	cancel(errGivenUp)
+	return ctx
+}
--- a/internal/service/request/service.go
+++ b/internal/service/request/service.go
@@ -36,10 +36,16 @@
 
 // CallService calls a service for a caller. Calls that must not be repeated go through the order coordinator.
 func (s *Service) CallService(ctx context.Context, caller Caller, service api.ServiceName, name api.CallName, key string, body []byte) (*api.ServiceAnswer, error) {
-	if err := s.tracker.enter(); err != nil {
+	ctx, exit, err := s.tracker.enter(ctx)
+	if err != nil {
 		return nil, err
 	}
-	defer s.tracker.exit()
+	defer exit()
+	answer, err := s.callService(ctx, caller, service, name, key, body)
+	return answer, givenUpError(ctx, err)
+}
+
+func (s *Service) callService(ctx context.Context, caller Caller, service api.ServiceName, name api.CallName, key string, body []byte) (*api.ServiceAnswer, error) {
 	prepared, err := s.prepareCall(s.Snapshot(), caller, service, name)
 	if err != nil {
 		return nil, err
