--- a/internal/web/guard/conn.go
+++ b/internal/web/guard/conn.go
@@ -35,14 +35,16 @@
 	// evicted is set if the connection is closed although a request head may have begun to arrive.
 	// Bytes that arrive later are not read.
 	evicted bool
+	// headLost is set if the rest of a request head was not read for that reason.
+	headLost bool
 	// closed is set once the connection has been closed to make room. No request on it is served.
 	closed bool
 	// headSince is when the connection was accepted, or the first byte of the next request was read.
 	headSince time.Time
-	// headBytes is the number of bytes read of the present request head, head holds those in excess
-	// of freeHeadBytes.
-	headBytes int64
-	head      *memory.Holder
+	// headBytes and headLines are the numbers of bytes and lines read of the present request head, head
+	// holds the memory that they take in excess of freeHeadBytes and freeHeadLines.
+	headBytes, headLines int64
+	head                 *memory.Holder
 	// begun is set once bytes were read.
 	begun bool
 	// multiplexed is set if the connection uses HTTP/2. It is idle while it has no requests: what is read
@@ -67,8 +69,29 @@
 	// headRatio is the memory that is reserved for each further byte: a line is collected in a buffer
 	// and then copied.
 	headRatio = 2
+	// freeHeadLines is the number of lines of a request head that count as part of its connection.
+	freeHeadLines = 64
+	// headLineBytes is the memory that is reserved for each further line, beside its bytes: an entry in the
+	// map of fields and its list of values, and the same in the map of those that are forwarded.
+	headLineBytes = 256
 )
 
+// headSize returns the memory to reserve for a part of a request head.
+func headSize(size, lines int64) int64 {
+	return headRatio*max(size-freeHeadBytes, 0) + headLineBytes*max(lines-freeHeadLines, 0)
+}
+
+// headEnd ends a request head.
+var headEnd = []byte("\r\n\r\n")
+
+// countLines returns the number of lines in a part of a request head, without those after its end.
+func countLines(data []byte) int64 {
+	if end := bytes.Index(data, headEnd); end >= 0 {
+		data = data[:end]
+	}
+	return int64(bytes.Count(data, []byte{'\n'}))
+}
+
 // multiplexedPreface begins a connection that uses HTTP/2 without TLS.
 const multiplexedPreface = "PRI * HTTP/2.0"
 
@@ -99,11 +122,33 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 && !c.received(p[:n], len(p)) {
 		// The server closes the connection without a response, as no request has arrived.
-		return 0, os.ErrDeadlineExceeded
+		n, err = 0, os.ErrDeadlineExceeded
+	}
+	if err != nil && n == 0 {
+		c.loseHead()
 	}
 	return n, err
 }
 
+// loseHead records that the rest of a request head is not read, because the connection gives way.
+func (c *Conn) loseHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headLost = c.evicted && !c.multiplexed
+}
+
+// Write implements net.Conn. The server takes a head that is lost in the middle of a line for a malformed one,
+// and would tell the caller so.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	lost := c.headLost
+	c.mu.Unlock()
+	if lost {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
 // received records that bytes of a request were read into a buffer of a size. They may have been read just
 // before the connection expired. It returns false if the connection gives way to others.
 func (c *Conn) received(data []byte, buffer int) bool {
@@ -130,11 +175,16 @@
 		c.headSince, c.idleSince = now, time.Time{}
 	}
 	c.revive()
-	before := max(c.headBytes-freeHeadBytes, 0)
+	before := headSize(c.headBytes, c.headLines)
 	c.headBytes += n
-	size := headRatio * (max(c.headBytes-freeHeadBytes, 0) - before)
+	c.headLines += countLines(data)
+	size := headSize(c.headBytes, c.headLines) - before
 	c.mu.Unlock()
-	return size == 0 || c.memory == nil || c.growHead(size)
+	if size == 0 || c.memory == nil || c.growHead(size) {
+		return true
+	}
+	c.evictHead()
+	return false
 }
 
 // growHead reserves memory for a long request head.
@@ -191,7 +241,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.serving, c.betweenRequests, c.idleSince, c.timeout = false, true, now, timeout
-	c.headSince, c.headBytes, c.discardSince = now, 0, time.Time{}
+	c.headSince, c.headBytes, c.headLines, c.discardSince = now, 0, 0, time.Time{}
 	c.bodyOpen, c.interrupted = false, false
 }
 
--- a/internal/web/guard/limit_test.go
+++ b/internal/web/guard/limit_test.go
@@ -181,6 +181,36 @@
 	assert.Equal(t, account.Used(), int64(0))
 }
 
+// TestHeadsOfManyFieldsAreAccounted guards against request heads whose short fields take many times their size,
+// both unfinished ones and those of requests in progress.
+func TestHeadsOfManyFieldsAreAccounted(t *testing.T) {
+	const fields = 1500
+	head := "GET / HTTP/1.1\r\nHost: h\r\n"
+	for i := range fields {
+		head += fmt.Sprintf("%x:\r\n", i)
+	}
+	assert.Assert(t, len(head) <= freeHeadBytes+2<<10)
+	const size = headLineBytes * (fields - freeHeadLines)
+	// The large heads of one owner may use 0.3 of the account.
+	account := &memory.Account{Limit: 5 * size, StallTime: time.Hour}
+	address, _ := startTracked(t, &Guard{Memory: account})
+	first, second := dialTracked(t, address, head), dialTracked(t, address, head)
+	assert.Assert(t, second.isClosed(t) && !first.isClosed(t))
+	assert.Assert(t, account.Used() >= size, "%d bytes", account.Used())
+	first.write(t, "\r\n")
+	assert.Equal(t, first.get(t), "answer")
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, account.Used(), int64(0))
+}
+
+// TestFieldsOfOrdinaryHeadsAreFree guards against ordinary requests, and lines in the bodies behind them, for
+// which memory is reserved.
+func TestFieldsOfOrdinaryHeadsAreFree(t *testing.T) {
+	head := "POST / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("Field: value\r\n", 40)
+	assert.Equal(t, headSize(int64(len(head)), countLines([]byte(head))), int64(0))
+	assert.Equal(t, countLines([]byte("a\r\nb\r\n\r\n"+strings.Repeat("\n", 100))), int64(1))
+}
+
 // TestLeavingConnectionsAreCounted guards against connections that are admitted while those that give way
 // are still open.
 func TestLeavingConnectionsAreCounted(t *testing.T) {
