Notice pipelined requests that were read ahead

What callers saw: where connections are scarce, one with pipelined requests keeps its place until all of them are served. Cause: such a connection was noticed only if the server happened to read a byte while it served a request; on a busy machine it does not get to. Change: a request whose head was read together with the one before it is pipelined, and is noticed when it begins.

--- a/internal/web/guard/conn.go
+++ b/internal/web/guard/conn.go
@@ -252,6 +252,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.idleSince.IsZero() && !c.multiplexed {
+		// The whole head was read together with the request before.
+		c.pipelined = true
+	}
 	c.serving, c.betweenRequests, c.idleSince = true, false, time.Time{}
 	// The whole header may have been read together with the request before.
 	c.revive()
--- a/internal/web/guard/limit_test.go
+++ b/internal/web/guard/limit_test.go
@@ -277,6 +277,32 @@
 	}
 }
 
+// TestRequestsReadAheadAreNoticed guards against pipelined requests that are noticed only if the server happens
+// to read while it serves one of them.
+func TestRequestsReadAheadAreNoticed(t *testing.T) {
+	for name, readsBetween := range map[string]bool{"read ahead": false, "read when idle": true} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer near.Close()
+			defer far.Close()
+			c := &Conn{Conn: near, headSince: time.Now()}
+			read := func() {
+				go func() { _, _ = far.Write([]byte(plainRequest)) }()
+				_, err := c.Read(make([]byte, len(plainRequest)))
+				assert.NilError(t, err)
+			}
+			read()
+			c.becomeActive()
+			c.becomeIdle(time.Minute)
+			if readsBetween {
+				read()
+			}
+			c.becomeActive()
+			assert.Equal(t, c.isPipelined(), !readsBetween)
+		})
+	}
+}
+
 // TestRefusedBodiesGiveWay guards against the rest of refused bodies that keeps new connections out.
 func TestRefusedBodiesGiveWay(t *testing.T) {
 	guard := &Guard{MaxConns: 4, Metrics: metric.New(), SetRetryAfter: platform.SetRetryAfter}
