--- a/internal/web/entry/directory.go
+++ b/internal/web/entry/directory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"redwingloft/internal/service/directory"
+	"redwingloft/internal/web/guard"
 	"redwingloft/pkg/api"
 	"redwingloft/platform"
 )
@@ -30,6 +31,7 @@
 
 // Addresses serves the address list.
 func (d *DirectoryHandler) Addresses(w http.ResponseWriter, r *http.Request) {
+	guard.CloseUnread(w, r)
 	if r.URL.Path != platform.PathAddresses {
 		http.NotFound(w, r)
 		return
@@ -73,6 +75,7 @@
 
 // Readiness serves the platform's readiness checks.
 func (d *DirectoryHandler) Readiness(w http.ResponseWriter, r *http.Request) {
+	guard.CloseUnread(w, r)
 	if r.URL.Path != platform.PathReadiness {
 		http.NotFound(w, r)
 		return
--- a/internal/web/entry/entry_test.go
+++ b/internal/web/entry/entry_test.go
@@ -170,3 +170,24 @@
 	d.Readiness(recorder, httptest.NewRequest(http.MethodGet, wire.PathReadiness, nil))
 	assert.Equal(t, recorder.Code, http.StatusServiceUnavailable)
 }
+
+// TestBodyOfLookUpIsNotAwaited guards against look-ups and readiness checks whose bodies arrive slowly, or never,
+// and whose connections are open until then.
+func TestBodyOfLookUpIsNotAwaited(t *testing.T) {
+	view := newView(fleet.Upstream{}, 0)
+	d := &DirectoryHandler{View: func() *directory.View { return view }, Self: "self:1", AddressValidity: time.Second, Ready: func() error { return nil }}
+	for path, handle := range map[string]http.HandlerFunc{wire.PathAddresses: d.Addresses, wire.PathReadiness: d.Readiness} {
+		server := httptest.NewServer(handle)
+		c, err := net.Dial("tcp", server.Listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = fmt.Fprintf(c, "GET %s?name=h&zone=a&region=r HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", path)
+		assert.NilError(t, err)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		assert.NilError(t, err, path)
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+		assert.Assert(t, response.Close)
+		c.Close()
+		server.Close()
+	}
+}
--- a/internal/web/guard/conn.go
+++ b/internal/web/guard/conn.go
@@ -56,10 +56,13 @@
 	pipelined bool
 	// discardSince is since when the rest of a refused body is discarded; zero otherwise.
 	discardSince time.Time
-	// bodyOpen is set until the end of a request body was read. lastRead is when bytes of it were read,
-	// interrupted is set once its reading was ended to make room.
+	// bodyOpen is set until the end of a request body was read. bodySince is when its reading began, bodyBytes
+	// the number of bytes read since then and lastRead the time of the last ones. interrupted is set once its
+	// reading was ended to make room.
 	bodyOpen    bool
 	interrupted bool
+	bodySince   time.Time
+	bodyBytes   int64
 	lastRead    time.Time
 }
 
@@ -159,6 +162,7 @@
 		c.begun, c.multiplexed = true, bytes.HasPrefix(data, []byte(multiplexedPreface))
 	}
 	if c.serving {
+		c.bodyBytes += int64(len(data))
 		// While a request is served, the server reads a single byte, to notice that the caller leaves.
 		if !c.bodyOpen && !c.multiplexed && (buffer == 1 || c.encrypted) {
 			c.pipelined = true
@@ -313,7 +317,8 @@
 	if r.ContentLength == 0 || c.multiplexed {
 		return r
 	}
-	c.bodyOpen, c.lastRead = true, time.Now()
+	now := time.Now()
+	c.bodyOpen, c.bodySince, c.bodyBytes, c.lastRead = true, now, 0, now
 	guarded := *r
 	guarded.Body = &guardedBody{r.Body, c}
 	return &guarded
@@ -361,8 +366,22 @@
 	standingLeaving standing = "leaving"
 )
 
-// state returns the standing of a connection and since when it has it, or since when no bytes of a
-// body have arrived.
+// minBodyRate is the rate, in bytes a second, below which a body counts as stalled although some of it arrives.
+// Callers on slow mobile links send several times as much.
+const minBodyRate = 4 << 10
+
+// bodyStalledSince returns since when the bytes of a body have not arrived: none at all, or fewer than at
+// minBodyRate. The caller holds mu.
+func (c *Conn) bodyStalledSince() time.Time {
+	due := c.bodySince.Add(time.Duration(float64(c.bodyBytes) / minBodyRate * float64(time.Second)))
+	if due.Before(c.lastRead) {
+		return due
+	}
+	return c.lastRead
+}
+
+// state returns the standing of a connection and since when it has it, or since when the bytes of a body have
+// not arrived.
 func (c *Conn) state() (standing, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -374,7 +393,7 @@
 	case c.serving && c.interrupted:
 		return standingLeaving, time.Time{}
 	case c.serving && c.bodyOpen:
-		return standingBody, c.lastRead
+		return standingBody, c.bodyStalledSince()
 	case c.serving:
 		return standingBusy, time.Time{}
 	case !c.idleSince.IsZero():
@@ -394,7 +413,7 @@
 	switch {
 	case c.expired || c.evicted:
 		return false, false
-	case as == standingBody && c.serving && c.bodyOpen && c.lastRead.Equal(since):
+	case as == standingBody && c.serving && c.bodyOpen && c.bodyStalledSince().Equal(since):
 		if !mustClose {
 			// The read fails, and its request is refused.
 			c.interrupted = true
--- a/internal/web/guard/limit_test.go
+++ b/internal/web/guard/limit_test.go
@@ -168,6 +168,39 @@
 	assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
 }
 
+// TestTricklingBodiesGiveWay guards against bodies that arrive steadily, but a byte at a time, and occupy all
+// connections, and against a slow but sound one that gives way.
+func TestTricklingBodiesGiveWay(t *testing.T) {
+	const pause = 20 * time.Millisecond
+	for name, c := range map[string]struct {
+		piece    int
+		givesWay bool
+	}{"a byte at a time": {1, true}, "at ten times the least rate": {minBodyRate / 5, false}} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startTracked(t, &Guard{MaxConns: 1, Stall: 400 * time.Millisecond})
+			arriving := dialTracked(t, address, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+			chunk := fmt.Appendf(nil, "%x\r\n%s\r\n", c.piece, strings.Repeat("x", c.piece))
+			// Nobody tries to connect until the body has arrived for longer than it may stall.
+			end := time.Now().Add(time.Second)
+			for time.Now().Before(end) {
+				_, err := arriving.Write(chunk)
+				assert.NilError(t, err)
+				time.Sleep(pause)
+			}
+			if !c.givesWay {
+				assert.Assert(t, dialTracked(t, address, "").isClosed(t))
+				arriving.write(t, "0\r\n\r\n")
+				assert.Equal(t, arriving.get(t), "answer")
+				return
+			}
+			assert.Equal(t, dialTracked(t, address, plainRequest).get(t), "answer")
+			response, err := http.ReadResponse(arriving.reader, nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
+		})
+	}
+}
+
 // TestLongHeadsAreAccounted guards against unfinished request heads that exceed the memory of a host.
 func TestLongHeadsAreAccounted(t *testing.T) {
 	account := &memory.Account{Limit: 256 << 10, StallTime: time.Hour}
