--- a/internal/web/guard/conn.go
+++ b/internal/web/guard/conn.go
@@ -47,6 +47,8 @@
 	head                 *memory.Holder
 	// begun is set once bytes were read.
 	begun bool
+	// mayMultiplex is set if the server speaks HTTP/2 without TLS.
+	mayMultiplex bool
 	// multiplexed is set if the connection uses HTTP/2. It is idle while it has no requests: what is read
 	// then are mostly frames of the connection.
 	multiplexed bool
@@ -159,7 +161,7 @@
 	now := time.Now()
 	c.lastRead = now
 	if !c.begun {
-		c.begun, c.multiplexed = true, bytes.HasPrefix(data, []byte(multiplexedPreface))
+		c.begun, c.multiplexed = true, c.mayMultiplex && bytes.HasPrefix(data, []byte(multiplexedPreface))
 	}
 	if c.serving {
 		c.bodyBytes += int64(len(data))
--- a/internal/web/guard/guard.go
+++ b/internal/web/guard/guard.go
@@ -44,6 +44,9 @@
 	// SetRetryAfter sets the time to retry in the header of a refusal.
 	SetRetryAfter func(header http.Header, wait time.Duration)
 
+	// server is the server that the guard protects; nil if it was not passed to Protect.
+	server *http.Server
+
 	mu sync.Mutex
 	// open holds the connections of Listener that are not closed.
 	open map[*Conn]struct{}
@@ -54,6 +57,7 @@
 // Protect makes a server use the guard. Its listener must be one of Listener.
 func (g *Guard) Protect(server *http.Server) {
 	server.ConnState, server.ConnContext = g.Track, ConnContext
+	g.server = server
 	server.Handler = g.handler(server.Handler)
 }
 
@@ -76,6 +80,11 @@
 	})
 }
 
+// mayMultiplex reports whether connections without TLS may use HTTP/2. The server is not changed once it runs.
+func (g *Guard) mayMultiplex() bool {
+	return g.server != nil && g.server.Protocols != nil && g.server.Protocols.UnencryptedHTTP2()
+}
+
 func (g *Guard) timeout() time.Duration {
 	if g.Timeout == nil {
 		return 0
--- a/internal/web/guard/limit.go
+++ b/internal/web/guard/limit.go
@@ -62,7 +62,7 @@
 		if err != nil {
 			return nil, err
 		}
-		tracked := &Conn{Conn: c, memory: l.guard.Memory, headSince: time.Now()}
+		tracked := &Conn{Conn: c, memory: l.guard.Memory, mayMultiplex: l.guard.mayMultiplex(), headSince: time.Now()}
 		if l.guard.admit(tracked) {
 			return tracked, nil
 		}
--- a/internal/web/guard/multiplex_test.go
+++ b/internal/web/guard/multiplex_test.go
@@ -116,3 +116,13 @@
 	assert.NilError(t, err)
 	assert.Equal(t, string(data), "")
 }
+
+// TestPrefaceOfOtherProtocolGivesWay guards against connections that begin with the preface of HTTP/2 on a
+// listener that does not speak it, which would never give way to others.
+func TestPrefaceOfOtherProtocolGivesWay(t *testing.T) {
+	address, _ := startTracked(t, &Guard{MaxConns: 2})
+	for range 4 {
+		dialTracked(t, address, "PRI * HTTP/2.0\r\n")
+	}
+	assert.Equal(t, dialTracked(t, address, plainRequest).get(t), "answer")
+}
