Route OPTIONS * instead of letting the server answer it

What callers saw: 200 without a digest, a success that no upstream gave. Cause: net/http answers OPTIONS * itself unless told not to. Change: entry hosts pass it to the handler, which finds no route (404). Test: TestGeneralOptionsAreRouted (200 before).

--- a/cmd/entry_listen.go
+++ b/cmd/entry_listen.go
@@ -14,7 +14,11 @@
 )
 
 func (e *entryHost) newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: entryReadHeaderTimeout, MaxHeaderBytes: dial.MaxHeaderBytes}
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: entryReadHeaderTimeout, MaxHeaderBytes: dial.MaxHeaderBytes,
+		// The server would answer OPTIONS * itself with 200.
+		DisableGeneralOptionsHandler: true,
+	}
 }
 
 // addListener adds a server with a guarded listener to the group; an empty address disables it.
--- a/cmd/entry_odd_test.go
+++ b/cmd/entry_odd_test.go
@@ -1,8 +1,11 @@
 package cmd
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -67,3 +70,18 @@
 		assert.Equal(t, request.Header.Get("X-Injected"), "")
 	}
 }
+
+// TestGeneralOptionsAreRouted guards against a success that no upstream gave: net/http answers OPTIONS * itself.
+func TestGeneralOptionsAreRouted(t *testing.T) {
+	s := startSite(t)
+	c, err := net.Dial("tcp", s.settings.Caller.Listen)
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = fmt.Fprintf(c, "OPTIONS * HTTP/1.1\r\nHost: h\r\n%s: a\r\nAuthorization: Bearer k\r\n\r\n", wire.HeaderRequestID)
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusNotFound)
+	s.stop(t)
+}
