--- a/cmd/entry_drain.go
+++ b/cmd/entry_drain.go
@@ -21,8 +21,8 @@
 	maxDrainAcceptDuration = 2500 * time.Millisecond
 	// exitMargin is the part of the grace period reserved for the exit of the process.
 	exitMargin = 600 * time.Millisecond
-	// responseMargin is the part of the drain in which responses that have not begun are given up, so that
-	// their callers get an error in place of a closed connection.
+	// responseMargin is the last part of the drain, but not more than a quarter of it, in which responses
+	// that have not begun are given up, so that their callers get an error in place of a closed connection.
 	responseMargin = 400 * time.Millisecond
 	// lastResponsesTimeout bounds the wait for the connections that were accepted before the
 	// caller listener closes. Their requests are refused at once.
@@ -94,7 +94,7 @@
 	maxDuration := e.settings.Host.ShutdownTimeout - exitMargin
 	acceptDuration := min(maxDrainAcceptDuration, maxDuration/2)
 	now := clock.Now()
-	e.drainSchedule.Begin(drain.Times{AcceptUntil: now.Add(acceptDuration), End: now.Add(maxDuration - responseMargin)})
+	e.drainSchedule.Begin(drain.Times{AcceptUntil: now.Add(acceptDuration), End: now.Add(maxDuration - min(responseMargin, maxDuration/4))})
 	e.draining.Store(true)
 	e.log.Info().Int64("in_progress", e.callerHandler.InProgress.Load()).Int64("grace_ms", e.settings.Host.ShutdownTimeout.Milliseconds()).Msg("drain_started")
 	go e.deregister(ctx)
