--- a/internal/service/upstream/limit_test.go
+++ b/internal/service/upstream/limit_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -32,6 +33,9 @@
 		f.sender = sender
 		upstreams = append(upstreams, f)
 	}
+	// A failure must not leave the servers waiting for their handlers.
+	releaseAll := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(releaseAll)
 	// Each connection is idle afterwards, and gives way to the next one.
 	for _, f := range upstreams {
 		assert.NilError(t, f.send(context.Background(), Attempt{}))
@@ -57,6 +61,11 @@
 		}()
 	}
 	for end := time.Now().Add(waitTimeout); upstreams[0].instance.InFlight()+upstreams[1].instance.InFlight() < limit || sender.conns.open.Load() < limit; {
+		select {
+		case err := <-results:
+			t.Fatalf("a request ended early: %v", err)
+		default:
+		}
 		assert.Assert(t, time.Now().Before(end))
 		time.Sleep(time.Millisecond)
 	}
@@ -64,7 +73,7 @@
 	err := upstreams[limit].send(context.Background(), Attempt{Exclusive: true})
 	assert.Equal(t, ReasonOf(err), ReasonConnections)
 	assert.Assert(t, IsErrNotSent(err) && errors.Is(err, errTooManyConns))
-	close(release)
+	releaseAll()
 	for range limit {
 		assert.NilError(t, <-results)
 	}
